--- /dev/null
+++ b/src/main/java/tansytrack/Main.java
@@ -0,0 +1,18 @@
+package tansytrack;
+
+import java.io.IOException;
+import tansytrack.adapter.Adapter;
+
+/** Picks the command. */
+public final class Main {
+
+    private Main() { }
+
+    public static void main(String[] args) throws IOException {
+        if (args.length == 1 && args[0].equals("adapter")) {
+            System.exit(new Adapter(System.in, System.out, System.err).run());
+        }
+        System.err.println("usage: java -jar tansytrack.jar adapter");
+        System.exit(2);
+    }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/api/Decisions.java
@@ -0,0 +1,31 @@
+package tansytrack.api;
+
+import java.util.List;
+
+/**
+ * What a workload manager hears. Calls carry the present time in nanoseconds and only take notes; decide() acts on
+ * them, once after each batch of calls, through {@link Actions}.
+ */
+public interface Decisions {
+
+    enum Progress { SHARE_DONE, SPILLS, WAITS }
+
+    /** Engines listed: the whole list when complete, else only what changed. */
+    void engines(long now, boolean complete, List<EngineEntry> entries);
+
+    void task(long now, TaskOffer offer);
+
+    /** A forward ended. Over: the task needs no answer any more. Cost and memory are 0 where they are not told. */
+    void outcome(long now, String task, int index, String engine, Outcome outcome, long lag, boolean over,
+            long cost, double memoryMb, LoadReport report);
+
+    void probed(long now, String engine, Outcome outcome, LoadReport report);
+
+    void progress(long now, String task, int index, String engine, Progress what, double amount);
+
+    void woken(long now, String token);
+
+    void abandoned(long now, String task);
+
+    void decide(long now);
+}
