--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -246,7 +246,8 @@
         final String id;
         final Row row;
         final Tenant tenant;
-        final KeyLine line;
+        final long key;
+        KeyLine line;                         // where its grade keeps order
         final long cutOffAt;
         final long takenAt = now;
         final long cost;                      // nanoseconds of work, 0 where not estimated
@@ -267,8 +268,7 @@
             id = offer.id();
             this.row = row;
             tenant = offer.tenant() == null ? null : gate.tenants.get(offer.tenant());
-            line = row.grade.inOrder() && offer.key() >= 0
-                    ? gate.lines.computeIfAbsent(offer.key(), k -> new KeyLine(k)) : null;
+            key = row.grade.inOrder() ? offer.key() : -1;
             cutOffAt = offer.cutOffAt();
             double guess = offer.cost() > 0 ? offer.cost() * row.costBias : row.meanCost;
             cost = (long) guess;
@@ -419,7 +419,9 @@
                 answer(task);
                 return;
             }
-            if (task.line != null) {
+            if (task.key >= 0) {
+                // Looked up only now: a line named at the door may have been dropped before its task got here.
+                task.line = lines.computeIfAbsent(task.key, KeyLine::new);
                 task.line.line.add(task);
                 if (task.line.line.peek() != task || !open(task.line)) {
                     task.state = State.KEYED;
@@ -507,6 +509,9 @@
                 }
             }
             if (chosen == null) {
+                while (!nobody.waiters.isEmpty()) {
+                    refuse(nobody.waiters.get(0));        // at once or not at all
+                }
                 return;
             }
             chosen.current -= total;
@@ -877,7 +882,7 @@
                 }
             }
             if (set.levers().grants() || set.levers().priorities()) {
-                act.provide(task.id, (long) Math.ceil(memory), set.levers().priorities() ? gate(task) : 1);
+                act.provide(task.id, (long) Math.ceil(memory), set.levers().priorities() ? priority(task) : 1);
             }
             Forward forward = new Forward(task, this, task.forwards, now, memory);
             act.forward(task.id, id, 0);
@@ -911,7 +916,7 @@
             }
         }
 
-        private int gate(Task task) {
+        private int priority(Task task) {
             double density = task.row.grade.earnings() / Math.max(task.cost, MS);
             double reference = densityMean;
             densityMean += LEARN * (Math.log(density) - densityMean);
