--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -431,6 +431,11 @@
             enqueue(task);
         }
 
+        /** This manager's part of the engines. */
+        double share() {
+            return 1.0 / set.siblings();
+        }
+
         private boolean open(KeyLine line) {
             return line.out == 0 && now >= line.restsUntil;
         }
@@ -725,6 +730,7 @@
         LoadReport report;
         long reportAt;
         int threadsSince;                     // sent since that report
+        double grantedSince;
         long probeAt;
         int probesFailed;
         long signAt;                          // last sign of life, or when it was first owed one
@@ -857,7 +863,29 @@
             if (suspect && !mostSuspect()) {
                 return now >= trialAt && task.row.grade.repeat() == Grade.Repeat.HARMLESS;
             }
-            return !pressed() || threads + task.threads() <= Math.max(bound, task.threads());
+            return (!pressed() || threads + task.threads() <= Math.max(bound, task.threads())) && memoryFits(task);
+        }
+
+        /**
+         * The room in memory: past it an engine spills, waits or pages, and all its tasks pay. Always binds, since no
+         * answer tells of it in time; floored at one task.
+         */
+        private boolean memoryFits(Task task) {
+            if (totalMemory <= 0 || out.isEmpty()) {
+                return true;
+            }
+            double ours = granted + grant(task);
+            if (report != null && !Double.isNaN(report.memoryGranted()) && now - reportAt <= REPORT_LASTS) {
+                return report.memoryGranted() * totalMemory + grantedSince + grant(task) <= totalMemory;
+            }
+            return ours <= totalMemory * gate.share();
+        }
+
+        /** What a task is to be granted here; where grants are not heeded, what it will take. */
+        private double grant(Task task) {
+            double memory = task.memoryMb * (task.row.memoryBias + task.row.memoryScatter);
+            double cap = set.levers().grantCap() > 0 ? set.levers().grantCap() * totalMemory : memory;
+            return totalMemory > 0 ? Math.min(memory, cap) : memory;
         }
 
         /** The bound binds only under pressure. */
@@ -874,15 +902,10 @@
                 gate.put(new NotSent(task));
                 return;
             }
-            double memory = 0;
-            if (set.levers().grants() && task.memoryMb > 0) {
-                memory = task.memoryMb * (task.row.memoryBias + task.row.memoryScatter);
-                if (set.levers().grantCap() > 0 && totalMemory > 0) {
-                    memory = Math.min(memory, set.levers().grantCap() * totalMemory);
-                }
-            }
+            double memory = grant(task);
             if (set.levers().grants() || set.levers().priorities()) {
-                act.provide(task.id, (long) Math.ceil(memory), set.levers().priorities() ? priority(task) : 1);
+                act.provide(task.id, set.levers().grants() ? (long) Math.ceil(memory) : 0,
+                        set.levers().priorities() ? priority(task) : 1);
             }
             Forward forward = new Forward(task, this, task.forwards, now, memory);
             act.forward(task.id, id, 0);
@@ -902,6 +925,7 @@
             threads += task.threads();
             threadsSince += task.threads();
             granted += memory;
+            grantedSince += memory;
             if (warmth() < 1) {
                 coldSends.add(new long[] {now, (long) task.row.meanCost});
             }
@@ -993,6 +1017,7 @@
                 report = told;
                 reportAt = now;
                 threadsSince = 0;
+                grantedSince = 0;
                 if (told.coresBusy() >= 0.95 || told.memoryGranted() >= 0.97) {
                     busyUntil = now + BUSY_LASTS;
                 }
