--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -431,11 +431,6 @@
             enqueue(task);
         }
 
-        /** This manager's part of the engines. */
-        double share() {
-            return 1.0 / set.siblings();
-        }
-
         private boolean open(KeyLine line) {
             return line.out == 0 && now >= line.restsUntil;
         }
@@ -726,6 +721,7 @@
         double strain;                        // ln of how much slower than the best seen
         long busyUntil;
         long halvedAt;
+        double ours;                          // our part of the tasks it reports to hold, smoothed
         double granted;                       // memory that our tasks were granted there
         LoadReport report;
         long reportAt;
@@ -878,7 +874,12 @@
             if (report != null && !Double.isNaN(report.memoryGranted()) && now - reportAt <= REPORT_LASTS) {
                 return report.memoryGranted() * totalMemory + grantedSince + grant(task) <= totalMemory;
             }
-            return ours <= totalMemory * gate.share();
+            return ours <= totalMemory * share();
+        }
+
+        /** This manager's part of the engine: an even one, or more where the engine is seen to hold mostly ours. */
+        private double share() {
+            return Math.max(1.0 / set.siblings(), ours);
         }
 
         /** What a task is to be granted here; where grants are not heeded, what it will take. */
@@ -891,7 +892,7 @@
         /** The bound binds only under pressure. */
         private boolean pressed() {
             return strain > WELL_ABOVE_BEST || now < busyUntil
-                    || threads >= cores * warmth() * THREADS_PER_CORE / set.siblings();
+                    || threads >= cores * warmth() * THREADS_PER_CORE * share();
         }
 
         private void send(Task task) {
@@ -1018,6 +1019,9 @@
                 reportAt = now;
                 threadsSince = 0;
                 grantedSince = 0;
+                if (told.held() >= 4) {
+                    ours += LEARN * 2 * (Math.min(1, out.size() / told.held()) - ours);
+                }
                 if (told.coresBusy() >= 0.95 || told.memoryGranted() >= 0.97) {
                     busyUntil = now + BUSY_LASTS;
                 }
