--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -60,6 +60,7 @@
     private final Map<String, Task> tasks = new HashMap<>();
     private final Map<String, Row> rows = new HashMap<>();
     private final Gate gate = new Gate();
+    private boolean loadsMakeWait;            // is there a grade that stands still while a load holds its data set?
     private long now;
 
     public Decide(Settings settings, Actions actions) {
@@ -68,6 +69,7 @@
         chance = new SplittableRandom(settings.seed());
         for (Grade grade : settings.grades()) {
             rows.put(grade.name(), new Row(grade));
+            loadsMakeWait |= grade.waitsForLoads();
         }
         for (Settings.Tenant tenant : settings.tenants()) {
             gate.tenants.put(tenant.name(), new Tenant(Math.max(tenant.share(), 0.001)));
@@ -1138,6 +1140,24 @@
         return suspects * 2 > all;
     }
 
+    /**
+     * Where the loads of a data set should go, alike at every manager without a word between them: tasks that would
+     * stand still behind a load stay away from there, also from loads of other managers, which no one tells of.
+     */
+    private Engine home(long dataSet) {
+        Engine best = null;
+        long most = Long.MIN_VALUE;
+        for (Engine engine : engines.values()) {
+            long mixed = (engine.id.hashCode() * 0x9E3779B97F4A7C15L ^ dataSet * 0xC2B2AE3D27D4EB4FL) * 0x9E3779B97F4A7C15L;
+            mixed ^= mixed >>> 31;
+            if (engine.open() && !engine.suspect && mixed * 0xBF58476D1CE4E5B9L > most) {
+                most = mixed * 0xBF58476D1CE4E5B9L;
+                best = engine;
+            }
+        }
+        return best;
+    }
+
     /** The weighted draw among the engines that fit. */
     private Engine draw(Task task) {
         double heardLoad = 0;
@@ -1154,6 +1174,7 @@
             }
         }
         double average = heard == 0 ? 1 : heardLoad / heard;
+        Engine home = task.dataSet >= 0 && loadsMakeWait ? home(task.dataSet) : null;
         double[] weights = new double[fitting.size()];
         double total = 0;
         for (int i = 0; i < weights.length; i++) {
@@ -1163,6 +1184,9 @@
             double weight = engine.cores * engine.warmth() / (free * free * free) / Math.exp(2 * engine.pace);
             weight *= engine.warm.contains(task.dataSet) ? 2 : 1;
             weight *= engine.holdsFor(task) ? 0.02 : 1;
+            if (engine == home) {
+                weight *= task.row.grade.load() ? 20 : task.row.grade.waitsForLoads() ? 0.1 : 1;
+            }
             weight *= set.levers().placesPriced() && !engine.place.equals(set.place()) ? 0.5 : 1;
             weights[i] = weight;
             total += weight;
