--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -34,6 +34,12 @@
     private static final long SWEEP = 25 * MS;            // how often held tasks and engines are looked at
     private static final long ANSWER_MARGIN = 60 * MS;    // a held task is answered this long before its cut-off
 
+    // The price of work while tasks wait, a sweep at a time.
+    private static final long PATIENCE = 150 * MS;
+    private static final double PRICE_UP = 0.02;
+    private static final double PRICE_DOWN = 0.01;
+    private static final double LEAST_PRICE = 0.02;       // of the usual worth
+
     // The room.
     private static final double THREADS_PER_CORE = 2;
     private static final double BUSY = 0.8;
@@ -288,6 +294,11 @@
             return Math.max(cost / threads(), 5 * MS);
         }
 
+        /** Earnings for its work. */
+        double worth() {
+            return row.grade.earnings() / Math.max(cost, MS);
+        }
+
         long budget() {
             return Math.min(LONGEST_WAIT, Math.max(0, cutOffAt - now) / WAIT_PART);
         }
@@ -395,6 +406,8 @@
         final Tenant nobody = new Tenant(0);  // tasks of no known tenant: never held
         int waiting;
         long lastGrant;
+        double price;                         // of engine work, in earnings; 0 unless tasks wait
+        double worthMean = Double.NaN;        // mean ln of the worth of the tasks taken
         double spacing = 10 * MS;             // mean time between turns that ended in a send, while tasks wait
 
         @Override
@@ -417,6 +430,8 @@
         }
 
         private void taken(Task task) {
+            double worth = Math.log(task.worth());
+            worthMean = Double.isNaN(worthMean) ? worth : worthMean + LEARN * (worth - worthMean);
             if (task.cutOffAt - now <= ANSWER_MARGIN) {
                 answer(task);
                 return;
@@ -443,6 +458,10 @@
             task.wantedSince = now;
             task.waitUntil = now + task.budget();
             Tenant tenant = task.tenant == null ? nobody : task.tenant;
+            if (task.worth() < price && task.forwards == 0) {
+                refuse(task);
+                return;
+            }
             int at = position(tenant, task);
             boolean room = fits(task);
             if (!room && (tenant == nobody || tenant.waiters.size() >= DEPTH_PER_TENANT || waiting >= DEPTH_IN_ALL
@@ -680,7 +699,28 @@
             }
         }
 
+        /**
+         * Early refusal by worth. While tasks wait, engine work has a price, which rises as long as they do; a task
+         * that earns less for its work is refused at once. Guards against a few heavy tasks that take the room of
+         * many, from any cause: bursts, overload, slow or lost engines, costs far above the usual.
+         */
+        private void reprice() {
+            long oldest = now;
+            for (Tenant tenant : tenants.values()) {
+                for (Task task : tenant.waiters) {
+                    oldest = Math.min(oldest, task.wantedSince);
+                }
+            }
+            double usual = Math.exp(worthMean);
+            if (now - oldest > PATIENCE) {
+                price = clamp(price * (1 + PRICE_UP), usual * LEAST_PRICE, usual);
+            } else {
+                price = price * (1 - PRICE_DOWN) < usual * LEAST_PRICE ? 0 : price * (1 - PRICE_DOWN);
+            }
+        }
+
         private void sweep() {
+            reprice();
             for (Tenant tenant : tenants.values()) {
                 for (int i = tenant.waiters.size() - 1; i >= 0; i--) {
                     Task task = tenant.waiters.get(i);
@@ -944,10 +984,7 @@
         }
 
         private int priority(Task task) {
-            double density = task.row.grade.earnings() / Math.max(task.cost, MS);
-            double reference = densityMean;
-            densityMean += LEARN * (Math.log(density) - densityMean);
-            double above = Math.log(density) - reference;
+            double above = Math.log(task.worth()) - gate.worthMean;
             return above > -0.7 ? 3 : above > -1.8 ? 2 : above > -2.9 ? 1 : 0;
         }
 
@@ -1121,8 +1158,6 @@
         }
     }
 
-    private double densityMean = Math.log(1e-8);
-
     private static double clamp(double value, double least, double most) {
         return Math.max(least, Math.min(most, value));
     }
