--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -37,7 +37,7 @@
     // The price of work while tasks wait, a sweep at a time.
     private static final long PATIENCE = 150 * MS;
     private static final double PRICE_UP = 0.02;
-    private static final double PRICE_DOWN = 0.01;
+    private static final double PRICE_DOWN = 0.03;
     private static final double LEAST_PRICE = 0.02;       // of the usual worth
 
     // The room.
