--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -37,7 +37,8 @@
     // The price of work while tasks wait, a sweep at a time.
     private static final long PATIENCE = 150 * MS;
     private static final double PRICE_UP = 0.02;
-    private static final double PRICE_DOWN = 0.03;
+    private static final double PRICE_DOWN = 0.02;
+    private static final double GRADE_PART = 0.5;
     private static final double LEAST_PRICE = 0.02;       // of the usual worth
 
     // The room.
@@ -235,6 +236,7 @@
         double usual = Double.NaN;            // ln of run time over undisturbed run time, all engines
         double best = Double.NaN;             // the lowest that usual has been
         double meanRun;                       // of the handled, in nanoseconds
+        double worthMean = Double.NaN;        // mean ln of the earnings for the work of its tasks
         long noRoomAt = -1;
 
         Row(Grade grade) {
@@ -259,6 +261,7 @@
         final long cutOffAt;
         final long takenAt = now;
         final long cost;                      // nanoseconds of work, 0 where not estimated
+        final double lnWorth;                 // earnings for its work
         final double memoryMb;
         final long dataSet;
         long waitUntil;                       // end of the budget in the queue
@@ -281,6 +284,7 @@
             double guess = offer.cost() > 0 ? offer.cost() * row.costBias : row.meanCost;
             cost = (long) guess;
             row.meanCost = row.meanCost == 0 ? guess : row.meanCost + LEARN * (guess - row.meanCost);
+            lnWorth = Math.log(Math.max(row.grade.earnings(), 1e-9) / Math.max(cost, MS));
             memoryMb = offer.memoryMb();
             dataSet = offer.dataSet();
         }
@@ -294,9 +298,9 @@
             return Math.max(cost / threads(), 5 * MS);
         }
 
-        /** Earnings for its work. */
+        /** Earnings for its work, half of what sets its grade apart left out: no grade is shed whole for another. */
         double worth() {
-            return row.grade.earnings() / Math.max(cost, MS);
+            return Math.exp(lnWorth - GRADE_PART * (row.worthMean - gate.worthMean));
         }
 
         long budget() {
@@ -430,8 +434,10 @@
         }
 
         private void taken(Task task) {
-            double worth = Math.log(task.worth());
-            worthMean = Double.isNaN(worthMean) ? worth : worthMean + LEARN * (worth - worthMean);
+            worthMean = Double.isNaN(worthMean) ? task.lnWorth : worthMean + LEARN * (task.lnWorth - worthMean);
+            Row row = task.row;
+            row.worthMean = Double.isNaN(row.worthMean) ? task.lnWorth
+                    : row.worthMean + LEARN * (task.lnWorth - row.worthMean);
             if (task.cutOffAt - now <= ANSWER_MARGIN) {
                 answer(task);
                 return;
@@ -984,7 +990,7 @@
         }
 
         private int priority(Task task) {
-            double above = Math.log(task.worth()) - gate.worthMean;
+            double above = task.lnWorth - gate.worthMean;
             return above > -0.7 ? 3 : above > -1.8 ? 2 : above > -2.9 ? 1 : 0;
         }
 
