--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -1,9 +1,9 @@
 package tansytrack;
 
-// Every decision of a workload manager. One instance per manager: new Decide(settings, actions); then any number of
-// calls that tell it something, then decide(now), which empties all inboxes and acts. The interface is
-// tansytrack.api: Decisions (in), Actions (out), Settings (at the start). The mechanism: docs/design.md.
-// From top to bottom: notes, the grade table, tasks, the loop, the gate (queues and turns), engines, the draw.
+// Every decision of a workload manager. One instance a manager: new Decide(settings, actions); then any calls that
+// tell it something, which only put notes into inboxes; then decide(now), which empties the inboxes and acts.
+// The interface is tansytrack.api: Decisions (in), Actions (out), Settings (at the start). Why: docs/design.md.
+// From top to bottom: values, the door, the loop, the grade table, tasks, the gate (queues, turns, answers), engines.
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -25,53 +25,68 @@
 public final class Decide implements Decisions {
 
     private static final long MS = 1_000_000L;
+    private static final double LEARN = 0.05;             // weight of one new sample in a running mean
+    private static final long SWEEP = 25 * MS;            // how often waiters and engines are looked at
+    private static final long ANSWER_MARGIN = 60 * MS;    // a held task is answered this long before its cut-off
 
-    // The queues (the source's bounds, and its wait of 5000 ms).
+    // The queues: the source's bounds, its longest wait, and the design's part of the client's time left.
     private static final int DEPTH_PER_TENANT = 32;
     private static final int DEPTH_IN_ALL = 4096;
     private static final long LONGEST_WAIT = 5000 * MS;
-    private static final int WAIT_PART = 5;               // and a fifth of the client's time left
-    private static final long SWEEP = 25 * MS;            // how often held tasks and engines are looked at
-    private static final long ANSWER_MARGIN = 60 * MS;    // a held task is answered this long before its cut-off
+    private static final int WAIT_PART = 5;
 
-    // The price of work while tasks wait, a sweep at a time.
+    // The price of engine work while tasks wait: after how long a wait, and how it moves a sweep.
     private static final long PATIENCE = 150 * MS;
     private static final double PRICE_UP = 0.02;
     private static final double PRICE_DOWN = 0.02;
-    private static final double GRADE_PART = 0.5;
     private static final double LEAST_PRICE = 0.02;       // of the usual worth
+    private static final double GRADE_PART = 0.5;         // of what sets a grade's worth apart: left out
 
-    // The room.
+    // The room: the design's bound, what counts as busy and slow, and how long one sign of pressure lasts.
     private static final double THREADS_PER_CORE = 2;
+    private static final double MOST_THREADS_PER_CORE = 4;
     private static final double BUSY = 0.8;
+    private static final double CROWDED = 0.95;
     private static final double WELL_ABOVE_BEST = Math.log(2);
     private static final double SLOW_ANSWER = Math.log(5);
-    private static final long BUSY_LASTS = 1000 * MS;     // how long one busy report or refusal keeps the bound on
+    private static final long PRESSURE_LASTS = 1000 * MS;
+    private static final double COLD_PART = 0.6;          // of the cold budget: the rest is for what we misjudge
+    private static final double GRANT_MARGIN = 0.25;      // over the estimate, until its scatter is told
 
-    // Health.
-    private static final double UNUSUAL = 8;              // silence this unlikely (minus log10) is suspected
+    // Health and reports.
+    private static final double UNUSUAL = 4;              // a silence of this -log10 of its chance is suspected
     private static final long SHORTEST_SILENCE = 400 * MS;
+    private static final long FIRST_GAP = 500 * MS;
     private static final long FIRST_TRIAL = 1000 * MS;
     private static final long LONGEST_TRIAL_GAP = 4000 * MS;
     private static final long PROBE_EVERY = 400 * MS;
     private static final long REPORT_LASTS = 3000 * MS;
 
-    private static final double LEARN = 0.05;             // weight of one new sample in a running mean
-    private static final double COLD_SAFETY = 0.6;        // part of the cold budget that is ever used
+    // The draw.
+    private static final double IDLE = 0.15;              // load a core of an engine that does nothing
+    private static final int WARM_SETS = 4;
+    private static final double WARM = 2;                 // weight of an engine that has read the data set lately
+    private static final double HELD = 0.02;              // of one where a load of ours holds it
+    private static final double HOME = 20;                // of a data set's home, for its loads
+    private static final double NOT_HOME = 0.1;           // and for tasks that would wait behind them
+    private static final double FAR = 0.5;                // of an engine in another place, where crossing costs
 
     private final Settings set;
+    private final Settings.Levers levers;
     private final Actions act;
     private final SplittableRandom chance;
     private final ArrayDeque<Part> ready = new ArrayDeque<>();
     private final Map<String, Engine> engines = new TreeMap<>();
     private final Map<String, Task> tasks = new HashMap<>();
-    private final Map<String, Row> rows = new HashMap<>();
+    private final Map<String, Row> rows = new TreeMap<>();
+    private final Map<String, Tenant> tenants = new TreeMap<>();
     private final Gate gate = new Gate();
     private boolean loadsMakeWait;            // is there a grade that stands still while a load holds its data set?
     private long now;
 
     public Decide(Settings settings, Actions actions) {
         set = settings;
+        levers = settings.levers();
         act = actions;
         chance = new SplittableRandom(settings.seed());
         for (Grade grade : settings.grades()) {
@@ -79,144 +94,124 @@
             loadsMakeWait |= grade.waitsForLoads();
         }
         for (Settings.Tenant tenant : settings.tenants()) {
-            gate.tenants.put(tenant.name(), new Tenant(Math.max(tenant.share(), 0.001)));
+            tenants.put(tenant.name(), new Tenant(Math.max(tenant.share(), 0.001)));
         }
         actions.wake(SWEEP, "sweep");
     }
 
-    // ---- Notes, and the parts that take them ----
-
-    private interface Note { }
-
-    private record Taken(Task task) implements Note { }
-
-    private record Turn() implements Note { }
-
-    private record Sweep() implements Note { }
-
-    private record Send(Task task) implements Note { }
-
-    private record NotSent(Task task) implements Note { }
-
-    private record Listed(EngineEntry entry) implements Note { }
-
-    private record Ended(Forward forward, Outcome outcome, boolean over, long cost, double memoryMb,
-            LoadReport report) implements Note { }
-
-    private record Probed(Outcome outcome, LoadReport report) implements Note { }
-
-    private record Moved(Forward forward, Progress what, double amount) implements Note { }
-
-    private record Left(Task task) implements Note { }
-
-    private record Rescue(Forward forward) implements Note { }
-
-    private abstract class Part {
-        private final ArrayDeque<Note> inbox = new ArrayDeque<>();
-
-        final void put(Note note) {
-            inbox.add(note);
-            if (inbox.size() == 1) {
-                ready.add(this);
-            }
-        }
-
-        abstract void take(Note note);
-    }
-
-    // ---- What is heard: ids become objects here, and everything becomes a note ----
+    // ---- The door: ids become objects, and everything heard becomes a note ----
 
-    @Override
     public void engines(long at, boolean complete, List<EngineEntry> entries) {
         now = at;
         Map<String, EngineEntry> named = new TreeMap<>();
         for (EngineEntry entry : entries) {
             named.put(entry.id(), entry);
-            engines.computeIfAbsent(entry.id(), id -> new Engine(entry));
+            engines.computeIfAbsent(entry.id(), Engine::new);
         }
         for (Engine engine : engines.values()) {
             EngineEntry entry = named.get(engine.id);
-            if (entry != null) {
-                engine.put(new Listed(entry));
-            } else if (complete) {
-                engine.put(new Listed(new EngineEntry(engine.id, 0, engine.place, engine.kind, engine.cell,
-                        EngineEntry.State.GONE, engine.startedAt)));
+            if (entry != null || complete) {
+                engine.put(() -> engine.listed(entry));
             }
         }
     }
 
-    @Override
     public void task(long at, TaskOffer offer) {
         now = at;
-        gate.ration.taken.add(at);
-        Row row = rows.get(offer.grade());
+        Row row = rows.get(offer.grade() == null ? "" : offer.grade());
         if (row == null) {
             act.bounce(offer.id(), 0);
             return;
         }
         Task task = new Task(offer, row);
         tasks.put(task.id, task);
-        gate.put(new Taken(task));
+        gate.put(() -> gate.taken(task));
     }
 
-    @Override
     public void outcome(long at, String id, int index, String engine, Outcome outcome, long lag, boolean over,
             long cost, double memoryMb, LoadReport report) {
         now = at;
-        Engine from = engines.get(engine);
-        Forward forward = from == null ? null : from.find(id, index);
+        Forward forward = find(engine, id, index);
         if (forward != null) {
-            from.put(new Ended(forward, outcome, over, cost, memoryMb, report));
+            forward.engine.put(() -> forward.engine.ended(forward, outcome, over, cost, memoryMb, report));
         }
     }
 
-    @Override
     public void probed(long at, String engine, Outcome outcome, LoadReport report) {
         now = at;
         Engine from = engines.get(engine);
         if (from != null) {
-            from.put(new Probed(outcome, report));
+            from.put(() -> from.probed(outcome, report));
         }
     }
 
-    @Override
     public void progress(long at, String id, int index, String engine, Progress what, double amount) {
         now = at;
-        Engine from = engines.get(engine);
-        Forward forward = from == null ? null : from.find(id, index);
+        Forward forward = find(engine, id, index);
         if (forward != null) {
-            from.put(new Moved(forward, what, amount));
+            forward.engine.put(forward.engine::sign);
         }
     }
 
-    @Override
     public void woken(long at, String token) {
         now = at;
         for (Engine engine : engines.values()) {
-            engine.put(new Sweep());
+            engine.put(engine::sweep);
         }
-        gate.put(new Sweep());
+        gate.put(gate::sweep);
         act.wake(SWEEP, token);
     }
 
-    @Override
     public void abandoned(long at, String id) {
         now = at;
         Task task = tasks.get(id);
         if (task != null) {
-            gate.put(new Left(task));
+            gate.put(() -> gate.finish(task));
+        }
+    }
+
+    private Forward find(String engine, String task, int index) {
+        Engine at = engines.get(engine);
+        if (at != null) {
+            for (Forward forward : at.out) {
+                if (forward.index == index && forward.task.id.equals(task)) {
+                    return forward;
+                }
+            }
         }
+        return null;
     }
 
-    /** The one loop: empties every inbox, first come first served. */
-    @Override
+    // ---- Notes, parts, and the one loop ----
+
+    /** A note in an inbox: what the part that takes it is to do. */
+    private interface Note {
+        void take();
+    }
+
+    private abstract class Part {
+        private final ArrayDeque<Note> inbox = new ArrayDeque<>();
+
+        final void put(Note note) {
+            inbox.add(note);
+            if (inbox.size() == 1) {
+                ready.add(this);
+            }
+        }
+    }
+
+    /** All news first, so that no turn goes to a task whose end is in this batch; then the turns. */
     public void decide(long at) {
         now = at;
-        gate.put(new Turn());
+        empty();
+        gate.put(gate::turn);
+        empty();
+    }
+
+    private void empty() {
         while (!ready.isEmpty()) {
             Part part = ready.poll();
-            Note note = part.inbox.peek();
-            part.take(note);
+            part.inbox.peek().take();
             part.inbox.poll();
             if (!part.inbox.isEmpty()) {
                 ready.add(part);
@@ -224,30 +219,32 @@
         }
     }
 
+    private static double mean(double old, double sample, double weight) {
+        return Double.isNaN(old) ? sample : old + weight * (sample - old);
+    }
+
+    private static double clamp(double value, double least, double most) {
+        return Math.max(least, Math.min(most, value));
+    }
+
     // ---- The grade table, tasks, forwards ----
 
     /** What differs by service grade. */
-    private final class Row {
+    private static final class Row {
         final Grade grade;
         double costBias = 1;                  // told cost over estimated cost
         double memoryBias = 1;                // told memory over estimated memory, and its scatter
-        double memoryScatter = 0.25;
-        double meanCost;                      // of the tasks taken, in nanoseconds of work
-        double usual = Double.NaN;            // ln of run time over undisturbed run time, all engines
+        double memoryScatter = GRANT_MARGIN;
+        double meanCost = Double.NaN;         // of the tasks taken, in nanoseconds of work
+        double meanRun = Double.NaN;          // of the handled, in nanoseconds
+        double usual = Double.NaN;            // ln of run time over undisturbed run time, on all engines
         double best = Double.NaN;             // the lowest that usual has been
-        double meanRun;                       // of the handled, in nanoseconds
-        double worthMean = Double.NaN;        // mean ln of the earnings for the work of its tasks
-        long noRoomAt = -1;
+        double worthMean = Double.NaN;        // ln of the earnings for the work of its tasks
+        boolean noRoom;                       // at this turn
 
         Row(Grade grade) {
             this.grade = grade;
         }
-
-        void learn(double ratio, long run) {
-            usual = Double.isNaN(usual) ? ratio : usual + LEARN * (ratio - usual);
-            best = Double.isNaN(best) ? Math.max(usual, 0) : Math.max(0, Math.min(best, usual));
-            meanRun = meanRun == 0 ? run : meanRun + LEARN * (run - meanRun);
-        }
     }
 
     private enum State { KEYED, WAITING, OUT, OVER }
@@ -255,47 +252,42 @@
     private final class Task {
         final String id;
         final Row row;
-        final Tenant tenant;
+        final Grade grade;
+        final Tenant tenant;                  // null: unknown, never held
         final long key;
         KeyLine line;                         // where its grade keeps order
         final long cutOffAt;
-        final long takenAt = now;
-        final long cost;                      // nanoseconds of work, 0 where not estimated
+        final double cost;                    // nanoseconds of work
         final double lnWorth;                 // earnings for its work
         final double memoryMb;
         final long dataSet;
-        long waitUntil;                       // end of the budget in the queue
-        long wantedSince;
         State state = State.OVER;
         boolean queued;
+        long wantedSince;
+        long waitUntil;                       // end of the budget in the queue
         int forwards;                         // sent so far
         final List<Forward> out = new ArrayList<>(2);
-        boolean mayHaveRun;
-        long mayHaveRunSince;                 // the send of the first forward that may have run
-        Engine ranOn;
-        Engine target;                        // drawn at this turn
+        Forward ran;                          // the first that may have run
+        long cancelled;                       // a bit a forward
 
         Task(TaskOffer offer, Row row) {
             id = offer.id();
             this.row = row;
-            tenant = offer.tenant() == null ? null : gate.tenants.get(offer.tenant());
-            key = row.grade.inOrder() ? offer.key() : -1;
+            grade = row.grade;
+            tenant = offer.tenant() == null ? null : tenants.get(offer.tenant());
+            key = grade.inOrder() ? offer.key() : -1;
             cutOffAt = offer.cutOffAt();
-            double guess = offer.cost() > 0 ? offer.cost() * row.costBias : row.meanCost;
-            cost = (long) guess;
-            row.meanCost = row.meanCost == 0 ? guess : row.meanCost + LEARN * (guess - row.meanCost);
-            lnWorth = Math.log(Math.max(row.grade.earnings(), 1e-9) / Math.max(cost, MS));
+            double usual = Double.isNaN(row.meanCost) ? MS : row.meanCost;
+            cost = Math.max(MS, offer.cost() > 0 ? offer.cost() * row.costBias : usual);
+            row.meanCost = mean(row.meanCost, cost, LEARN);
+            lnWorth = Math.log(Math.max(grade.earnings(), 1e-9) / cost);
             memoryMb = offer.memoryMb();
             dataSet = offer.dataSet();
         }
 
-        int threads() {
-            return row.grade.threads();
-        }
-
         /** Run time on an engine that does nothing else. */
-        long alone() {
-            return Math.max(cost / threads(), 5 * MS);
+        double alone() {
+            return Math.max(cost / grade.threads(), 5 * MS);
         }
 
         /** Earnings for its work, half of what sets its grade apart left out: no grade is shed whole for another. */
@@ -311,53 +303,35 @@
             return state == State.OVER;
         }
 
-        /** Rule 2: may this task go to that engine, given what its earlier forwards may have done? */
+        boolean harmless() {
+            return grade.repeat() == Grade.Repeat.HARMLESS;
+        }
+
+        /** Rule 2: may it go to that engine, given what its earlier forwards may have done? */
         boolean mayRepeatOn(Engine engine) {
-            if (!out.isEmpty() && !set.levers().secondCopies()) {
+            if (!out.isEmpty() && !levers.secondCopies()) {
                 return false;
             }
-            if (row.grade.repeat() == Grade.Repeat.HARMLESS || !mayHaveRun && out.isEmpty()) {
+            Forward first = ran != null ? ran : out.isEmpty() ? null : out.get(0);
+            if (first == null || harmless()) {
                 return true;
             }
-            if (row.grade.repeat() == Grade.Repeat.ONE_SHOT) {
-                return false;
-            }
-            Engine first = mayHaveRun ? ranOn : out.get(0).engine;
-            long since = mayHaveRun ? mayHaveRunSince : out.get(0).sentAt;
-            if (now - since >= row.grade.repeatWindow() - SWEEP) {
-                return false;
-            }
-            return switch (row.grade.scope()) {
-                case ALL -> true;
-                case PLACE -> first.place.equals(engine.place);
-                case CELL -> first.cell == engine.cell;
-            };
+            return grade.repeat() == Grade.Repeat.STAMPED && now - first.sentAt < grade.repeatWindow() - SWEEP
+                    && switch (grade.scope()) {
+                        case ALL -> true;
+                        case PLACE -> first.engine.place.equals(engine.place);
+                        case CELL -> first.engine.cell == engine.cell;
+                    };
         }
 
         /** Rule 2: does a bounce keep its promise that trying again is harmless? */
         boolean mayBounce() {
-            return row.grade.repeat() == Grade.Repeat.HARMLESS || !mayHaveRun && out.isEmpty()
-                    || row.grade.repeat() == Grade.Repeat.STAMPED && row.grade.scope() == Grade.Scope.ALL;
+            return harmless() || ran == null && out.isEmpty()
+                    || grade.repeat() == Grade.Repeat.STAMPED && grade.scope() == Grade.Scope.ALL;
         }
     }
 
-    private static final class Forward {
-        final Task task;
-        final Engine engine;
-        final int index;
-        final long sentAt;
-        final double memoryMb;
-        boolean cancelled;
-        boolean rescued;
-
-        Forward(Task task, Engine engine, int index, long sentAt, double memoryMb) {
-            this.task = task;
-            this.engine = engine;
-            this.index = index;
-            this.sentAt = sentAt;
-            this.memoryMb = memoryMb;
-        }
-    }
+    private record Forward(Task task, Engine engine, int index, long sentAt, double memoryMb) { }
 
     /** The tasks of one key, in the order taken (rule 5). */
     private static final class KeyLine {
@@ -375,69 +349,28 @@
         final double weight;
         double current;                       // smooth weighted round-robin
         final ArrayList<Task> waiters = new ArrayList<>();    // least time left first
-        Task next;                            // found fit at this turn
 
         Tenant(double weight) {
             this.weight = weight;
         }
     }
 
-    /** Rule 7: what was taken and what was forwarded further within the window. */
-    private static final class Ration {
-        final ArrayDeque<Long> taken = new ArrayDeque<>();
-        final ArrayDeque<Long> further = new ArrayDeque<>();
-
-        boolean allows(Settings.RationRule rule, long now) {
-            if (rule == null) {
-                return true;
-            }
-            while (!taken.isEmpty() && taken.peek() <= now - rule.window()) {
-                taken.poll();
-            }
-            while (!further.isEmpty() && further.peek() < now - rule.window()) {
-                further.poll();
-            }
-            return further.size() + 1 <= rule.spare() + rule.share() * taken.size();
-        }
-    }
-
     // ---- The gate: tenant queues, turns, final answers ----
 
     private final class Gate extends Part {
-        final Map<String, Tenant> tenants = new TreeMap<>();
         final Map<Long, KeyLine> lines = new TreeMap<>();
-        final Ration ration = new Ration();
-        final Tenant nobody = new Tenant(0);  // tasks of no known tenant: never held
+        final ArrayDeque<Long> taken = new ArrayDeque<>();    // times within the ration's window (rule 7)
+        final ArrayDeque<Long> further = new ArrayDeque<>();
         int waiting;
         long lastGrant;
-        double price;                         // of engine work, in earnings; 0 unless tasks wait
+        double spacing = 10 * MS;             // mean time between sends, while tasks wait
         double worthMean = Double.NaN;        // mean ln of the worth of the tasks taken
-        double spacing = 10 * MS;             // mean time between turns that ended in a send, while tasks wait
-
-        @Override
-        void take(Note note) {
-            if (note instanceof Taken n) {
-                taken(n.task);
-            } else if (note instanceof Turn) {
-                turn();
-            } else if (note instanceof NotSent n) {
-                back(n.task);
-            } else if (note instanceof Ended n) {
-                ended(n);
-            } else if (note instanceof Rescue n) {
-                rescue(n.forward);
-            } else if (note instanceof Left n) {
-                finish(n.task);
-            } else if (note instanceof Sweep) {
-                sweep();
-            }
-        }
+        double price;                         // of engine work, in earnings; 0 unless tasks wait
 
         private void taken(Task task) {
-            worthMean = Double.isNaN(worthMean) ? task.lnWorth : worthMean + LEARN * (task.lnWorth - worthMean);
-            Row row = task.row;
-            row.worthMean = Double.isNaN(row.worthMean) ? task.lnWorth
-                    : row.worthMean + LEARN * (task.lnWorth - row.worthMean);
+            taken.add(now);
+            worthMean = mean(worthMean, task.lnWorth, LEARN);
+            task.row.worthMean = mean(task.row.worthMean, task.lnWorth, LEARN);
             if (task.cutOffAt - now <= ANSWER_MARGIN) {
                 answer(task);
                 return;
@@ -454,55 +387,61 @@
             enqueue(task);
         }
 
-        private boolean open(KeyLine line) {
+        boolean open(KeyLine line) {
             return line.out == 0 && now >= line.restsUntil;
         }
 
-        /** Into its tenant's queue; or refused at once, when it fits no bound or expects to wait too long. */
+        /** Into its tenant's queue; refused at once if it earns too little, fits no bound or would wait too long. */
         private void enqueue(Task task) {
             task.state = State.WAITING;
             task.wantedSince = now;
             task.waitUntil = now + task.budget();
-            Tenant tenant = task.tenant == null ? nobody : task.tenant;
-            if (task.worth() < price && task.forwards == 0) {
-                refuse(task);
-                return;
-            }
-            int at = position(tenant, task);
-            boolean room = fits(task);
-            if (!room && (tenant == nobody || tenant.waiters.size() >= DEPTH_PER_TENANT || waiting >= DEPTH_IN_ALL
-                    || expectedWait(task, at) > task.budget())) {
+            if (task.worth() < price && task.forwards == 0 || !fits(task) && (task.tenant == null
+                    || task.tenant.waiters.size() >= DEPTH_PER_TENANT || waiting >= DEPTH_IN_ALL
+                    || expectedWait(task) > task.budget())) {
                 refuse(task);
-                return;
+            } else {
+                queue(task);
             }
-            tenant.waiters.add(at, task);
+        }
+
+        private void queue(Task task) {
+            ArrayList<Task> waiters = task.tenant == null ? nobody : task.tenant.waiters;
+            waiters.add(position(waiters, task), task);
             task.queued = true;
             waiting++;
-            put(new Turn());
         }
 
-        private int position(Tenant tenant, Task task) {
-            int at = tenant.waiters.size();
-            while (at > 0 && tenant.waiters.get(at - 1).cutOffAt > task.cutOffAt) {
+        private void unqueue(Task task) {
+            if (task.queued) {
+                (task.tenant == null ? nobody : task.tenant.waiters).remove(task);
+                task.queued = false;
+                waiting--;
+            }
+        }
+
+        private int position(ArrayList<Task> waiters, Task task) {
+            int at = waiters.size();
+            while (at > 0 && waiters.get(at - 1).cutOffAt > task.cutOffAt) {
                 at--;
             }
             return at;
         }
 
         /** The send spacing behind it, plus, with no room, the least remaining mean run time on a fitting engine. */
-        private double expectedWait(Task task, int ahead) {
+        private double expectedWait(Task task) {
             double weights = 0;
             for (Tenant tenant : tenants.values()) {
                 weights += tenant.waiters.isEmpty() && tenant != task.tenant ? 0 : tenant.weight;
             }
-            double turns = Math.min(waiting, ahead * weights / Math.max(task.tenant.weight, 1e-9));
+            double ahead = position(task.tenant.waiters, task) * weights / task.tenant.weight;
             double least = Double.MAX_VALUE;
             for (Engine engine : engines.values()) {
-                if (engine.allowed(task) && engine.open()) {
+                if (engine.ready() && engine.allowed(task)) {
                     least = Math.min(least, engine.leastRemaining());
                 }
             }
-            return turns * spacing + (least == Double.MAX_VALUE ? 0 : least);
+            return Math.min(waiting, ahead) * spacing + (least == Double.MAX_VALUE ? 0 : least);
         }
 
         private boolean fits(Task task) {
@@ -514,83 +453,81 @@
             return false;
         }
 
+        private final ArrayList<Task> nobody = new ArrayList<>(); // of no known tenant: sent at once or refused
+
         /** One turn: smooth weighted round-robin over the tenants whose next waiter fits some engine's room. */
         private void turn() {
-            Tenant chosen = null;
-            double total = 0;
             for (Row row : rows.values()) {
-                row.noRoomAt = -1;
+                row.noRoom = false;
             }
-            nobody.next = next(nobody);
-            if (nobody.next != null) {
-                chosen = nobody;
+            Task chosen = next(nobody);
+            while (chosen == null && !nobody.isEmpty()) {
+                refuse(nobody.get(0));
             }
-            for (Tenant tenant : tenants.values()) {
-                tenant.next = next(tenant);
-                if (tenant.next != null && chosen != nobody) {
-                    tenant.current += tenant.weight;
-                    total += tenant.weight;
-                    if (chosen == null || tenant.current > chosen.current) {
-                        chosen = tenant;
+            if (chosen == null) {
+                Tenant best = null;
+                double total = 0;
+                for (Tenant tenant : tenants.values()) {
+                    Task next = next(tenant.waiters);
+                    if (next != null) {
+                        tenant.current += tenant.weight;
+                        total += tenant.weight;
+                        if (best == null || tenant.current > best.current) {
+                            best = tenant;
+                            chosen = next;
+                        }
                     }
                 }
-            }
-            if (chosen == null) {
-                while (!nobody.waiters.isEmpty()) {
-                    refuse(nobody.waiters.get(0));        // at once or not at all
+                if (best == null) {
+                    return;
                 }
-                return;
-            }
-            chosen.current -= total;
-            Task task = chosen.next;
-            unqueue(task);
-            task.target = draw(task);
-            if (task.target == null) {
-                back(task);
-                return;
-            }
-            if (waiting > 0 || now > task.wantedSince) {
-                spacing += LEARN * (Math.min(now - lastGrant, 1000 * MS) - spacing);
+                best.current -= total;
             }
-            lastGrant = now;
-            task.target.put(new Send(task));
-            put(new Turn());
+            unqueue(chosen);
+            Task task = chosen;
+            Engine engine = draw(task);
+            engine.put(() -> engine.send(task));
         }
 
         /** The waiter with least time left that fits; one that fits nowhere steps aside for those that do. */
-        private Task next(Tenant tenant) {
-            for (int i = 0; i < tenant.waiters.size(); i++) {
-                Task task = tenant.waiters.get(i);
+        private Task next(ArrayList<Task> waiters) {
+            for (int i = 0; i < waiters.size(); i++) {
+                Task task = waiters.get(i);
                 boolean plain = task.forwards == 0 && task.line == null;
-                if (!plain || task.row.noRoomAt != now) {
+                if (!plain || !task.row.noRoom) {
                     if (fits(task)) {
                         return task;
                     }
-                    task.row.noRoomAt = plain ? now : task.row.noRoomAt;
+                    task.row.noRoom |= plain;
                 }
             }
             return null;
         }
 
-        private void unqueue(Task task) {
-            if (task.queued) {
-                (task.tenant == null ? nobody : task.tenant).waiters.remove(task);
-                task.queued = false;
-                waiting--;
+        private void sent(Forward forward) {
+            Task task = forward.task;
+            if (waiting > 0 || now > task.wantedSince) {
+                spacing = mean(spacing, Math.min(now - lastGrant, 1000 * MS), LEARN);
+            }
+            lastGrant = now;
+            if (task.forwards > 0) {
+                further.add(now);
+            }
+            task.forwards++;
+            task.state = State.OUT;
+            task.out.add(forward);
+            if (task.line != null) {
+                task.line.out++;
             }
+            turn();
         }
 
         /** The re-check failed: back into the queue, within the budget that it has left. */
         private void back(Task task) {
-            if (!task.over() && !task.queued) {
-                Tenant tenant = task.tenant == null ? nobody : task.tenant;
-                if (now >= task.waitUntil || tenant == nobody) {
-                    refuse(task);
-                    return;
-                }
-                tenant.waiters.add(position(tenant, task), task);
-                task.queued = true;
-                waiting++;
+            if (now >= task.waitUntil || task.tenant == null) {
+                refuse(task);
+            } else {
+                queue(task);
             }
         }
 
@@ -607,8 +544,8 @@
         /** Rule 1: the one final answer. */
         private void answer(Task task) {
             if (task.mayBounce()) {
-                act.bounce(task.id, set.levers().comeBack()
-                        ? Math.min(set.levers().longestComeBack(), (long) (waiting * spacing) + 100 * MS) : 0);
+                act.bounce(task.id, levers.comeBack()
+                        ? Math.min(levers.longestComeBack(), (long) (waiting * spacing) + PATIENCE) : 0);
             } else {
                 act.abort(task.id);
             }
@@ -620,10 +557,8 @@
             unqueue(task);
             task.state = State.OVER;
             tasks.remove(task.id);
-            if (set.levers().cancel()) {
-                for (Forward forward : task.out) {
-                    cancel(forward);
-                }
+            for (Forward forward : task.out) {
+                cancel(forward);
             }
             if (task.line != null) {
                 task.line.line.remove(task);
@@ -632,8 +567,8 @@
         }
 
         private void cancel(Forward forward) {
-            if (!forward.cancelled) {
-                forward.cancelled = true;
+            if (levers.cancel() && (forward.task.cancelled & 1L << forward.index) == 0) {
+                forward.task.cancelled |= 1L << forward.index;
                 act.cancel(forward.task.id, forward.index);
             }
         }
@@ -641,23 +576,20 @@
         /** Rule 5: the next task of a key is wanted once the one before is over and the key has rested. */
         private void release(KeyLine line) {
             Task head = line.line.peek();
-            if (head == null) {
-                if (open(line)) {
-                    lines.remove(line.key);
-                }
-            } else if (head.state == State.KEYED && open(line)) {
+            if (open(line) && head == null) {
+                lines.remove(line.key);
+            } else if (open(line) && head.state == State.KEYED) {
                 enqueue(head);
             }
         }
 
-        private void ended(Ended note) {
-            Task task = note.forward.task;
-            Outcome outcome = note.outcome;
-            task.out.remove(note.forward);
-            if (!neverRan(outcome) && !task.mayHaveRun) {
-                task.mayHaveRun = true;
-                task.mayHaveRunSince = note.forward.sentAt;
-                task.ranOn = note.forward.engine;
+        private void ended(Forward forward, Outcome outcome, boolean over) {
+            Task task = forward.task;
+            task.out.remove(forward);
+            boolean neverRan = outcome == Outcome.FULL || outcome == Outcome.UNREACHED
+                    || outcome == Outcome.NEVER_SENT;
+            if (!neverRan && task.ran == null) {
+                task.ran = forward;
             }
             if (task.line != null) {
                 task.line.out--;
@@ -665,46 +597,54 @@
                     task.line.restsUntil = now + set.keyRest();
                 }
             }
-            if (!task.over()) {
-                if (note.over || outcome == Outcome.OK) {
-                    finish(task);
-                } else if (task.out.isEmpty() && !task.queued) {
-                    again(task);
-                }
-            }
-            if (task.line != null && task.over()) {
+            if (!task.over() && (over || outcome == Outcome.OK)) {
+                finish(task);
+            } else if (!task.over() && task.out.isEmpty() && !task.queued) {
+                again(task);
+            } else if (task.over() && task.line != null) {
                 release(task.line);
             }
-            put(new Turn());
         }
 
-        /** A task whose forwards all failed: wanted again where the rules leave a way, else answered at once. */
+        /** Its forwards all failed: wanted again where the rules leave a way, else answered at once. */
         private void again(Task task) {
-            boolean left = task.forwards < set.levers().mostForwards() && task.cutOffAt - now > ANSWER_MARGIN
-                    && (task.row.grade.repeat() != Grade.Repeat.ONE_SHOT || !task.mayHaveRun);
-            if (left) {
+            if (task.forwards < levers.mostForwards() && task.cutOffAt - now > ANSWER_MARGIN
+                    && (task.ran == null || task.grade.repeat() != Grade.Repeat.ONE_SHOT)) {
                 enqueue(task);
             } else {
                 answer(task);
             }
         }
 
-        /** A forward on an engine under suspicion: taken back, or doubled, where its grade and the levers allow. */
+        /** A forward stuck on its engine: taken back, or doubled, where its grade, the rules and the levers allow. */
         private void rescue(Forward forward) {
             Task task = forward.task;
-            if (task.over() || task.queued || task.row.grade.repeat() == Grade.Repeat.ONE_SHOT
-                    || task.forwards >= set.levers().mostForwards() || task.cutOffAt - now < 2 * task.alone()) {
+            if (task.over() || task.queued || task.grade.repeat() == Grade.Repeat.ONE_SHOT || !rationAllows()
+                    || task.forwards >= levers.mostForwards() || task.cutOffAt - now < 2 * task.alone()) {
                 return;
             }
-            if (set.levers().secondCopies()) {
-                if (task.out.size() < 2 && ration.allows(set.ration(), now)) {
-                    enqueue(task);
-                }
-            } else if (set.levers().cancel() && ration.allows(set.ration(), now)) {
+            if (!levers.secondCopies()) {
                 cancel(forward);
+            } else if (task.out.size() < 2) {
+                enqueue(task);
             }
         }
 
+        /** Rule 7: one more further forward within the ration? */
+        boolean rationAllows() {
+            Settings.RationRule rule = set.ration();
+            if (rule == null) {
+                return true;
+            }
+            while (!taken.isEmpty() && taken.peek() <= now - rule.window()) {
+                taken.poll();
+            }
+            while (!further.isEmpty() && further.peek() < now - rule.window()) {
+                further.poll();
+            }
+            return further.size() + 1 <= rule.spare() + rule.share() * taken.size();
+        }
+
         /**
          * Early refusal by worth. While tasks wait, engine work has a price, which rises as long as they do; a task
          * that earns less for its work is refused at once. Guards against a few heavy tasks that take the room of
@@ -727,11 +667,11 @@
 
         private void sweep() {
             reprice();
+            rationAllows();                   // drops what has left the window
             for (Tenant tenant : tenants.values()) {
                 for (int i = tenant.waiters.size() - 1; i >= 0; i--) {
-                    Task task = tenant.waiters.get(i);
-                    if (now >= task.waitUntil) {
-                        refuse(task);
+                    if (now >= tenant.waiters.get(i).waitUntil) {
+                        refuse(tenant.waiters.get(i));
                     }
                 }
             }
@@ -746,121 +686,146 @@
         }
     }
 
-    private static boolean neverRan(Outcome outcome) {
-        return outcome == Outcome.FULL || outcome == Outcome.UNREACHED || outcome == Outcome.NEVER_SENT;
+    // ---- The weighted draw ----
+
+    /** Judged against the fleet: when most of it looks bad, no engine is kept out for it. */
+    private boolean mostSuspect() {
+        double balance = 0;
+        for (Engine engine : engines.values()) {
+            balance += engine.ready() ? engine.suspect ? engine.cores : -engine.cores : 0;
+        }
+        return balance > 0;
+    }
+
+    /**
+     * Where the loads of a data set should go, alike at every manager without a word between them: tasks that would
+     * stand still behind a load stay away from there, also from loads of other managers, which no one tells of.
+     */
+    private Engine home(long dataSet) {
+        Engine best = null;
+        long most = Long.MIN_VALUE;
+        for (Engine engine : engines.values()) {
+            long mixed = new SplittableRandom(engine.id.hashCode() * 31L + dataSet).nextLong();
+            if (engine.ready() && !engine.suspect && mixed >= most) {
+                most = mixed;
+                best = engine;
+            }
+        }
+        return best;
+    }
+
+    /** Draws among the engines that fit, weighted against their load; an unheard one counts as average. */
+    private Engine draw(Task task) {
+        double sum = 0;
+        int heard = 0;
+        List<Engine> fitting = new ArrayList<>();
+        for (Engine engine : engines.values()) {
+            double load = engine.load();
+            if (engine.ready() && !Double.isNaN(load)) {
+                sum += load;
+                heard++;
+            }
+            if (engine.fits(task)) {
+                fitting.add(engine);
+            }
+        }
+        double average = heard == 0 ? 1 : sum / heard;
+        Engine home = loadsMakeWait ? home(task.dataSet) : null;
+        double[] upTo = new double[fitting.size()];
+        double total = 0;
+        for (int i = 0; i < upTo.length; i++) {
+            total += fitting.get(i).weight(task, average, home);
+            upTo[i] = total;
+        }
+        double pick = chance.nextDouble() * total;
+        int at = 0;
+        while (at < upTo.length - 1 && upTo[at] <= pick) {
+            at++;
+        }
+        return fitting.get(at);
     }
 
     // ---- Engines: the one record of each, its room, its health, and the one place that every send passes ----
 
     private final class Engine extends Part {
         final String id;
-        String place;
-        String kind;
+        String place = "";
+        String kind = "";
         int cell;
-        EngineEntry.State state;
-        long startedAt;
-        double cores;
+        EngineEntry.State state = EngineEntry.State.GONE;
+        long startedAt = -1;
+        double cores = 1;
         double totalMemory;
         final ArrayList<Forward> out = new ArrayList<>();
         int threads;                          // of our tasks there
+        double granted;                       // memory of our tasks there
         double bound;                         // the room, in threads
-        boolean boundSet;
+        long halvedAt;
+        long pressedUntil;
         double pace;                          // ln of how much slower than the fleet its answers are
         double strain;                        // ln of how much slower than the best seen
-        long busyUntil;
-        long halvedAt;
-        double ours;                          // our part of the tasks it reports to hold, smoothed
-        double granted;                       // memory that our tasks were granted there
+        double ours;                          // our part of the tasks that it reports to hold, smoothed
         LoadReport report;
         long reportAt;
-        int threadsSince;                     // sent since that report
+        int threadsSince;                     // sent since that report, and their memory
         double grantedSince;
         long probeAt;
         int probesFailed;
-        long signAt;                          // last sign of life, or when it was first owed one
-        double gap = 300 * MS;                // mean and deviation of the gaps between signs
-        double gapSpread = 300 * MS;
+        long signAt;                          // last sign of life, or when one was first owed
+        double gap = FIRST_GAP;               // mean and deviation of the gaps between signs
+        double gapSpread = 0;
         boolean suspect;
         long trialAt;
         long trialGap;
         final ArrayDeque<long[]> coldSends = new ArrayDeque<>();    // {when, work}
         final LinkedHashSet<Long> warm = new LinkedHashSet<>();     // data sets read last, oldest first
 
-        Engine(EngineEntry entry) {
-            id = entry.id();
+        Engine(String id) {
+            this.id = id;
             probeAt = now + (long) (chance.nextDouble() * PROBE_EVERY);
-            signAt = now;
-        }
-
-        @Override
-        void take(Note note) {
-            if (note instanceof Listed n) {
-                listed(n.entry);
-            } else if (note instanceof Send n) {
-                send(n.task);
-            } else if (note instanceof Ended n) {
-                ended(n);
-            } else if (note instanceof Probed n) {
-                probed(n);
-            } else if (note instanceof Moved n) {
-                sign();
-            } else if (note instanceof Sweep) {
-                sweep();
-            }
-        }
-
-        Forward find(String task, int index) {
-            for (Forward forward : out) {
-                if (forward.index == index && forward.task.id.equals(task)) {
-                    return forward;
-                }
-            }
-            return null;
         }
 
         private void listed(EngineEntry entry) {
-            if (entry.startedAt() > startedAt) {
-                // A fresh process: nothing learned of the old one holds.
-                warm.clear();
-                suspect = false;
-                pace = 0;
-                strain = 0;
-                report = null;
-                busyUntil = 0;
-                probesFailed = 0;
-                boundSet = false;
+            if (entry == null) {
+                state = EngineEntry.State.GONE;
+                return;
             }
             state = entry.state();
-            startedAt = entry.startedAt();
             place = entry.place() == null ? "" : entry.place();
             kind = entry.kind() == null ? "" : entry.kind();
             cell = entry.cell();
             Settings.Kind figures = set.kinds().get(kind);
             cores = figures != null && figures.cores() > 0 ? figures.cores() : Math.max(1, entry.size());
             totalMemory = figures == null ? 0 : figures.memoryMb();
-            if (!boundSet) {
-                bound = cores * THREADS_PER_CORE / set.siblings();
-                boundSet = true;
+            if (entry.startedAt() > startedAt) {
+                // A fresh process: nothing learned of the old one holds.
+                startedAt = entry.startedAt();
+                warm.clear();
+                suspect = false;
+                pace = 0;
+                strain = 0;
+                report = null;
+                pressedUntil = 0;
+                probesFailed = 0;
+                bound = cores * THREADS_PER_CORE * share();
             }
-            gate.put(new Turn());
         }
 
         // -- May it be sent to? --
 
-        /** Rule 6: placement. */
-        boolean allowed(Task task) {
-            Grade grade = task.row.grade;
-            return (grade.places().isEmpty() || grade.places().contains(place))
-                    && (grade.kinds().isEmpty() || grade.kinds().contains(kind));
+        /** Rule 3, without its grace, since the list is late anyway. */
+        boolean ready() {
+            return state == EngineEntry.State.READY;
         }
 
-        /** Rule 3: drains; stricter than the grace, since the list is late anyway. */
-        boolean open() {
-            return state == EngineEntry.State.READY;
+        /** Rule 6: placement. */
+        boolean allowed(Task task) {
+            return (task.grade.places().isEmpty() || task.grade.places().contains(place))
+                    && (task.grade.kinds().isEmpty() || task.grade.kinds().contains(kind));
         }
 
         /** The part of its capacity that an engine surely has by now. */
-        double warmth() {
+        private double warmth() {
             Settings.ColdRule rule = set.cold();
             if (rule == null || startedAt <= 0 || now - startedAt >= rule.warmAfter()) {
                 return 1;
@@ -869,27 +834,27 @@
             return rule.startCapacity() + (1 - rule.startCapacity()) * age * age;
         }
 
-        /** Rule 4: our part of what a cold engine can be sent in the window. */
+        /** Rule 4: an even part, the same for every manager, of what a cold engine can be sent in the window. */
         private boolean coldAllows(Task task) {
             Settings.ColdRule rule = set.cold();
-            if (rule == null || startedAt <= 0 || now - startedAt >= rule.warmAfter()) {
+            double able = warmth();
+            if (able >= 1) {
                 return true;
             }
-            double sent = task.row.meanCost;
             while (!coldSends.isEmpty() && coldSends.peek()[0] < now - rule.window()) {
                 coldSends.poll();
             }
+            double work = task.row.meanCost;
             for (long[] send : coldSends) {
-                sent += send[1];
+                work += send[1];
             }
-            return sent <= COLD_SAFETY * rule.multiple() * warmth() * cores * rule.window() / set.siblings();
+            return work <= COLD_PART * rule.multiple() * able * cores * rule.window() / set.siblings();
         }
 
-        /** Every rule on sending, checked in one place. */
+        /** Every rule on sending, in one place. */
         private boolean rulesAllow(Task task) {
-            return open() && allowed(task) && task.mayRepeatOn(this) && coldAllows(task)
-                    && task.forwards < set.levers().mostForwards()
-                    && (task.forwards == 0 || gate.ration.allows(set.ration(), now))
+            return ready() && allowed(task) && task.mayRepeatOn(this) && coldAllows(task)
+                    && task.forwards < levers.mostForwards() && (task.forwards == 0 || gate.rationAllows())
                     && (task.line == null || task.line.line.peek() == task
                             && (task.forwards > 0 || gate.open(task.line)));
         }
@@ -905,9 +870,21 @@
                 }
             }
             if (suspect && !mostSuspect()) {
-                return now >= trialAt && task.row.grade.repeat() == Grade.Repeat.HARMLESS;
+                return now >= trialAt && task.harmless();
             }
-            return (!pressed() || threads + task.threads() <= Math.max(bound, task.threads())) && memoryFits(task);
+            return threadsFit(task) && memoryFits(task);
+        }
+
+        /** This manager's part of the engine: an even one, or more where the engine is seen to hold mostly ours. */
+        private double share() {
+            return Math.max(1.0 / set.siblings(), ours);
+        }
+
+        /** The room in threads binds only under pressure; our own threads up to the first bound are pressure too. */
+        private boolean threadsFit(Task task) {
+            boolean pressed = strain > WELL_ABOVE_BEST || now < pressedUntil
+                    || threads >= cores * warmth() * THREADS_PER_CORE * share();
+            return !pressed || threads + task.grade.threads() <= Math.max(bound, task.grade.threads());
         }
 
         /**
@@ -918,61 +895,40 @@
             if (totalMemory <= 0 || out.isEmpty()) {
                 return true;
             }
-            double ours = granted + grant(task);
-            if (report != null && !Double.isNaN(report.memoryGranted()) && now - reportAt <= REPORT_LASTS) {
+            if (heard() && !Double.isNaN(report.memoryGranted())) {
                 return report.memoryGranted() * totalMemory + grantedSince + grant(task) <= totalMemory;
             }
-            return ours <= totalMemory * share();
-        }
-
-        /** This manager's part of the engine: an even one, or more where the engine is seen to hold mostly ours. */
-        private double share() {
-            return Math.max(1.0 / set.siblings(), ours);
+            return granted + grant(task) <= totalMemory * share();
         }
 
         /** What a task is to be granted here; where grants are not heeded, what it will take. */
         private double grant(Task task) {
             double memory = task.memoryMb * (task.row.memoryBias + task.row.memoryScatter);
-            double cap = set.levers().grantCap() > 0 ? set.levers().grantCap() * totalMemory : memory;
-            return totalMemory > 0 ? Math.min(memory, cap) : memory;
+            return levers.grantCap() > 0 && totalMemory > 0 ? Math.min(memory, levers.grantCap() * totalMemory) : memory;
         }
 
-        /** The bound binds only under pressure. */
-        private boolean pressed() {
-            return strain > WELL_ABOVE_BEST || now < busyUntil
-                    || threads >= cores * warmth() * THREADS_PER_CORE * share();
+        /** More for tasks that earn much for their work: they are short, and hardly slow the others. */
+        private int priority(Task task) {
+            double above = task.lnWorth - gate.worthMean;
+            return above > -0.7 ? 3 : above > -1.8 ? 2 : above > -2.9 ? 1 : 0;
         }
 
         private void send(Task task) {
-            if (task.over()) {
-                return;
-            }
             if (!fits(task)) {
-                gate.put(new NotSent(task));
+                gate.put(() -> gate.back(task));
                 return;
             }
             double memory = grant(task);
-            if (set.levers().grants() || set.levers().priorities()) {
-                act.provide(task.id, set.levers().grants() ? (long) Math.ceil(memory) : 0,
-                        set.levers().priorities() ? priority(task) : 1);
+            if (levers.grants() || levers.priorities()) {
+                act.provide(task.id, levers.grants() ? (long) Math.ceil(memory) : 0,
+                        levers.priorities() ? priority(task) : 1);
             }
-            Forward forward = new Forward(task, this, task.forwards, now, memory);
             act.forward(task.id, id, 0);
-            if (task.forwards > 0) {
-                gate.ration.further.add(now);
-            }
-            task.forwards++;
-            task.state = State.OUT;
-            task.out.add(forward);
-            if (task.line != null) {
-                task.line.out++;
-            }
-            if (out.isEmpty()) {
-                signAt = now;
-            }
+            Forward forward = new Forward(task, this, task.forwards, now, memory);
+            signAt = out.isEmpty() ? now : signAt;
             out.add(forward);
-            threads += task.threads();
-            threadsSince += task.threads();
+            threads += task.grade.threads();
+            threadsSince += task.grade.threads();
             granted += memory;
             grantedSince += memory;
             if (warmth() < 1) {
@@ -980,114 +936,108 @@
             }
             warm.remove(task.dataSet);
             warm.add(task.dataSet);
-            if (warm.size() > 4) {
+            if (warm.size() > WARM_SETS) {
                 warm.remove(warm.iterator().next());
             }
             if (suspect) {
                 trialGap = Math.min(LONGEST_TRIAL_GAP, trialGap * 2);
                 trialAt = now + trialGap;
             }
-        }
-
-        private int priority(Task task) {
-            double above = task.lnWorth - gate.worthMean;
-            return above > -0.7 ? 3 : above > -1.8 ? 2 : above > -2.9 ? 1 : 0;
+            gate.put(() -> gate.sent(forward));
         }
 
         // -- What it says --
 
-        private void ended(Ended note) {
-            Forward forward = note.forward;
-            Task task = forward.task;
+        private void ended(Forward forward, Outcome outcome, boolean over, long cost, double memoryMb,
+                LoadReport told) {
             out.remove(forward);
-            threads -= task.threads();
+            threads -= forward.task.grade.threads();
             granted -= forward.memoryMb;
-            heard(note.report);
-            switch (note.outcome) {
-                case OK -> handled(forward, note);
-                case FULL -> {
-                    sign();
-                    busyUntil = now + BUSY_LASTS;
-                    halve();
-                }
-                case TIME_OUT -> halve();
-                case UNREACHED, RESET -> suspect("unreached or reset");
-                case ERROR -> sign();
-                default -> { }
+            hear(told);
+            if (outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.FULL) {
+                sign();
+            }
+            if (outcome == Outcome.OK) {
+                handled(forward, cost, memoryMb);
+            } else if (outcome == Outcome.UNREACHED || outcome == Outcome.RESET) {
+                suspect("unreached or reset");
+            } else if (outcome == Outcome.FULL || outcome == Outcome.TIME_OUT) {
+                pressedUntil = outcome == Outcome.FULL ? now + PRESSURE_LASTS : pressedUntil;
+                halve();
             }
-            gate.put(note);
+            gate.put(() -> gate.ended(forward, outcome, over));
         }
 
-        private void handled(Forward forward, Ended note) {
+        private void handled(Forward forward, long toldCost, double toldMemory) {
             Task task = forward.task;
             Row row = task.row;
-            sign();
-            long run = now - forward.sentAt;
-            if (note.cost > 0 && task.cost > 0) {
-                double told = note.cost * row.costBias / task.cost;
-                row.costBias = clamp(row.costBias + LEARN * (told - row.costBias), 0.2, 5);
-            }
-            if (note.memoryMb > 0 && task.memoryMb > 0) {
-                double told = note.memoryMb / task.memoryMb;
-                row.memoryScatter += LEARN * (Math.abs(told - row.memoryBias) * 1.3 - row.memoryScatter);
-                row.memoryBias = clamp(row.memoryBias + LEARN * (told - row.memoryBias), 0.2, 5);
-            }
-            long alone = note.cost > 0 ? Math.max(note.cost / task.threads(), 5 * MS) : task.alone();
-            double ratio = Math.log(Math.max(run, MS) / (double) alone);
-            row.learn(ratio, run);
-            pace += 2 * LEARN * (ratio - row.usual - pace);
-            strain += 2 * LEARN * (ratio - row.best - strain);
-            if (ratio - row.best > SLOW_ANSWER) {
+            if (toldCost > 0) {
+                row.costBias = clamp(mean(row.costBias, toldCost * row.costBias / task.cost, LEARN), 0.2, 5);
+            }
+            if (toldMemory > 0 && task.memoryMb > 0) {
+                double told = toldMemory / task.memoryMb;
+                row.memoryScatter = mean(row.memoryScatter, Math.abs(told - row.memoryBias) * 1.3, LEARN);
+                row.memoryBias = clamp(mean(row.memoryBias, told, LEARN), 0.2, 5);
+            }
+            long run = Math.max(MS, now - forward.sentAt);
+            double alone = toldCost > 0 ? Math.max(toldCost / (double) task.grade.threads(), 5 * MS) : task.alone();
+            double ratio = Math.log(run / alone);
+            row.meanRun = mean(row.meanRun, run, LEARN);
+            row.usual = mean(row.usual, ratio, LEARN);
+            row.best = Double.isNaN(row.best) ? row.usual : Math.min(row.best, row.usual);
+            double above = ratio - Math.max(0, row.best);
+            pace = mean(pace, ratio - row.usual, 2 * LEARN);
+            strain = mean(strain, above, 2 * LEARN);
+            boolean busy = heard() && report.coresBusy() >= BUSY;
+            if (above > SLOW_ANSWER) {
                 halve();
-            } else if (ratio - row.best < WELL_ABOVE_BEST && !(busy() >= BUSY)) {
-                bound = Math.min(bound + task.threads(), cores * 4);
+            } else if (above < WELL_ABOVE_BEST && !busy) {
+                bound = Math.min(bound + task.grade.threads(), cores * MOST_THREADS_PER_CORE);
             }
         }
 
-        private double busy() {
-            if (report == null || now - reportAt > REPORT_LASTS) {
-                return Double.NaN;
-            }
-            return report.coresBusy();
-        }
-
         private void halve() {
-            if (now - halvedAt > BUSY_LASTS) {
+            if (now - halvedAt > PRESSURE_LASTS) {
                 halvedAt = now;
                 bound = Math.max(bound / 2, 1);
             }
         }
 
-        private void heard(LoadReport told) {
-            if (told != null) {
-                report = told;
-                reportAt = now;
-                threadsSince = 0;
-                grantedSince = 0;
-                if (told.held() >= 4) {
-                    ours += LEARN * 2 * (Math.min(1, out.size() / told.held()) - ours);
-                }
-                if (told.coresBusy() >= 0.95 || told.memoryGranted() >= 0.97) {
-                    busyUntil = now + BUSY_LASTS;
-                }
+        private boolean heard() {
+            return report != null && now - reportAt <= REPORT_LASTS;
+        }
+
+        private void hear(LoadReport told) {
+            if (told == null) {
+                return;
+            }
+            report = told;
+            reportAt = now;
+            threadsSince = 0;
+            grantedSince = 0;
+            if (told.held() >= 4) {
+                ours = mean(ours, Math.min(1, out.size() / told.held()), 2 * LEARN);
+            }
+            if (told.coresBusy() >= CROWDED || told.memoryGranted() >= CROWDED) {
+                pressedUntil = now + PRESSURE_LASTS;
             }
         }
 
-        private void probed(Probed note) {
-            if (note.outcome == Outcome.OK) {
+        private void probed(Outcome outcome, LoadReport told) {
+            if (outcome == Outcome.OK) {
                 probesFailed = 0;
-                heard(note.report);
-            } else if (note.outcome != Outcome.FULL && ++probesFailed >= 2) {
+                hear(told);
+            } else if (outcome != Outcome.FULL && ++probesFailed >= 2) {
                 suspect("probes unanswered");
             }
         }
 
-        // -- Health: how unusual is the present silence, given the gaps seen before --
+        // -- Health: how unusual is the present silence, given the gaps seen before? --
 
         private void sign() {
             double seen = now - signAt;
-            gap += LEARN * (seen - gap);
-            gapSpread += LEARN * (Math.abs(seen - gap) - gapSpread);
+            gapSpread = mean(gapSpread, Math.abs(seen - gap), LEARN);
+            gap = mean(gap, seen, LEARN);
             signAt = now;
             if (suspect && probesFailed < 2) {
                 suspect = false;
@@ -1096,23 +1046,19 @@
         }
 
         private void sweep() {
-            if (set.levers().probe() && open() && now >= probeAt) {
+            if (levers.probe() && ready() && now >= probeAt) {
                 probeAt = now + PROBE_EVERY;
                 act.probe(id);
             }
-            if (!suspect && !out.isEmpty()) {
-                double silence = now - signAt;
-                double mean = Math.max(gap, 50 * MS);
-                // The longest part of a gap is the run of a task: with few out, silence up to their runs is usual.
-                double usual = mean + 2 * gapSpread;
-                if (silence > SHORTEST_SILENCE && silence / usual / Math.log(10) > UNUSUAL / 2) {
-                    suspect("silent for " + (long) (silence / MS) + " ms, usual " + (long) (usual / MS));
-                }
+            double silence = now - signAt;
+            double unusual = silence / (Math.max(gap, 2 * SWEEP) + 2 * gapSpread) / Math.log(10);
+            if (!suspect && !out.isEmpty() && silence > SHORTEST_SILENCE && unusual > UNUSUAL) {
+                suspect("silent for " + (long) (silence / MS) + " ms");
             }
             if (suspect && !mostSuspect()) {
                 for (Forward forward : out) {
                     if (now - forward.sentAt > SHORTEST_SILENCE) {
-                        gate.put(new Rescue(forward));
+                        gate.put(() -> gate.rescue(forward));
                     }
                 }
             }
@@ -1127,118 +1073,44 @@
             }
         }
 
+        // -- The draw's figures --
+
         /** When our first task there should end, by the mean run of its grade. */
         double leastRemaining() {
             double least = Double.MAX_VALUE;
             for (Forward forward : out) {
-                least = Math.min(least, Math.max(0, forward.task.row.meanRun - (now - forward.sentAt)));
+                double run = Double.isNaN(forward.task.row.meanRun) ? 0 : forward.task.row.meanRun;
+                least = Math.min(least, Math.max(0, run - (now - forward.sentAt)));
             }
             return least;
         }
 
-        // -- The draw's figures --
-
         /** Load a core: reported use, else tasks held, else our threads; plus what we sent since. NaN: unheard. */
         double load() {
             double able = cores * warmth();
-            if (report != null && now - reportAt <= REPORT_LASTS) {
-                if (!Double.isNaN(report.coresBusy())) {
-                    return report.coresBusy() + threadsSince / able;
-                }
-                if (!Double.isNaN(report.held())) {
-                    return (report.held() + threadsSince) / able;
-                }
+            if (heard() && !Double.isNaN(report.coresBusy())) {
+                return report.coresBusy() + threadsSince / able;
+            }
+            if (heard() && !Double.isNaN(report.held())) {
+                return (report.held() + threadsSince) / able;
             }
-            return report == null && set.levers().probe() ? Double.NaN : threads * set.siblings() / able;
+            return levers.probe() ? Double.NaN : threads / (able * share());
         }
 
-        boolean holdsFor(Task task) {
-            if (task.row.grade.load() || task.row.grade.waitsForLoads()) {
+        double weight(Task task, double average, Engine home) {
+            double load = IDLE + (Double.isNaN(load()) ? average : load());
+            double weight = cores * warmth() / (load * load * load) / Math.exp(2 * pace);
+            weight *= warm.contains(task.dataSet) ? WARM : 1;
+            weight *= levers.placesPriced() && !place.equals(set.place()) ? FAR : 1;
+            if (task.grade.load() || task.grade.waitsForLoads()) {
+                weight *= this != home ? 1 : task.grade.load() ? HOME : NOT_HOME;
                 for (Forward forward : out) {
-                    if (forward.task.row.grade.load() && forward.task.dataSet == task.dataSet) {
-                        return true;
+                    if (forward.task.grade.load() && forward.task.dataSet == task.dataSet) {
+                        return weight * HELD;
                     }
                 }
             }
-            return false;
-        }
-    }
-
-    private static double clamp(double value, double least, double most) {
-        return Math.max(least, Math.min(most, value));
-    }
-
-    /** Judged against the fleet: when most of it looks bad, no engine is kept out for it. */
-    private boolean mostSuspect() {
-        double suspects = 0;
-        double all = 0;
-        for (Engine engine : engines.values()) {
-            if (engine.open()) {
-                all += engine.cores;
-                suspects += engine.suspect ? engine.cores : 0;
-            }
-        }
-        return suspects * 2 > all;
-    }
-
-    /**
-     * Where the loads of a data set should go, alike at every manager without a word between them: tasks that would
-     * stand still behind a load stay away from there, also from loads of other managers, which no one tells of.
-     */
-    private Engine home(long dataSet) {
-        Engine best = null;
-        long most = Long.MIN_VALUE;
-        for (Engine engine : engines.values()) {
-            long mixed = (engine.id.hashCode() * 0x9E3779B97F4A7C15L ^ dataSet * 0xC2B2AE3D27D4EB4FL) * 0x9E3779B97F4A7C15L;
-            mixed ^= mixed >>> 31;
-            if (engine.open() && !engine.suspect && mixed * 0xBF58476D1CE4E5B9L > most) {
-                most = mixed * 0xBF58476D1CE4E5B9L;
-                best = engine;
-            }
-        }
-        return best;
-    }
-
-    /** The weighted draw among the engines that fit. */
-    private Engine draw(Task task) {
-        double heardLoad = 0;
-        int heard = 0;
-        List<Engine> fitting = new ArrayList<>();
-        for (Engine engine : engines.values()) {
-            double load = engine.load();
-            if (engine.open() && !Double.isNaN(load)) {
-                heardLoad += load;
-                heard++;
-            }
-            if (engine.fits(task)) {
-                fitting.add(engine);
-            }
-        }
-        double average = heard == 0 ? 1 : heardLoad / heard;
-        Engine home = task.dataSet >= 0 && loadsMakeWait ? home(task.dataSet) : null;
-        double[] weights = new double[fitting.size()];
-        double total = 0;
-        for (int i = 0; i < weights.length; i++) {
-            Engine engine = fitting.get(i);
-            double load = engine.load();
-            double free = 0.15 + (Double.isNaN(load) ? average : load);
-            double weight = engine.cores * engine.warmth() / (free * free * free) / Math.exp(2 * engine.pace);
-            weight *= engine.warm.contains(task.dataSet) ? 2 : 1;
-            weight *= engine.holdsFor(task) ? 0.02 : 1;
-            if (engine == home) {
-                weight *= task.row.grade.load() ? 20 : task.row.grade.waitsForLoads() ? 0.1 : 1;
-            }
-            weight *= set.levers().placesPriced() && !engine.place.equals(set.place()) ? 0.5 : 1;
-            weights[i] = weight;
-            total += weight;
-        }
-        double pick = chance.nextDouble() * total;
-        for (int i = 0; i < weights.length; i++) {
-            pick -= weights[i];
-            if (pick < 0) {
-                return fitting.get(i);
-            }
+            return weight;
         }
-        return fitting.isEmpty() ? null : fitting.get(fitting.size() - 1);
     }
 }
