--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -67,8 +67,6 @@
     private static final int WARM_SETS = 4;
     private static final double WARM = 2;                 // weight of an engine that has read the data set lately
     private static final double HELD = 0.02;              // of one where a load of ours holds it
-    private static final double HOME = 20;                // of a data set's home, for its loads
-    private static final double NOT_HOME = 0.1;           // and for tasks that would wait behind them
     private static final double FAR = 0.5;                // of an engine in another place, where crossing costs
 
     private final Settings set;
@@ -81,7 +79,6 @@
     private final Map<String, Row> rows = new TreeMap<>();
     private final Map<String, Tenant> tenants = new TreeMap<>();
     private final Gate gate = new Gate();
-    private boolean loadsMakeWait;            // is there a grade that stands still while a load holds its data set?
     private long now;
 
     public Decide(Settings settings, Actions actions) {
@@ -91,7 +88,6 @@
         chance = new SplittableRandom(settings.seed());
         for (Grade grade : settings.grades()) {
             rows.put(grade.name(), new Row(grade));
-            loadsMakeWait |= grade.waitsForLoads();
         }
         for (Settings.Tenant tenant : settings.tenants()) {
             tenants.put(tenant.name(), new Tenant(Math.max(tenant.share(), 0.001)));
@@ -697,23 +693,6 @@
         return balance > 0;
     }
 
-    /**
-     * Where the loads of a data set should go, alike at every manager without a word between them: tasks that would
-     * stand still behind a load stay away from there, also from loads of other managers, which no one tells of.
-     */
-    private Engine home(long dataSet) {
-        Engine best = null;
-        long most = Long.MIN_VALUE;
-        for (Engine engine : engines.values()) {
-            long mixed = new SplittableRandom(engine.id.hashCode() * 31L + dataSet).nextLong();
-            if (engine.ready() && !engine.suspect && mixed >= most) {
-                most = mixed;
-                best = engine;
-            }
-        }
-        return best;
-    }
-
     /** Draws among the engines that fit, weighted against their load; an unheard one counts as average. */
     private Engine draw(Task task) {
         double sum = 0;
@@ -730,11 +709,10 @@
             }
         }
         double average = heard == 0 ? 1 : sum / heard;
-        Engine home = loadsMakeWait ? home(task.dataSet) : null;
         double[] upTo = new double[fitting.size()];
         double total = 0;
         for (int i = 0; i < upTo.length; i++) {
-            total += fitting.get(i).weight(task, average, home);
+            total += fitting.get(i).weight(task, average);
             upTo[i] = total;
         }
         double pick = chance.nextDouble() * total;
@@ -1097,13 +1075,12 @@
             return levers.probe() ? Double.NaN : threads / (able * share());
         }
 
-        double weight(Task task, double average, Engine home) {
+        double weight(Task task, double average) {
             double load = IDLE + (Double.isNaN(load()) ? average : load());
             double weight = cores * warmth() / (load * load * load) / Math.exp(2 * pace);
             weight *= warm.contains(task.dataSet) ? WARM : 1;
             weight *= levers.placesPriced() && !place.equals(set.place()) ? FAR : 1;
             if (task.grade.load() || task.grade.waitsForLoads()) {
-                weight *= this != home ? 1 : task.grade.load() ? HOME : NOT_HOME;
                 for (Forward forward : out) {
                     if (forward.task.grade.load() && forward.task.dataSet == task.dataSet) {
                         return weight * HELD;
