--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -1,9 +1,9 @@
 package tansytrack;
 
-// Every decision of a workload manager. One instance a manager: new Decide(settings, actions); then any calls that
-// tell it something, which only put notes into inboxes; then decide(now), which empties the inboxes and acts.
-// The interface is tansytrack.api: Decisions (in), Actions (out), Settings (at the start). Why: docs/design.md.
-// From top to bottom: values, the door, the loop, the grade table, tasks, the gate (queues, turns, answers), engines.
+// Every decision of a workload manager. One instance a manager: new Decide(settings, actions); then any calls
+// that tell it something, which only put notes into inboxes; then decide(now), which empties them and acts.
+// The interface is tansytrack.api: Decisions (in), Actions (out), Settings (at the start). Why: docs/design.md
+// From top to bottom: values, the door, the loop, the grade table, tasks, the gate (queues, turns), engines.
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -26,8 +26,8 @@
 
     private static final long MS = 1_000_000L;
     private static final double LEARN = 0.05;             // weight of one new sample in a running mean
-    private static final long SWEEP = 25 * MS;            // how often waiters and engines are looked at
-    private static final long ANSWER_MARGIN = 60 * MS;    // a held task is answered this long before its cut-off
+    private static final long SWEEP = 25 * MS;            // how often waiters and engines are seen to
+    private static final long ANSWER_MARGIN = 60 * MS;    // a held task is answered so long before its cut-off
 
     // The queues: the source's bounds, its longest wait, and the design's part of the client's time left.
     private static final int DEPTH_PER_TENANT = 32;
@@ -50,11 +50,11 @@
     private static final double WELL_ABOVE_BEST = Math.log(2);
     private static final double SLOW_ANSWER = Math.log(5);
     private static final long PRESSURE_LASTS = 1000 * MS;
-    private static final double COLD_PART = 0.6;          // of the cold budget: the rest is for what we misjudge
+    private static final double COLD_PART = 0.6;          // of the cold budget: the rest is for misjudgement
     private static final double GRANT_MARGIN = 0.25;      // over the estimate, until its scatter is told
 
     // Health and reports.
-    private static final double UNUSUAL = 4;              // a silence of this -log10 of its chance is suspected
+    private static final double UNUSUAL = 4;              // -log10 of the chance of a silence: suspected
     private static final long SHORTEST_SILENCE = 400 * MS;
     private static final long FIRST_GAP = 500 * MS;
     private static final long FIRST_TRIAL = 1000 * MS;
@@ -65,9 +65,9 @@
     // The draw.
     private static final double IDLE = 0.15;              // load a core of an engine that does nothing
     private static final int WARM_SETS = 4;
-    private static final double WARM = 2;                 // weight of an engine that has read the data set lately
+    private static final double WARM = 2;                 // weight of one that has read the data set lately
     private static final double HELD = 0.02;              // of one where a load of ours holds it
-    private static final double FAR = 0.5;                // of an engine in another place, where crossing costs
+    private static final double FAR = 0.5;                // of one in another place, where crossing costs
 
     private final Settings set;
     private final Settings.Levers levers;
@@ -243,8 +243,6 @@
         }
     }
 
-    private enum State { KEYED, WAITING, OUT, OVER }
-
     private final class Task {
         final String id;
         final Row row;
@@ -257,8 +255,9 @@
         final double lnWorth;                 // earnings for its work
         final double memoryMb;
         final long dataSet;
-        State state = State.OVER;
-        boolean queued;
+        boolean keyed;                        // waits for its key
+        boolean queued;                       // waits for room
+        boolean over;
         long wantedSince;
         long waitUntil;                       // end of the budget in the queue
         int forwards;                         // sent so far
@@ -286,7 +285,7 @@
             return Math.max(cost / grade.threads(), 5 * MS);
         }
 
-        /** Earnings for its work, half of what sets its grade apart left out: no grade is shed whole for another. */
+        /** Earnings for its work, half of what sets its grade apart left out: no grade is shed for another. */
         double worth() {
             return Math.exp(lnWorth - GRADE_PART * (row.worthMean - gate.worthMean));
         }
@@ -295,10 +294,6 @@
             return Math.min(LONGEST_WAIT, Math.max(0, cutOffAt - now) / WAIT_PART);
         }
 
-        boolean over() {
-            return state == State.OVER;
-        }
-
         boolean harmless() {
             return grade.repeat() == Grade.Repeat.HARMLESS;
         }
@@ -315,8 +310,8 @@
             return grade.repeat() == Grade.Repeat.STAMPED && now - first.sentAt < grade.repeatWindow() - SWEEP
                     && switch (grade.scope()) {
                         case ALL -> true;
-                        case PLACE -> first.engine.place.equals(engine.place);
-                        case CELL -> first.engine.cell == engine.cell;
+                        case PLACE -> first.engine.entry.place().equals(engine.entry.place());
+                        case CELL -> first.engine.entry.cell() == engine.entry.cell();
                     };
         }
 
@@ -372,11 +367,11 @@
                 return;
             }
             if (task.key >= 0) {
-                // Looked up only now: a line named at the door may have been dropped before its task got here.
+                // Looked up only now: one named at the door may have been dropped before its task got here.
                 task.line = lines.computeIfAbsent(task.key, KeyLine::new);
                 task.line.line.add(task);
                 if (task.line.line.peek() != task || !open(task.line)) {
-                    task.state = State.KEYED;
+                    task.keyed = true;
                     return;
                 }
             }
@@ -387,30 +382,31 @@
             return line.out == 0 && now >= line.restsUntil;
         }
 
-        /** Into its tenant's queue; refused at once if it earns too little, fits no bound or would wait too long. */
+        /** Into its tenant's queue; refused at once if it earns too little, fits no bound or waits too long. */
         private void enqueue(Task task) {
-            task.state = State.WAITING;
+            task.keyed = false;
             task.wantedSince = now;
             task.waitUntil = now + task.budget();
             if (task.worth() < price && task.forwards == 0 || !fits(task) && (task.tenant == null
                     || task.tenant.waiters.size() >= DEPTH_PER_TENANT || waiting >= DEPTH_IN_ALL
                     || expectedWait(task) > task.budget())) {
                 refuse(task);
+            } else if (task.tenant == null) {
+                route(task);                  // of no tenant: at once or not at all
             } else {
                 queue(task);
             }
         }
 
         private void queue(Task task) {
-            ArrayList<Task> waiters = task.tenant == null ? nobody : task.tenant.waiters;
-            waiters.add(position(waiters, task), task);
+            task.tenant.waiters.add(position(task.tenant.waiters, task), task);
             task.queued = true;
             waiting++;
         }
 
         private void unqueue(Task task) {
             if (task.queued) {
-                (task.tenant == null ? nobody : task.tenant.waiters).remove(task);
+                task.tenant.waiters.remove(task);
                 task.queued = false;
                 waiting--;
             }
@@ -424,7 +420,7 @@
             return at;
         }
 
-        /** The send spacing behind it, plus, with no room, the least remaining mean run time on a fitting engine. */
+        /** The send spacing behind it, plus, with no room, the least remaining mean run time on an engine. */
         private double expectedWait(Task task) {
             double weights = 0;
             for (Tenant tenant : tenants.values()) {
@@ -433,7 +429,7 @@
             double ahead = position(task.tenant.waiters, task) * weights / task.tenant.weight;
             double least = Double.MAX_VALUE;
             for (Engine engine : engines.values()) {
-                if (engine.ready() && engine.allowed(task)) {
+                if (engine.ready && engine.allowed(task)) {
                     least = Math.min(least, engine.leastRemaining());
                 }
             }
@@ -441,46 +437,36 @@
         }
 
         private boolean fits(Task task) {
-            for (Engine engine : engines.values()) {
-                if (engine.fits(task)) {
-                    return true;
-                }
-            }
-            return false;
+            return engines.values().stream().anyMatch(engine -> engine.fits(task));
         }
 
-        private final ArrayList<Task> nobody = new ArrayList<>(); // of no known tenant: sent at once or refused
-
-        /** One turn: smooth weighted round-robin over the tenants whose next waiter fits some engine's room. */
+        /** One turn: smooth weighted round-robin over the tenants whose next waiter fits some room. */
         private void turn() {
             for (Row row : rows.values()) {
                 row.noRoom = false;
             }
-            Task chosen = next(nobody);
-            while (chosen == null && !nobody.isEmpty()) {
-                refuse(nobody.get(0));
-            }
-            if (chosen == null) {
-                Tenant best = null;
-                double total = 0;
-                for (Tenant tenant : tenants.values()) {
-                    Task next = next(tenant.waiters);
-                    if (next != null) {
-                        tenant.current += tenant.weight;
-                        total += tenant.weight;
-                        if (best == null || tenant.current > best.current) {
-                            best = tenant;
-                            chosen = next;
-                        }
+            Task chosen = null;
+            Tenant best = null;
+            double total = 0;
+            for (Tenant tenant : tenants.values()) {
+                Task next = next(tenant.waiters);
+                if (next != null) {
+                    tenant.current += tenant.weight;
+                    total += tenant.weight;
+                    if (best == null || tenant.current > best.current) {
+                        best = tenant;
+                        chosen = next;
                     }
                 }
-                if (best == null) {
-                    return;
-                }
+            }
+            if (best != null) {
                 best.current -= total;
+                unqueue(chosen);
+                route(chosen);
             }
-            unqueue(chosen);
-            Task task = chosen;
+        }
+
+        private void route(Task task) {
             Engine engine = draw(task);
             engine.put(() -> engine.send(task));
         }
@@ -510,12 +496,13 @@
                 further.add(now);
             }
             task.forwards++;
-            task.state = State.OUT;
             task.out.add(forward);
             if (task.line != null) {
                 task.line.out++;
             }
-            turn();
+            if (task.tenant != null) {
+                turn();
+            }
         }
 
         /** The re-check failed: back into the queue, within the budget that it has left. */
@@ -532,8 +519,6 @@
             unqueue(task);
             if (task.out.isEmpty()) {
                 answer(task);
-            } else {
-                task.state = State.OUT;
             }
         }
 
@@ -551,7 +536,7 @@
         /** Nothing more is owed or sent; its forwards stay with their engines until they end. */
         private void finish(Task task) {
             unqueue(task);
-            task.state = State.OVER;
+            task.over = true;
             tasks.remove(task.id);
             for (Forward forward : task.out) {
                 cancel(forward);
@@ -574,7 +559,7 @@
             Task head = line.line.peek();
             if (open(line) && head == null) {
                 lines.remove(line.key);
-            } else if (open(line) && head.state == State.KEYED) {
+            } else if (open(line) && head.keyed) {
                 enqueue(head);
             }
         }
@@ -593,11 +578,11 @@
                     task.line.restsUntil = now + set.keyRest();
                 }
             }
-            if (!task.over() && (over || outcome == Outcome.OK)) {
+            if (!task.over && (over || outcome == Outcome.OK)) {
                 finish(task);
-            } else if (!task.over() && task.out.isEmpty() && !task.queued) {
+            } else if (!task.over && task.out.isEmpty() && !task.queued) {
                 again(task);
-            } else if (task.over() && task.line != null) {
+            } else if (task.over && task.line != null) {
                 release(task.line);
             }
         }
@@ -612,10 +597,10 @@
             }
         }
 
-        /** A forward stuck on its engine: taken back, or doubled, where its grade, the rules and the levers allow. */
+        /** A forward stuck on its engine: taken back, or doubled, where grade, rules and levers allow. */
         private void rescue(Forward forward) {
             Task task = forward.task;
-            if (task.over() || task.queued || task.grade.repeat() == Grade.Repeat.ONE_SHOT || !rationAllows()
+            if (task.over || task.queued || task.grade.repeat() == Grade.Repeat.ONE_SHOT || !rationAllows()
                     || task.forwards >= levers.mostForwards() || task.cutOffAt - now < 2 * task.alone()) {
                 return;
             }
@@ -642,23 +627,16 @@
         }
 
         /**
-         * Early refusal by worth. While tasks wait, engine work has a price, which rises as long as they do; a task
-         * that earns less for its work is refused at once. Guards against a few heavy tasks that take the room of
-         * many, from any cause: bursts, overload, slow or lost engines, costs far above the usual.
+         * Early refusal by worth. While tasks wait, engine work has a price, which rises as long as they do; a
+         * task that earns less for its work is refused at once. Guards against a few heavy tasks that take the
+         * room of many, from any cause: bursts, overload, slow or lost engines, costs far above the usual.
          */
         private void reprice() {
-            long oldest = now;
-            for (Tenant tenant : tenants.values()) {
-                for (Task task : tenant.waiters) {
-                    oldest = Math.min(oldest, task.wantedSince);
-                }
-            }
+            boolean wait = tenants.values().stream().flatMap(tenant -> tenant.waiters.stream())
+                    .anyMatch(task -> now - task.wantedSince > PATIENCE);
             double usual = Math.exp(worthMean);
-            if (now - oldest > PATIENCE) {
-                price = clamp(price * (1 + PRICE_UP), usual * LEAST_PRICE, usual);
-            } else {
-                price = price * (1 - PRICE_DOWN) < usual * LEAST_PRICE ? 0 : price * (1 - PRICE_DOWN);
-            }
+            price = wait ? clamp(price * (1 + PRICE_UP), usual * LEAST_PRICE, usual) : price * (1 - PRICE_DOWN);
+            price = price < usual * LEAST_PRICE ? 0 : price;
         }
 
         private void sweep() {
@@ -673,7 +651,8 @@
             }
             for (KeyLine line : new ArrayList<>(lines.values())) {
                 for (Task task : new ArrayList<>(line.line)) {
-                    if (task.state == State.KEYED && task.cutOffAt - now <= Math.max(ANSWER_MARGIN, task.alone())) {
+                    double needed = Math.max(ANSWER_MARGIN, task.alone());
+                    if (task.keyed && task.cutOffAt - now <= needed) {
                         answer(task);
                     }
                 }
@@ -688,7 +667,7 @@
     private boolean mostSuspect() {
         double balance = 0;
         for (Engine engine : engines.values()) {
-            balance += engine.ready() ? engine.suspect ? engine.cores : -engine.cores : 0;
+            balance += engine.ready ? engine.suspect ? engine.cores : -engine.cores : 0;
         }
         return balance > 0;
     }
@@ -700,7 +679,7 @@
         List<Engine> fitting = new ArrayList<>();
         for (Engine engine : engines.values()) {
             double load = engine.load();
-            if (engine.ready() && !Double.isNaN(load)) {
+            if (engine.ready && !Double.isNaN(load)) {
                 sum += load;
                 heard++;
             }
@@ -723,15 +702,12 @@
         return fitting.get(at);
     }
 
-    // ---- Engines: the one record of each, its room, its health, and the one place that every send passes ----
+    // ---- Engines: the one record of each, its room, its health, the one place that every send passes ----
 
     private final class Engine extends Part {
         final String id;
-        String place = "";
-        String kind = "";
-        int cell;
-        EngineEntry.State state = EngineEntry.State.GONE;
-        long startedAt = -1;
+        EngineEntry entry;                    // as last listed
+        boolean ready;
         double cores = 1;
         double totalMemory;
         final ArrayList<Forward> out = new ArrayList<>();
@@ -763,21 +739,18 @@
             probeAt = now + (long) (chance.nextDouble() * PROBE_EVERY);
         }
 
-        private void listed(EngineEntry entry) {
-            if (entry == null) {
-                state = EngineEntry.State.GONE;
+        private void listed(EngineEntry told) {
+            ready = told != null && told.state() == EngineEntry.State.READY;
+            if (told == null) {
                 return;
             }
-            state = entry.state();
-            place = entry.place() == null ? "" : entry.place();
-            kind = entry.kind() == null ? "" : entry.kind();
-            cell = entry.cell();
-            Settings.Kind figures = set.kinds().get(kind);
-            cores = figures != null && figures.cores() > 0 ? figures.cores() : Math.max(1, entry.size());
+            boolean fresh = entry == null || told.startedAt() > entry.startedAt();
+            entry = told;
+            Settings.Kind figures = set.kinds().get(told.kind());
+            cores = figures != null && figures.cores() > 0 ? figures.cores() : Math.max(1, told.size());
             totalMemory = figures == null ? 0 : figures.memoryMb();
-            if (entry.startedAt() > startedAt) {
-                // A fresh process: nothing learned of the old one holds.
-                startedAt = entry.startedAt();
+            if (fresh) {
+                // A new process: nothing learned of the old one holds.
                 warm.clear();
                 suspect = false;
                 pace = 0;
@@ -791,28 +764,23 @@
 
         // -- May it be sent to? --
 
-        /** Rule 3, without its grace, since the list is late anyway. */
-        boolean ready() {
-            return state == EngineEntry.State.READY;
-        }
-
         /** Rule 6: placement. */
         boolean allowed(Task task) {
-            return (task.grade.places().isEmpty() || task.grade.places().contains(place))
-                    && (task.grade.kinds().isEmpty() || task.grade.kinds().contains(kind));
+            return (task.grade.places().isEmpty() || task.grade.places().contains(entry.place()))
+                    && (task.grade.kinds().isEmpty() || task.grade.kinds().contains(entry.kind()));
         }
 
         /** The part of its capacity that an engine surely has by now. */
         private double warmth() {
             Settings.ColdRule rule = set.cold();
-            if (rule == null || startedAt <= 0 || now - startedAt >= rule.warmAfter()) {
+            if (rule == null || entry.startedAt() <= 0 || now - entry.startedAt() >= rule.warmAfter()) {
                 return 1;
             }
-            double age = Math.max(0, now - startedAt) / (double) rule.warmAfter();
+            double age = Math.max(0, now - entry.startedAt()) / (double) rule.warmAfter();
             return rule.startCapacity() + (1 - rule.startCapacity()) * age * age;
         }
 
-        /** Rule 4: an even part, the same for every manager, of what a cold engine can be sent in the window. */
+        /** Rule 4: an even part, alike for every manager, of what a cold engine may get in the window. */
         private boolean coldAllows(Task task) {
             Settings.ColdRule rule = set.cold();
             double able = warmth();
@@ -829,9 +797,9 @@
             return work <= COLD_PART * rule.multiple() * able * cores * rule.window() / set.siblings();
         }
 
-        /** Every rule on sending, in one place. */
+        /** Every rule on sending, in one place; rule 3 (drains) without its grace, since the list is late anyway. */
         private boolean rulesAllow(Task task) {
-            return ready() && allowed(task) && task.mayRepeatOn(this) && coldAllows(task)
+            return ready && allowed(task) && task.mayRepeatOn(this) && coldAllows(task)
                     && task.forwards < levers.mostForwards() && (task.forwards == 0 || gate.rationAllows())
                     && (task.line == null || task.line.line.peek() == task
                             && (task.forwards > 0 || gate.open(task.line)));
@@ -839,26 +807,21 @@
 
         /** Rules, health and room together. */
         boolean fits(Task task) {
-            if (!rulesAllow(task)) {
+            if (!rulesAllow(task) || task.out.stream().anyMatch(forward -> forward.engine == this)) {
                 return false;
             }
-            for (Forward forward : task.out) {
-                if (forward.engine == this) {
-                    return false;
-                }
-            }
             if (suspect && !mostSuspect()) {
                 return now >= trialAt && task.harmless();
             }
             return threadsFit(task) && memoryFits(task);
         }
 
-        /** This manager's part of the engine: an even one, or more where the engine is seen to hold mostly ours. */
+        /** This manager's part of the engine: an even one, or more where it is seen to hold mostly ours. */
         private double share() {
             return Math.max(1.0 / set.siblings(), ours);
         }
 
-        /** The room in threads binds only under pressure; our own threads up to the first bound are pressure too. */
+        /** The room in threads binds only under pressure; our threads up to the first bound are that too. */
         private boolean threadsFit(Task task) {
             boolean pressed = strain > WELL_ABOVE_BEST || now < pressedUntil
                     || threads >= cores * warmth() * THREADS_PER_CORE * share();
@@ -866,23 +829,20 @@
         }
 
         /**
-         * The room in memory: past it an engine spills, waits or pages, and all its tasks pay. Always binds, since no
-         * answer tells of it in time; floored at one task.
+         * The room in memory: past it an engine spills, waits or pages, and all its tasks pay. Always binds,
+         * since no answer tells of it in time; floored at one task.
          */
         private boolean memoryFits(Task task) {
-            if (totalMemory <= 0 || out.isEmpty()) {
-                return true;
-            }
-            if (heard() && !Double.isNaN(report.memoryGranted())) {
-                return report.memoryGranted() * totalMemory + grantedSince + grant(task) <= totalMemory;
-            }
-            return granted + grant(task) <= totalMemory * share();
+            boolean told = heard() && !Double.isNaN(report.memoryGranted());
+            double used = told ? report.memoryGranted() * totalMemory + grantedSince : granted;
+            return totalMemory <= 0 || out.isEmpty() || used + grant(task) <= totalMemory * (told ? 1 : share());
         }
 
         /** What a task is to be granted here; where grants are not heeded, what it will take. */
         private double grant(Task task) {
             double memory = task.memoryMb * (task.row.memoryBias + task.row.memoryScatter);
-            return levers.grantCap() > 0 && totalMemory > 0 ? Math.min(memory, levers.grantCap() * totalMemory) : memory;
+            double most = levers.grantCap() > 0 && totalMemory > 0 ? levers.grantCap() * totalMemory : memory;
+            return Math.min(memory, most);
         }
 
         /** More for tasks that earn much for their work: they are short, and hardly slow the others. */
@@ -932,15 +892,15 @@
             threads -= forward.task.grade.threads();
             granted -= forward.memoryMb;
             hear(told);
-            if (outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.FULL) {
-                sign();
-            }
             if (outcome == Outcome.OK) {
+                sign();
                 handled(forward, cost, memoryMb);
+            } else if (outcome == Outcome.ERROR) {
+                sign();
             } else if (outcome == Outcome.UNREACHED || outcome == Outcome.RESET) {
                 suspect("unreached or reset");
             } else if (outcome == Outcome.FULL || outcome == Outcome.TIME_OUT) {
-                pressedUntil = outcome == Outcome.FULL ? now + PRESSURE_LASTS : pressedUntil;
+                pressedUntil = now + PRESSURE_LASTS;
                 halve();
             }
             gate.put(() -> gate.ended(forward, outcome, over));
@@ -958,8 +918,8 @@
                 row.memoryBias = clamp(mean(row.memoryBias, told, LEARN), 0.2, 5);
             }
             long run = Math.max(MS, now - forward.sentAt);
-            double alone = toldCost > 0 ? Math.max(toldCost / (double) task.grade.threads(), 5 * MS) : task.alone();
-            double ratio = Math.log(run / alone);
+            double told = toldCost > 0 ? Math.max(toldCost / task.grade.threads(), 5 * MS) : task.alone();
+            double ratio = Math.log(run / told);
             row.meanRun = mean(row.meanRun, run, LEARN);
             row.usual = mean(row.usual, ratio, LEARN);
             row.best = Double.isNaN(row.best) ? row.usual : Math.min(row.best, row.usual);
@@ -1024,7 +984,7 @@
         }
 
         private void sweep() {
-            if (levers.probe() && ready() && now >= probeAt) {
+            if (levers.probe() && ready && now >= probeAt) {
                 probeAt = now + PROBE_EVERY;
                 act.probe(id);
             }
@@ -1063,23 +1023,21 @@
             return least;
         }
 
-        /** Load a core: reported use, else tasks held, else our threads; plus what we sent since. NaN: unheard. */
+        /** Load a core: reported use, else tasks held, else our threads; plus our sends since. NaN: unheard. */
         double load() {
             double able = cores * warmth();
             if (heard() && !Double.isNaN(report.coresBusy())) {
                 return report.coresBusy() + threadsSince / able;
             }
-            if (heard() && !Double.isNaN(report.held())) {
-                return (report.held() + threadsSince) / able;
-            }
-            return levers.probe() ? Double.NaN : threads / (able * share());
+            return heard() && !Double.isNaN(report.held()) ? (report.held() + threadsSince) / able
+                    : levers.probe() ? Double.NaN : threads / (able * share());
         }
 
         double weight(Task task, double average) {
             double load = IDLE + (Double.isNaN(load()) ? average : load());
             double weight = cores * warmth() / (load * load * load) / Math.exp(2 * pace);
             weight *= warm.contains(task.dataSet) ? WARM : 1;
-            weight *= levers.placesPriced() && !place.equals(set.place()) ? FAR : 1;
+            weight *= levers.placesPriced() && !entry.place().equals(set.place()) ? FAR : 1;
             if (task.grade.load() || task.grade.waitsForLoads()) {
                 for (Forward forward : out) {
                     if (forward.task.grade.load() && forward.task.dataSet == task.dataSet) {
--- a/src/main/java/tansytrack/adapter/Adapter.java
+++ b/src/main/java/tansytrack/adapter/Adapter.java
@@ -17,6 +17,7 @@
 import tansytrack.api.EngineEntry;
 import tansytrack.api.LoadReport;
 import tansytrack.api.Outcome;
+import tansytrack.api.TaskOffer;
 
 /** The bench's wire on one side, the module's interface on the other; each instance is a module of its own. */
 public final class Adapter {
@@ -146,8 +147,8 @@
         } catch (RuntimeException e) {
             failed = true;
             StackTraceElement[] trace = e.getStackTrace();
-            reply.append("DIE ").append(instance.name).append(' ').append((e + (trace.length > 0 ? " at " + trace[0] : ""))
-                    .replace('\n', ' ')).append('\n');
+            String what = e + (trace.length > 0 ? " at " + trace[0] : "");
+            reply.append("DIE ").append(instance.name).append(' ').append(what.replace('\n', ' ')).append('\n');
         }
     }
 
@@ -163,7 +164,7 @@
                 throw new Fields.Malformed("expected an M line");
             }
             double size = in.number("scale");
-            String place = in.textOrNull("locality");
+            String place = in.textOrEmpty("locality");
             EngineEntry.State state = switch ((int) in.integer("availability", -1)) {
                 case 0 -> EngineEntry.State.GONE;
                 case 1 -> EngineEntry.State.READY;
@@ -171,7 +172,7 @@
                 default -> throw new Fields.Malformed("unknown availability");
             };
             String id = in.text("engine");
-            String kind = in.textOrNull("shape");
+            String kind = in.textOrEmpty("shape");
             long startedAt = in.time("up_since_ms");
             int cell = in.more() ? (int) in.integer("pack", 0) : 0;
             entries.add(new EngineEntry(id, size, place, kind, cell, state, startedAt));
@@ -219,7 +220,7 @@
         double memory = in.number("want_mb");
         long set = in.integer("source_set", -1);
         long bits = in.integer("attrs", 0);
-        tansytrack.api.TaskOffer offer = new tansytrack.api.TaskOffer(id, grade, tenant, key, until,
+        TaskOffer offer = new TaskOffer(id, grade, tenant, key, until,
                 (bits & 1) != 0 || cost > 0 ? cost : 0, memory, set);
         guarded(to, () -> to.module.task(now, offer));
     }
--- a/src/main/java/tansytrack/adapter/Fields.java
+++ b/src/main/java/tansytrack/adapter/Fields.java
@@ -87,6 +87,11 @@
         return absent() ? null : new String(line, start, end - start, StandardCharsets.UTF_8);
     }
 
+    String textOrEmpty(String what) {
+        String value = textOrNull(what);
+        return value == null ? "" : value;
+    }
+
     String text(String what) {
         String value = textOrNull(what);
         if (value == null) {
