--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import tansytrack.api.Actions;
 import tansytrack.api.Decisions;
 import tansytrack.api.EngineEntry;
@@ -77,6 +78,7 @@
     private final Map<String, Engine> engines = new TreeMap<>();
     private final Map<String, Task> tasks = new HashMap<>();
     private final Map<String, Row> rows = new TreeMap<>();
+    private final Map<String, Market> markets = new TreeMap<>();
     private final Map<String, Tenant> tenants = new TreeMap<>();
     private final Gate gate = new Gate();
     private long now;
@@ -87,7 +89,8 @@
         act = actions;
         chance = new SplittableRandom(settings.seed());
         for (Grade grade : settings.grades()) {
-            rows.put(grade.name(), new Row(grade));
+            String bounds = new TreeSet<>(grade.places()) + "/" + new TreeSet<>(grade.kinds());
+            rows.put(grade.name(), new Row(grade, markets.computeIfAbsent(bounds, key -> new Market())));
         }
         for (Settings.Tenant tenant : settings.tenants()) {
             tenants.put(tenant.name(), new Tenant(Math.max(tenant.share(), 0.001)));
@@ -225,6 +228,11 @@
 
     // ---- The grade table, tasks, forwards ----
 
+    /** The engines that some grades are bound to, and what work on them is worth while tasks wait for them. */
+    private static final class Market {
+        double price;                         // of engine work, in earnings; 0 unless tasks wait
+    }
+
     /** What differs by service grade. */
     private static final class Row {
         final Grade grade;
@@ -238,8 +246,11 @@
         double worthMean = Double.NaN;        // ln of the earnings for the work of its tasks
         boolean noRoom;                       // at this turn
 
-        Row(Grade grade) {
+        final Market market;
+
+        Row(Grade grade, Market market) {
             this.grade = grade;
+            this.market = market;
         }
     }
 
@@ -356,7 +367,6 @@
         long lastGrant;
         double spacing = 10 * MS;             // mean time between sends, while tasks wait
         double worthMean = Double.NaN;        // mean ln of the worth of the tasks taken
-        double price;                         // of engine work, in earnings; 0 unless tasks wait
 
         private void taken(Task task) {
             taken.add(now);
@@ -387,7 +397,7 @@
             task.keyed = false;
             task.wantedSince = now;
             task.waitUntil = now + task.budget();
-            if (task.worth() < price && task.forwards == 0 || !fits(task) && (task.tenant == null
+            if (task.worth() < task.row.market.price && task.forwards == 0 || !fits(task) && (task.tenant == null
                     || task.tenant.waiters.size() >= DEPTH_PER_TENANT || waiting >= DEPTH_IN_ALL
                     || expectedWait(task) > task.budget())) {
                 refuse(task);
@@ -629,14 +639,17 @@
         /**
          * Early refusal by worth. While tasks wait, engine work has a price, which rises as long as they do; a
          * task that earns less for its work is refused at once. Guards against a few heavy tasks that take the
-         * room of many, from any cause: bursts, overload, slow or lost engines, costs far above the usual.
+         * room of many, from any cause: bursts, overload, slow or lost engines, costs far above the usual. Grades
+         * bound to the same engines share a price: waits for one kind of machine must not shed what fits others.
          */
         private void reprice() {
-            boolean wait = tenants.values().stream().flatMap(tenant -> tenant.waiters.stream())
-                    .anyMatch(task -> now - task.wantedSince > PATIENCE);
             double usual = Math.exp(worthMean);
-            price = wait ? clamp(price * (1 + PRICE_UP), usual * LEAST_PRICE, usual) : price * (1 - PRICE_DOWN);
-            price = price < usual * LEAST_PRICE ? 0 : price;
+            for (Market market : markets.values()) {
+                boolean wait = tenants.values().stream().flatMap(tenant -> tenant.waiters.stream()).anyMatch(
+                        task -> task.row.market == market && now - task.wantedSince > PATIENCE);
+                double next = market.price * (wait ? 1 + PRICE_UP : 1 - PRICE_DOWN);
+                market.price = wait ? clamp(next, usual * LEAST_PRICE, usual) : next < usual * LEAST_PRICE ? 0 : next;
+            }
         }
 
         private void sweep() {
