--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -60,6 +60,8 @@
     private static final long FIRST_GAP = 500 * MS;
     private static final long FIRST_TRIAL = 1000 * MS;
     private static final long LONGEST_TRIAL_GAP = 4000 * MS;
+    private static final double FAILING = 0.3;            // part of failed answers that is suspected
+    private static final double FAILING_LEARN = 0.2;
     private static final long PROBE_EVERY = 400 * MS;
     private static final long REPORT_LASTS = 3000 * MS;
 
@@ -741,6 +743,7 @@
         long signAt;                          // last sign of life, or when one was first owed
         double gap = FIRST_GAP;               // mean and deviation of the gaps between signs
         double gapSpread = 0;
+        double failing;                       // part of its answers that fail, the last ones counting most
         boolean suspect;
         long trialAt;
         long trialGap;
@@ -771,6 +774,7 @@
                 report = null;
                 pressedUntil = 0;
                 probesFailed = 0;
+                failing = 0;
                 bound = cores * THREADS_PER_CORE * share();
             }
         }
@@ -906,12 +910,15 @@
             granted -= forward.memoryMb;
             hear(told);
             if (outcome == Outcome.OK) {
+                failing = mean(failing, 0, FAILING_LEARN);
                 sign();
                 handled(forward, cost, memoryMb);
-            } else if (outcome == Outcome.ERROR) {
-                sign();
-            } else if (outcome == Outcome.UNREACHED || outcome == Outcome.RESET) {
-                suspect("unreached or reset");
+            } else if (outcome == Outcome.ERROR || outcome == Outcome.UNREACHED || outcome == Outcome.RESET) {
+                // An engine that fails fast looks idle, and would draw ever more tasks.
+                failing = mean(failing, 1, FAILING_LEARN);
+                if (outcome != Outcome.ERROR || failing > FAILING) {
+                    suspect(outcome == Outcome.ERROR ? "its answers fail" : "unreached or reset");
+                }
             } else if (outcome == Outcome.FULL || outcome == Outcome.TIME_OUT) {
                 pressedUntil = now + PRESSURE_LASTS;
                 halve();
@@ -990,7 +997,8 @@
             gapSpread = mean(gapSpread, Math.abs(seen - gap), LEARN);
             gap = mean(gap, seen, LEARN);
             signAt = now;
-            if (suspect && probesFailed < 2) {
+            trialAt = Math.min(trialAt, now + SHORTEST_SILENCE);
+            if (suspect && probesFailed < 2 && failing < FAILING) {
                 suspect = false;
                 act.log("engine " + id + " answers again: back in the draw");
             }
