--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -57,7 +57,7 @@
     // Health and reports.
     private static final double UNUSUAL = 4;              // -log10 of the chance of a silence: suspected
     private static final long SHORTEST_SILENCE = 400 * MS;
-    private static final long FIRST_GAP = 500 * MS;
+    private static final double FIRST_GAP = 1;            // signs owed between two signs, until learned
     private static final long FIRST_TRIAL = 1000 * MS;
     private static final long LONGEST_TRIAL_GAP = 4000 * MS;
     private static final double FAILING = 0.3;            // part of failed answers that is suspected
@@ -298,6 +298,11 @@
             return Math.max(cost / grade.threads(), 5 * MS);
         }
 
+        /** And as the fleet runs now. */
+        double usualRun() {
+            return alone() * (Double.isNaN(row.usual) ? 2 : Math.exp(row.usual));
+        }
+
         /** Earnings for its work, half of what sets its grade apart left out: no grade is shed for another. */
         double worth() {
             return Math.exp(lnWorth - GRADE_PART * (row.worthMean - gate.worthMean));
@@ -741,8 +746,9 @@
         long probeAt;
         int probesFailed;
         long signAt;                          // last sign of life, or when one was first owed
-        double gap = FIRST_GAP;               // mean and deviation of the gaps between signs
-        double gapSpread = 0;
+        double owed;                          // how many signs usual run times led to expect since then
+        double gap = FIRST_GAP;               // mean and deviation of what was owed at a sign
+        double gapSpread = FIRST_GAP;
         double failing;                       // part of its answers that fail, the last ones counting most
         boolean suspect;
         long trialAt;
@@ -880,7 +886,10 @@
             }
             act.forward(task.id, id, 0);
             Forward forward = new Forward(task, this, task.forwards, now, memory);
-            signAt = out.isEmpty() ? now : signAt;
+            if (out.isEmpty()) {
+                owed = 0;
+                signAt = now;
+            }
             out.add(forward);
             threads += task.grade.threads();
             threadsSince += task.grade.threads();
@@ -993,9 +1002,9 @@
         // -- Health: how unusual is the present silence, given the gaps seen before? --
 
         private void sign() {
-            double seen = now - signAt;
-            gapSpread = mean(gapSpread, Math.abs(seen - gap), LEARN);
-            gap = mean(gap, seen, LEARN);
+            gapSpread = mean(gapSpread, Math.abs(owed - gap), LEARN);
+            gap = mean(gap, owed, LEARN);
+            owed = 0;
             signAt = now;
             trialAt = Math.min(trialAt, now + SHORTEST_SILENCE);
             if (suspect && probesFailed < 2 && failing < FAILING) {
@@ -1009,10 +1018,13 @@
                 probeAt = now + PROBE_EVERY;
                 act.probe(id);
             }
-            double silence = now - signAt;
-            double unusual = silence / (Math.max(gap, 2 * SWEEP) + 2 * gapSpread) / Math.log(10);
-            if (!suspect && !out.isEmpty() && silence > SHORTEST_SILENCE && unusual > UNUSUAL) {
-                suspect("silent for " + (long) (silence / MS) + " ms");
+            for (Forward forward : out) {
+                owed += SWEEP / forward.task.usualRun();
+            }
+            long silence = now - signAt;
+            double unusual = owed / (Math.max(gap, FIRST_GAP) + gapSpread) / Math.log(10);
+            if (!suspect && silence > SHORTEST_SILENCE && unusual > UNUSUAL) {
+                suspect("silent for " + silence / MS + " ms");
             }
             if (suspect && !mostSuspect()) {
                 for (Forward forward : out) {
