--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -871,7 +871,8 @@
         /** More for tasks that earn much for their work: they are short, and hardly slow the others. */
         private int priority(Task task) {
             double above = task.lnWorth - gate.worthMean;
-            return above > -0.7 ? 3 : above > -1.8 ? 2 : above > -2.9 ? 1 : 0;
+            int usual = above > -0.7 ? 3 : above > -1.8 ? 2 : above > -2.9 ? 1 : 0;
+            return task.grade.load() ? Math.max(2, usual) : usual;
         }
 
         private void send(Task task) {
