--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -2,33 +2,18 @@
 
 // Every decision of a workload manager. One instance a manager: new Decide(settings, actions); then any calls
 // that tell it something, which only put notes into inboxes; then decide(now), which empties them and acts.
-// The interface is tansytrack.api: Decisions (in), Actions (out), Settings (at the start). Why: docs/design.md
+// The interface is tansytrack.api: Decisions (in), Actions (out), Settings (at first). Why: docs/design.md
 // From top to bottom: values, the door, the loop, the grade table, tasks, the gate (queues, turns), engines.
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
-import java.util.TreeMap;
-import java.util.TreeSet;
-import tansytrack.api.Actions;
-import tansytrack.api.Decisions;
-import tansytrack.api.EngineEntry;
-import tansytrack.api.Grade;
-import tansytrack.api.LoadReport;
-import tansytrack.api.Outcome;
-import tansytrack.api.Settings;
-import tansytrack.api.TaskOffer;
+import java.util.*;
+import tansytrack.api.*;
 
 public final class Decide implements Decisions {
 
     private static final long MS = 1_000_000L;
     private static final double LEARN = 0.05;             // weight of one new sample in a running mean
     private static final long SWEEP = 25 * MS;            // how often waiters and engines are seen to
-    private static final long ANSWER_MARGIN = 60 * MS;    // a held task is answered so long before its cut-off
+    private static final long ANSWER_MARGIN = 60 * MS;    // a task is answered so long before its cut-off
 
     // The queues: the source's bounds, its longest wait, and the design's part of the client's time left.
     private static final int DEPTH_PER_TENANT = 32;
@@ -38,8 +23,7 @@
 
     // The price of engine work while tasks wait: after how long a wait, and how it moves a sweep.
     private static final long PATIENCE = 150 * MS;
-    private static final double PRICE_UP = 0.02;
-    private static final double PRICE_DOWN = 0.02;
+    private static final double PRICE_STEP = 0.02;
     private static final double LEAST_PRICE = 0.02;       // of the usual worth
     private static final double GRADE_PART = 0.5;         // of what sets a grade's worth apart: left out
 
@@ -52,6 +36,8 @@
     private static final double SLOW_ANSWER = Math.log(5);
     private static final long PRESSURE_LASTS = 1000 * MS;
     private static final double COLD_PART = 0.6;          // of the cold budget: the rest is for misjudgement
+    private static final double PRIORITY_TOP = -0.7;      // ln of worth over the mean: the top priority
+    private static final double PRIORITY_STEP = 1.1;      // and for each one under it
     private static final double GRANT_MARGIN = 0.25;      // over the estimate, until its scatter is told
 
     // Health and reports.
@@ -61,7 +47,6 @@
     private static final long FIRST_TRIAL = 1000 * MS;
     private static final long LONGEST_TRIAL_GAP = 4000 * MS;
     private static final double FAILING = 0.3;            // part of failed answers that is suspected
-    private static final double FAILING_LEARN = 0.2;
     private static final long PROBE_EVERY = 400 * MS;
     private static final long REPORT_LASTS = 3000 * MS;
 
@@ -230,7 +215,7 @@
 
     // ---- The grade table, tasks, forwards ----
 
-    /** The engines that some grades are bound to, and what work on them is worth while tasks wait for them. */
+    /** The engines that some grades are bound to, and what work on them is worth while tasks wait there. */
     private static final class Market {
         double price;                         // of engine work, in earnings; 0 unless tasks wait
     }
@@ -294,27 +279,17 @@
         }
 
         /** Run time on an engine that does nothing else. */
-        double alone() {
-            return Math.max(cost / grade.threads(), 5 * MS);
-        }
+        double alone() { return Math.max(cost / grade.threads(), 5 * MS); }
 
         /** And as the fleet runs now. */
-        double usualRun() {
-            return alone() * (Double.isNaN(row.usual) ? 2 : Math.exp(row.usual));
-        }
+        double usualRun() { return alone() * (Double.isNaN(row.usual) ? 2 : Math.exp(row.usual)); }
 
-        /** Earnings for its work, half of what sets its grade apart left out: no grade is shed for another. */
-        double worth() {
-            return Math.exp(lnWorth - GRADE_PART * (row.worthMean - gate.worthMean));
-        }
+        /** Earnings for its work, half of what sets its grade apart left out: no grade is shed whole. */
+        double worth() { return Math.exp(lnWorth - GRADE_PART * (row.worthMean - gate.worthMean)); }
 
-        long budget() {
-            return Math.min(LONGEST_WAIT, Math.max(0, cutOffAt - now) / WAIT_PART);
-        }
+        long budget() { return Math.min(LONGEST_WAIT, Math.max(0, cutOffAt - now) / WAIT_PART); }
 
-        boolean harmless() {
-            return grade.repeat() == Grade.Repeat.HARMLESS;
-        }
+        boolean harmless() { return grade.repeat() == Grade.Repeat.HARMLESS; }
 
         /** Rule 2: may it go to that engine, given what its earlier forwards may have done? */
         boolean mayRepeatOn(Engine engine) {
@@ -349,9 +324,7 @@
         int out;                              // forwards without an outcome
         long restsUntil;
 
-        KeyLine(long key) {
-            this.key = key;
-        }
+        KeyLine(long key) { this.key = key; }
     }
 
     private static final class Tenant {
@@ -359,9 +332,7 @@
         double current;                       // smooth weighted round-robin
         final ArrayList<Task> waiters = new ArrayList<>();    // least time left first
 
-        Tenant(double weight) {
-            this.weight = weight;
-        }
+        Tenant(double weight) { this.weight = weight; }
     }
 
     // ---- The gate: tenant queues, turns, final answers ----
@@ -370,6 +341,7 @@
         final Map<Long, KeyLine> lines = new TreeMap<>();
         final ArrayDeque<Long> taken = new ArrayDeque<>();    // times within the ration's window (rule 7)
         final ArrayDeque<Long> further = new ArrayDeque<>();
+        boolean reports;                      // has any engine ever told its load?
         int waiting;
         long lastGrant;
         double spacing = 10 * MS;             // mean time between sends, while tasks wait
@@ -395,18 +367,17 @@
             enqueue(task);
         }
 
-        boolean open(KeyLine line) {
-            return line.out == 0 && now >= line.restsUntil;
-        }
+        boolean open(KeyLine line) { return line.out == 0 && now >= line.restsUntil; }
 
-        /** Into its tenant's queue; refused at once if it earns too little, fits no bound or waits too long. */
+        /** Into its tenant's queue; refused at once if it earns little, fits no bound or waits too long. */
         private void enqueue(Task task) {
             task.keyed = false;
             task.wantedSince = now;
             task.waitUntil = now + task.budget();
-            if (task.worth() < task.row.market.price && task.forwards == 0 || !fits(task) && (task.tenant == null
-                    || task.tenant.waiters.size() >= DEPTH_PER_TENANT || waiting >= DEPTH_IN_ALL
-                    || expectedWait(task) > task.budget())) {
+            int depth = task.tenant == null ? 0 : task.tenant.waiters.size();
+            boolean cheap = task.forwards == 0 && task.worth() < task.row.market.price;
+            if (cheap || !fits(task) && (task.tenant == null || waiting >= DEPTH_IN_ALL
+                    || depth >= DEPTH_PER_TENANT || expectedWait(task) > task.budget())) {
                 refuse(task);
             } else if (task.tenant == null) {
                 route(task);                  // of no tenant: at once or not at all
@@ -644,18 +615,19 @@
         }
 
         /**
-         * Early refusal by worth. While tasks wait, engine work has a price, which rises as long as they do; a
-         * task that earns less for its work is refused at once. Guards against a few heavy tasks that take the
-         * room of many, from any cause: bursts, overload, slow or lost engines, costs far above the usual. Grades
-         * bound to the same engines share a price: waits for one kind of machine must not shed what fits others.
+         * Early refusal by worth. While tasks wait, engine work has a price, which rises as long as they do;
+         * a task that earns less for its work is refused at once. Guards against heavy tasks that take the
+         * room of many, from any cause: bursts, overload, slow or lost engines, costs far above the usual.
+         * Grades bound to the same engines share a price: a wait for some must not shed what fits others.
          */
         private void reprice() {
             double usual = Math.exp(worthMean);
             for (Market market : markets.values()) {
                 boolean wait = tenants.values().stream().flatMap(tenant -> tenant.waiters.stream()).anyMatch(
                         task -> task.row.market == market && now - task.wantedSince > PATIENCE);
-                double next = market.price * (wait ? 1 + PRICE_UP : 1 - PRICE_DOWN);
-                market.price = wait ? clamp(next, usual * LEAST_PRICE, usual) : next < usual * LEAST_PRICE ? 0 : next;
+                double next = clamp(market.price * (wait ? 1 + PRICE_STEP : 1 - PRICE_STEP), 0, usual);
+                double least = usual * LEAST_PRICE;
+                market.price = next >= least ? next : wait ? least : 0;
             }
         }
 
@@ -685,11 +657,8 @@
 
     /** Judged against the fleet: when most of it looks bad, no engine is kept out for it. */
     private boolean mostSuspect() {
-        double balance = 0;
-        for (Engine engine : engines.values()) {
-            balance += engine.ready ? engine.suspect ? engine.cores : -engine.cores : 0;
-        }
-        return balance > 0;
+        return engines.values().stream().filter(engine -> engine.ready)
+                .mapToDouble(engine -> engine.suspect ? engine.cores : -engine.cores).sum() > 0;
     }
 
     /** Draws among the engines that fit, weighted against their load; an unheard one counts as average. */
@@ -698,9 +667,8 @@
         int heard = 0;
         List<Engine> fitting = new ArrayList<>();
         for (Engine engine : engines.values()) {
-            double load = engine.load();
-            if (engine.ready && !Double.isNaN(load)) {
-                sum += load;
+            if (engine.ready && engine.heard()) {
+                sum += engine.load(1);
                 heard++;
             }
             if (engine.fits(task)) {
@@ -813,14 +781,11 @@
             while (!coldSends.isEmpty() && coldSends.peek()[0] < now - rule.window()) {
                 coldSends.poll();
             }
-            double work = task.row.meanCost;
-            for (long[] send : coldSends) {
-                work += send[1];
-            }
+            double work = task.row.meanCost + coldSends.stream().mapToLong(send -> send[1]).sum();
             return work <= COLD_PART * rule.multiple() * able * cores * rule.window() / set.siblings();
         }
 
-        /** Every rule on sending, in one place; rule 3 (drains) without its grace, since the list is late anyway. */
+        /** Every rule on sending, in one place; rule 3 (drains) without its grace, as the list is late. */
         private boolean rulesAllow(Task task) {
             return ready && allowed(task) && task.mayRepeatOn(this) && coldAllows(task)
                     && task.forwards < levers.mostForwards() && (task.forwards == 0 || gate.rationAllows())
@@ -840,9 +805,7 @@
         }
 
         /** This manager's part of the engine: an even one, or more where it is seen to hold mostly ours. */
-        private double share() {
-            return Math.max(1.0 / set.siblings(), ours);
-        }
+        private double share() { return Math.max(1.0 / set.siblings(), ours); }
 
         /** The room in threads binds only under pressure; our threads up to the first bound are that too. */
         private boolean threadsFit(Task task) {
@@ -858,7 +821,8 @@
         private boolean memoryFits(Task task) {
             boolean told = heard() && !Double.isNaN(report.memoryGranted());
             double used = told ? report.memoryGranted() * totalMemory + grantedSince : granted;
-            return totalMemory <= 0 || out.isEmpty() || used + grant(task) <= totalMemory * (told ? 1 : share());
+            double most = totalMemory * (told ? 1 : share());
+            return totalMemory <= 0 || out.isEmpty() || used + grant(task) <= most;
         }
 
         /** What a task is to be granted here; where grants are not heeded, what it will take. */
@@ -868,10 +832,10 @@
             return Math.min(memory, most);
         }
 
-        /** More for tasks that earn much for their work: they are short, and hardly slow the others. */
+        /** More for tasks that earn much for their work, and for loads, as others wait for what they hold. */
         private int priority(Task task) {
             double above = task.lnWorth - gate.worthMean;
-            int usual = above > -0.7 ? 3 : above > -1.8 ? 2 : above > -2.9 ? 1 : 0;
+            int usual = (int) clamp(Math.ceil(3 - (PRIORITY_TOP - above) / PRIORITY_STEP), 0, 3);
             return task.grade.load() ? Math.max(2, usual) : usual;
         }
 
@@ -920,12 +884,12 @@
             granted -= forward.memoryMb;
             hear(told);
             if (outcome == Outcome.OK) {
-                failing = mean(failing, 0, FAILING_LEARN);
+                failing = mean(failing, 0, 4 * LEARN);
                 sign();
                 handled(forward, cost, memoryMb);
             } else if (outcome == Outcome.ERROR || outcome == Outcome.UNREACHED || outcome == Outcome.RESET) {
                 // An engine that fails fast looks idle, and would draw ever more tasks.
-                failing = mean(failing, 1, FAILING_LEARN);
+                failing = mean(failing, 1, 4 * LEARN);
                 if (outcome != Outcome.ERROR || failing > FAILING) {
                     suspect(outcome == Outcome.ERROR ? "its answers fail" : "unreached or reset");
                 }
@@ -971,14 +935,13 @@
             }
         }
 
-        private boolean heard() {
-            return report != null && now - reportAt <= REPORT_LASTS;
-        }
+        private boolean heard() { return report != null && now - reportAt <= REPORT_LASTS; }
 
         private void hear(LoadReport told) {
             if (told == null) {
                 return;
             }
+            gate.reports |= !Double.isNaN(told.coresBusy()) || !Double.isNaN(told.held());
             report = told;
             reportAt = now;
             threadsSince = 0;
@@ -1057,18 +1020,17 @@
             return least;
         }
 
-        /** Load a core: reported use, else tasks held, else our threads; plus our sends since. NaN: unheard. */
-        double load() {
+        /** Load a core: reported use, else tasks held, else our threads; plus our sends since. */
+        double load(double average) {
             double able = cores * warmth();
-            if (heard() && !Double.isNaN(report.coresBusy())) {
-                return report.coresBusy() + threadsSince / able;
-            }
-            return heard() && !Double.isNaN(report.held()) ? (report.held() + threadsSince) / able
-                    : levers.probe() ? Double.NaN : threads / (able * share());
+            double told = heard() ? report.coresBusy() : Double.NaN;
+            told = heard() && Double.isNaN(told) ? report.held() / able : told;
+            return !gate.reports ? threads / (able * share())
+                    : (Double.isNaN(told) ? average : told) + threadsSince / able;
         }
 
         double weight(Task task, double average) {
-            double load = IDLE + (Double.isNaN(load()) ? average : load());
+            double load = IDLE + load(average);
             double weight = cores * warmth() / (load * load * load) / Math.exp(2 * pace);
             weight *= warm.contains(task.dataSet) ? WARM : 1;
             weight *= levers.placesPriced() && !entry.place().equals(set.place()) ? FAR : 1;
