--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -52,6 +52,7 @@
 
     // The draw.
     private static final double IDLE = 0.15;              // load a core of an engine that does nothing
+    private static final double HELD_PART = 0.5;          // of tasks held a core, beside reported use
     private static final int WARM_SETS = 4;
     private static final double WARM = 2;                 // weight of one that has read the data set lately
     private static final double HELD = 0.02;              // of one where a load of ours holds it
@@ -1024,7 +1025,8 @@
         double load(double average) {
             double able = cores * warmth();
             double told = heard() ? report.coresBusy() : Double.NaN;
-            told = heard() && Double.isNaN(told) ? report.held() / able : told;
+            double held = heard() ? report.held() / able : Double.NaN;
+            told = Double.isNaN(told) ? held : Double.isNaN(held) ? told : told + HELD_PART * held;
             return !gate.reports ? threads / (able * share())
                     : (Double.isNaN(told) ? average : told) + threadsSince / able;
         }
