--- /dev/null
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -0,0 +1,201 @@
+package tansytrack;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static tansytrack.Manager.big;
+import static tansytrack.Manager.engine;
+import static tansytrack.Manager.small;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import tansytrack.api.EngineEntry.State;
+import tansytrack.api.LoadReport;
+import tansytrack.api.Outcome;
+
+/** The mechanism, and each defence with the failure that it answers. */
+class DecideTest {
+
+    /** An engine with 8 threads of ours out, which is its first bound: what comes next waits. */
+    private static Manager full() {
+        return new Manager().list(true, small("e")).takeAll(8, "x# short a left=19000");
+    }
+
+    private static LoadReport report(double used, double held, double memory) {
+        return new LoadReport(used, held, Double.NaN, memory, Double.NaN);
+    }
+
+    @Test
+    void leastTimeLeftLeavesFirst() {
+        Manager manager = full().take("late short a left=9000").take("soon short a left=4000").decide();
+        manager.end("x0", 0, Outcome.OK).end("x1", 0, Outcome.OK);
+        assertThat(manager.did("forward").subList(8, 10)).containsExactly("forward soon e", "forward late e");
+    }
+
+    @Test
+    void turnsGoByWeight() {
+        Manager manager = full();
+        manager.takeAll(8, "a# short a left=9000").takeAll(8, "b# short b left=9000");
+        for (int i = 0; i < 8; i++) {
+            manager.end("x" + i, 0, Outcome.OK);
+        }
+        // Shares of 0.75 and 0.25; the room grows with each fast answer, so more than eight may leave.
+        List<String> sent = manager.did("forward").subList(8, 16);
+        assertThat(sent.stream().filter(line -> line.contains(" a"))).hasSize(6);
+    }
+
+    @ParameterizedTest(name = "{0} waiting")
+    @CsvSource({"31, 0", "32, 0", "33, 1", "40, 8"})
+    void aTenantsQueueIsBounded(int waiting, int refused) {
+        Manager manager = full().takeAll(waiting, "w# short a left=15000");
+        assertThat(manager.did("bounce")).hasSize(refused);
+    }
+
+    @Test
+    void aWaitBeyondTheBudgetIsRefusedAtOnce() {
+        // A usual run of four seconds was learned; the nine sent now end no sooner.
+        Manager manager = new Manager().list(true, small("e")).take("p short a cost=4000").decide();
+        manager.pass(4000).end("p", 0, Outcome.OK).takeAll(9, "x# short a left=19000");
+        assertThat(manager.take("t short a left=5000").decide().did("bounce")).containsExactly("bounce t");
+    }
+
+    @Test
+    void aTaskOfNoTenantGoesAtOnceOrNotAtAll() {
+        assertThat(full().take("t short -").decide().did("bounce")).containsExactly("bounce t");
+        assertThat(new Manager().list(true, small("e")).take("t short -").decide().did)
+                .containsExactly("forward t e");
+    }
+
+    @ParameterizedTest(name = "{0}: {1} more")
+    @CsvSource({"FULL, 0", "TIME_OUT, 0", "OK, 2"})
+    void theRoomHalvesAndRises(Outcome outcome, int more) {
+        Manager manager = full().takeAll(4, "w# stamp b left=19000");
+        manager.end("x0", 0, outcome).pass(25);
+        assertThat(manager.did("forward w")).hasSize(more);
+    }
+
+    @Test
+    void theDrawFollowsReportsElseThreads() {
+        LoadReport idle = report(0.1, 1, Double.NaN);
+        Manager manager = new Manager().list(true, small("e"), small("f"), small("g"));
+        manager.probed("e", Outcome.OK, report(0.9, 9, Double.NaN)).probed("f", Outcome.OK, idle);
+        manager.takeAll(16, "t# short a");
+        assertThat(manager.sentTo("f")).isGreaterThan(manager.sentTo("e"));
+        assertThat(manager.sentTo("g")).as("unheard: average").isBetween(manager.sentTo("e"), manager.sentTo("f"));
+        Manager unheard = new Manager().list(true, small("e"), big("g"));
+        unheard.takeAll(12, "t# short a");
+        assertThat(unheard.sentTo("e")).isBetween(1L, 7L);
+        assertThat(unheard.sentTo("g")).isGreaterThan(unheard.sentTo("e"));
+    }
+
+    @Test
+    void memoryThatDoesNotFitIsWaitedFor() {
+        // Guards against grants past an engine's memory, which make all its tasks spill or page.
+        Manager manager = new Manager().list(true, small("e")).takeAll(4, "t# short a mb=300");
+        assertThat(manager.did("forward")).hasSize(2);
+        assertThat(manager.end("t0", 0, Outcome.OK).did("forward")).hasSize(3);
+    }
+
+    @Test
+    void theShareOfAnEngineIsLearned() {
+        // Guards against an even share where nearly all traffic comes to this manager.
+        Manager manager = new Manager();
+        manager.siblings = 4;
+        manager.list(true, small("e"));
+        for (int i = 0; i < 60; i++) {
+            manager.take("p" + i + " short a").take("q" + i + " short a").decide();
+            manager.probed("e", Outcome.OK, report(Double.NaN, 4, Double.NaN));
+            manager.end("p" + i, 0, Outcome.OK).end("q" + i, 0, Outcome.OK);
+        }
+        int before = manager.did("forward").size();
+        manager.takeAll(12, "t# short a mb=90");
+        assertThat(manager.did("forward").size() - before).isEqualTo(4);
+    }
+
+    @Test
+    void whileTasksWaitTheHeavyOnesAreRefused() {
+        // Guards against a few heavy tasks that take the room of many.
+        Manager manager = full().takeAll(10, "w# short a left=19000").pass(3000);
+        manager.take("heavy short b cost=20000").take("light short b cost=50").decide();
+        assertThat(manager.did("bounce")).containsExactly("bounce heavy");
+    }
+
+    @Test
+    void aWaitForSomeEnginesPricesOnlyThose() {
+        // Guards against refusing what fits elsewhere while one kind of machine is out.
+        Manager manager = new Manager().list(true, small("e")).takeAll(10, "w# bound a left=20000").pass(3000);
+        manager.take("t short b cost=20000").decide();
+        assertThat(manager.did("forward")).containsExactly("forward t e");
+    }
+
+    private static Manager answering(boolean copies) {
+        Manager manager = new Manager();
+        manager.copies = copies;
+        manager.list(true, small("e"), small("f"), small("g"));
+        for (int i = 0; i < 40; i++) {
+            manager.take("p" + i + " short a").decide().pass(50).end("p" + i, 0, Outcome.OK);
+        }
+        return manager;
+    }
+
+    @ParameterizedTest(name = "second copies {0}")
+    @CsvSource({"false", "true"})
+    void aSilentEngineIsLeftAndItsTasksRescued(boolean copies) {
+        // Guards against hangs, vanished engines and cut links.
+        Manager manager = answering(copies).takeAll(6, "t# short a");
+        List<String> stuck = manager.did("forward t").stream().filter(line -> line.endsWith(" e")).toList();
+        for (String line : manager.did("forward t")) {
+            if (!line.endsWith(" e")) {
+                manager.end(line.split(" ")[1], 0, Outcome.OK);
+            }
+        }
+        assertThat(stuck).isNotEmpty();
+        manager.pass(900);
+        assertThat(manager.logs).anyMatch(line -> line.startsWith("engine e suspected: silent"));
+        assertThat(manager.did(copies ? "forward t" : "cancel t").size()).isEqualTo((copies ? 6 : 0) + stuck.size());
+        long before = manager.sentTo("e");
+        manager.takeAll(6, "u# short a");
+        assertThat(manager.sentTo("e") - before).as("but one trial").isLessThanOrEqualTo(1);
+    }
+
+    @Test
+    void whenAllAreSilentNoneIsLeft() {
+        Manager manager = answering(false).takeAll(9, "t# short a").pass(3000);
+        manager.takeAll(9, "u# short a");
+        assertThat(manager.did("forward u")).hasSize(9);
+    }
+
+    @Test
+    void anEngineThatFailsFastIsLeft() {
+        // Guards against a black hole: fast errors make an engine look idle.
+        Manager manager = answering(false);
+        long before = manager.sentTo("e");
+        for (int i = 0; i < 60; i++) {
+            manager.take("t" + i + " stamp a").decide();
+            String line = manager.did("forward t" + i + " ").get(0);
+            manager.end("t" + i, 0, line.endsWith(" e") ? Outcome.ERROR : Outcome.OK);
+        }
+        assertThat(manager.sentTo("e") - before).isBetween(1L, 4L);
+    }
+
+    @Test
+    void aRestartedEngineStartsAnew() {
+        Manager manager = answering(false).take("t short a").decide();
+        String sick = manager.did("forward t ").get(0).split(" ")[2];
+        manager.end("t", 0, Outcome.RESET);
+        assertThat(manager.logs).anyMatch(line -> line.startsWith("engine " + sick + " suspected"));
+        long before = manager.sentTo(sick);
+        manager.list(false, engine(sick, "small", 0, State.READY, 99_000)).takeAll(18, "u# short b");
+        assertThat(manager.sentTo(sick) - before).isGreaterThan(1);
+    }
+
+    @Test
+    void shortTasksAndLoadsComeFirstOnAnEngine() {
+        Manager manager = new Manager().list(true, small("e"), small("f"));
+        manager.takeAll(20, "w# short a cost=100").take("t short a cost=9000 mb=100").take("l load a cost=9000").decide();
+        for (int i = 0; i < 20; i++) {
+            manager.end("w" + i, 0, Outcome.OK);
+        }
+        assertThat(manager.provided).contains("w1 13 3", "t 125 0", "l 13 2");
+    }
+}
--- /dev/null
+++ b/src/test/java/tansytrack/RulesTest.java
@@ -0,0 +1,124 @@
+package tansytrack;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+import static tansytrack.Manager.MS;
+import static tansytrack.Manager.big;
+import static tansytrack.Manager.engine;
+import static tansytrack.Manager.small;
+
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import tansytrack.api.EngineEntry.State;
+import tansytrack.api.Outcome;
+import tansytrack.api.Settings;
+
+/** Each rule: a case that would break it, and what is done instead. */
+class RulesTest {
+
+    private static Arguments rule(String name, Consumer<Manager> play, String... expected) {
+        return arguments(name, play, List.of(expected));
+    }
+
+    static Stream<Arguments> rules() {
+        return Stream.of(
+                rule("1 time already up: answered at once", m -> m.list(true, small("e"))
+                        .take("t short a left=10").decide(), "bounce t"),
+                rule("1 time-out at the cut-off: answered at once", m -> m.list(true, small("e"))
+                        .take("t short a left=2000").decide().pass(2000).end("t", 0, Outcome.TIME_OUT),
+                        "forward t e", "bounce t"),
+                rule("1 no engine: held for its budget, then bounced", m -> m.list(true)
+                        .take("t short a left=1000").decide().pass(225), "bounce t"),
+                rule("1 nothing after the client left", m -> m.list(true, small("e"))
+                        .take("t short a").decide().leave("t").end("t", 0, Outcome.CANCELLED).pass(2000),
+                        "forward t e", "cancel t 0"),
+                rule("1 an outcome said twice counts once", m -> m.list(true, small("e"))
+                        .take("t short a").decide().end("t", 0, Outcome.OK).end("t", 0, Outcome.OK), "forward t e"),
+                rule("2 one-shot that may have run: aborted", m -> m.list(true, small("e"), small("f"))
+                        .take("t once a").decide().end("t", 0, Outcome.ERROR).did.removeIf(d -> d.startsWith("forw")),
+                        "abort t"),
+                rule("2 one-shot surely not run: sent again", m -> m.list(true, small("e"))
+                        .take("t once a").decide().end("t", 0, Outcome.FULL), "forward t e", "forward t e"),
+                rule("2 stamped past its window: not sent again, bounced", m -> m.list(true, small("e"))
+                        .take("t stamp a").decide().pass(5000).end("t", 0, Outcome.ERROR).pass(4000),
+                        "forward t e", "bounce t"),
+                rule("2 stamped within it: sent again", m -> m.list(true, small("e"))
+                        .take("t stamp a").decide().pass(1000).end("t", 0, Outcome.ERROR),
+                        "forward t e", "forward t e"),
+                rule("2 stamped for one cell: never to another, and aborted", m -> m.list(true, small("e"))
+                        .take("t cell a").decide().list(true, small("f")).end("t", 0, Outcome.ERROR).pass(5000),
+                        "forward t e", "abort t"),
+                rule("3 draining: nothing new", m -> m.list(true, engine("e", "small", 0, State.DRAINING, 0))
+                        .take("t short a left=1000").decide().pass(300), "bounce t"),
+                rule("3 no longer listed: nothing new", m -> m.list(true, small("e")).list(true)
+                        .take("t short a left=1000").decide().pass(300), "bounce t"),
+                rule("3 a change names only what changed", m -> m.list(true, small("e")).list(false, small("f"))
+                        .list(false, engine("f", "small", 0, State.GONE, 0)).take("t short a").decide(),
+                        "forward t e"),
+                rule("5 one key: one at a time, in order", m -> m.list(true, small("e"))
+                        .take("t once a key=1 left=9000").take("u once a key=1 left=5000").take("v once a key=2")
+                        .decide().end("t", 0, Outcome.OK), "forward t e", "forward v e", "forward u e"),
+                rule("5 after a time-out the key rests", m -> m.list(true, small("e"))
+                        .take("t once a key=1").take("u once a key=1").decide()
+                        .end("t", 0, Outcome.TIME_OUT).pass(275), "forward t e", "abort t"),
+                rule("5 and then goes on", m -> m.list(true, small("e"))
+                        .take("t once a key=1").take("u once a key=1").decide()
+                        .end("t", 0, Outcome.TIME_OUT).pass(325), "forward t e", "abort t", "forward u e"),
+                rule("5 a key whose line was dropped in the same batch", m -> m.list(true, small("e"))
+                        .take("t once a key=1").decide().take("u once a key=1").end("t", 0, Outcome.OK),
+                        "forward t e", "forward u e"),
+                rule("6 bound to a kind that is gone: never elsewhere", m -> m.list(true, small("e"))
+                        .take("t bound a left=1000").decide().pass(300), "bounce t"),
+                rule("6 bound: also at a further forward", m -> m.list(true, small("e"), big("g"))
+                        .take("t bound a").decide().end("t", 0, Outcome.ERROR), "forward t g", "forward t g"),
+                rule("7 the ration holds for every further forward", m -> {
+                    m.ration = new Settings.RationRule(1, 0, 5000 * MS);
+                    m.list(true, small("e")).take("t short a").take("u short a left=15000").decide();
+                    m.end("t", 0, Outcome.ERROR).end("u", 0, Outcome.ERROR).pass(4000);
+                }, "forward u e", "forward t e", "forward t e", "bounce u"),
+                rule("7 and counts a share of the tasks taken", m -> {
+                    m.ration = new Settings.RationRule(0, 0.5, 5000 * MS);
+                    m.list(true, small("e")).take("t short a").take("u short a left=15000").decide();
+                    m.end("t", 0, Outcome.ERROR).end("u", 0, Outcome.ERROR).pass(4000);
+                }, "forward u e", "forward t e", "forward t e", "bounce u"),
+                rule("at most so many forwards", m -> m.list(true, small("e")).take("t short a").decide()
+                        .end("t", 0, Outcome.ERROR).end("t", 1, Outcome.ERROR).end("t", 2, Outcome.ERROR),
+                        "forward t e", "forward t e", "forward t e", "bounce t"),
+                rule("unknown grade", m -> m.list(true, small("e")).take("t other a").decide(), "bounce t"));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("rules")
+    void keeps(String name, Consumer<Manager> play, List<String> expected) {
+        Manager manager = new Manager();
+        play.accept(manager);
+        assertThat(manager.did).as(name).containsExactlyElementsOf(expected);
+    }
+
+    static Stream<Arguments> coldCases() {
+        // 4 cores, of which 0.3 work at the start: 2 x 1.2 core-seconds a second, in part and by even shares.
+        return Stream.of(arguments(1, 0L, 24), arguments(2, 0L, 12), arguments(4, 0L, 6));
+    }
+
+    @ParameterizedTest(name = "4 cold: {0} managers, started {1} ms ago")
+    @MethodSource("coldCases")
+    void coldEngineIsNotPushedOver(int siblings, long age, long most) {
+        Manager manager = new Manager();
+        manager.siblings = siblings;
+        manager.cold = new Settings.ColdRule(0.3, 10_000 * MS, 2, 1000 * MS);
+        manager.list(true, engine("e", "small", 0, State.READY, 100_000 - age));
+        manager.takeAll(30, "t# short a cost=100");
+        assertThat(manager.sentTo("e")).isPositive().isLessThanOrEqualTo(most);
+    }
+
+    @org.junit.jupiter.api.Test
+    void afterARestartACachedListIsEnough() {
+        Manager manager = new Manager().list(true, small("e"), big("g"));
+        manager.takeAll(8, "t# short a");
+        assertThat(manager.did("forward")).hasSize(8);
+    }
+}
