--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -35,7 +35,7 @@
     private static final double WELL_ABOVE_BEST = Math.log(2);
     private static final double SLOW_ANSWER = Math.log(5);
     private static final long PRESSURE_LASTS = 1000 * MS;
-    private static final double COLD_PART = 0.6;          // of the cold budget: the rest is for misjudgement
+    private static final double COLD_PART = 0.9;          // of the cold budget: the rest is for misjudgement
     private static final double PRIORITY_TOP = -0.7;      // ln of worth over the mean: the top priority
     private static final double PRIORITY_STEP = 1.1;      // and for each one under it
     private static final double GRANT_MARGIN = 0.25;      // over the estimate, until its scatter is told
@@ -159,14 +159,8 @@
 
     private Forward find(String engine, String task, int index) {
         Engine at = engines.get(engine);
-        if (at != null) {
-            for (Forward forward : at.out) {
-                if (forward.index == index && forward.task.id.equals(task)) {
-                    return forward;
-                }
-            }
-        }
-        return null;
+        return at == null ? null : at.out.stream().filter(forward -> forward.index == index
+                && forward.task.id.equals(task)).findFirst().orElse(null);
     }
 
     // ---- Notes, parts, and the one loop ----
@@ -769,7 +763,7 @@
                 return 1;
             }
             double age = Math.max(0, now - entry.startedAt()) / (double) rule.warmAfter();
-            return rule.startCapacity() + (1 - rule.startCapacity()) * age * age;
+            return rule.startCapacity() + (1 - rule.startCapacity()) * age;
         }
 
         /** Rule 4: an even part, alike for every manager, of what a cold engine may get in the window. */
@@ -799,10 +793,8 @@
             if (!rulesAllow(task) || task.out.stream().anyMatch(forward -> forward.engine == this)) {
                 return false;
             }
-            if (suspect && !mostSuspect()) {
-                return now >= trialAt && task.harmless();
-            }
-            return threadsFit(task) && memoryFits(task);
+            return suspect && !mostSuspect() ? now >= trialAt && task.harmless()
+                    : threadsFit(task) && memoryFits(task);
         }
 
         /** This manager's part of the engine: an even one, or more where it is seen to hold mostly ours. */
