--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -939,9 +939,12 @@
             reportAt = now;
             threadsSince = 0;
             grantedSince = 0;
-            if (told.held() >= 0) {
-                double others = Math.max(0, told.held() - out.size()) * Math.max(1, threads) / Math.max(1, out.size());
-                ours = mean(ours, clamp(1 - others / (cores * warmth() * THREADS_PER_CORE), 0, 1), 4 * LEARN);
+            if (told.coresBusy() < BUSY && told.held() >= 0) {
+                // While cores idle, all that others are not seen to hold is free for us.
+                double others = Math.max(0, told.held() - out.size());
+                ours = mean(ours, clamp(1 - others / (cores * warmth() * THREADS_PER_CORE), 0, 1), 2 * LEARN);
+            } else if (told.held() >= 4) {
+                ours = mean(ours, Math.min(1, out.size() / told.held()), 2 * LEARN);
             }
             if (told.coresBusy() >= CROWDED || told.memoryGranted() >= CROWDED) {
                 pressedUntil = now + PRESSURE_LASTS;
