--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -944,7 +944,7 @@
                 double others = Math.max(0, told.held() - out.size());
                 ours = mean(ours, clamp(1 - others / (cores * warmth() * THREADS_PER_CORE), 0, 1), 2 * LEARN);
             } else if (told.held() >= 4) {
-                ours = mean(ours, Math.min(1, out.size() / told.held()), 2 * LEARN);
+                ours = mean(ours, Math.min(1, out.size() / told.held()), 4 * LEARN);
             }
             if (told.coresBusy() >= CROWDED || told.memoryGranted() >= CROWDED) {
                 pressedUntil = now + PRESSURE_LASTS;
