--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -25,7 +25,6 @@
     private static final long PATIENCE = 150 * MS;
     private static final double PRICE_STEP = 0.02;
     private static final double LEAST_PRICE = 0.02;       // of the usual worth
-    private static final long SHARE_BURST = 1000 * MS;    // of its share that a tenant may send at one moment
     private static final double GRADE_PART = 0.5;         // of what sets a grade's worth apart: left out
 
     // The room: the design's bound, what counts as busy and slow, and how long one sign of pressure lasts.
@@ -82,7 +81,7 @@
             rows.put(grade.name(), new Row(grade, markets.computeIfAbsent(bounds, key -> new Market())));
         }
         for (Settings.Tenant tenant : settings.tenants()) {
-            tenants.put(tenant.name(), new Tenant(tenant));
+            tenants.put(tenant.name(), new Tenant(Math.max(tenant.share(), 0.001)));
         }
         actions.wake(SWEEP, "sweep");
     }
@@ -269,8 +268,7 @@
             double usual = Double.isNaN(row.meanCost) ? MS : row.meanCost;
             cost = Math.max(MS, offer.cost() > 0 ? offer.cost() * row.costBias : usual);
             row.meanCost = mean(row.meanCost, cost, LEARN);
-            boolean within = tenant == null || tenant.within(1.0 / set.siblings(), now);
-            lnWorth = Math.log(Math.max(grade.earnings() * (within ? 1 : set.overShare()), 1e-9) / cost);
+            lnWorth = Math.log(Math.max(grade.earnings(), 1e-9) / cost);
             memoryMb = offer.memoryMb();
             dataSet = offer.dataSet();
         }
@@ -326,25 +324,10 @@
 
     private static final class Tenant {
         final double weight;
-        final double perSecond;               // within its share, at all managers together; 0 where not told
-        double left;                          // of its share, in tasks
-        long leftAt;
         double current;                       // smooth weighted round-robin
         final ArrayList<Task> waiters = new ArrayList<>();    // least time left first
 
-        Tenant(Settings.Tenant settings) {
-            weight = Math.max(settings.share(), 0.001);
-            perSecond = settings.perSecond();
-        }
-
-        /** Is one more task within its share, of which this part comes here? Over it, tasks earn little. */
-        boolean within(double part, long now) {
-            double rate = perSecond * part / (1000 * MS);
-            left = Math.min(rate * SHARE_BURST, left + rate * (now - leftAt));
-            leftAt = now;
-            left = Math.max(0, left - 1);
-            return rate <= 0 || left > 0;
-        }
+        Tenant(double weight) { this.weight = weight; }
     }
 
     // ---- The gate: tenant queues, turns, final answers ----
--- a/src/main/java/tansytrack/adapter/Boot.java
+++ b/src/main/java/tansytrack/adapter/Boot.java
@@ -68,8 +68,7 @@
                         number("rules.extra_per_request", 0), time("rules.look_back_ms"))
                 : null;
         return new Settings(seed, Math.max(1, (int) number("siblings", 1)), pairs.getOrDefault("zone", ""), grades,
-                tenants, kinds, levers, time("rules.drain_grace_ms"), cold, time("rules.turn_gap_ms"), ration,
-                number("over_share_worth", 1));
+                tenants, kinds, levers, time("rules.drain_grace_ms"), cold, time("rules.turn_gap_ms"), ration);
     }
 
     private static Grade.Repeat repeat(String word) {
--- a/src/main/java/tansytrack/api/Settings.java
+++ b/src/main/java/tansytrack/api/Settings.java
@@ -5,8 +5,7 @@
 
 /** What a workload manager is told when it starts; a rule that is null is off. Times in nanoseconds. */
 public record Settings(long seed, int siblings, String place, List<Grade> grades, List<Tenant> tenants,
-        Map<String, Kind> kinds, Levers levers, long drainGrace,
-        ColdRule cold, long keyRest, RationRule ration, double overShare) {
+        Map<String, Kind> kinds, Levers levers, long drainGrace, ColdRule cold, long keyRest, RationRule ration) {
 
     public record Tenant(String name, double share, double perSecond) { }
 
--- a/src/test/java/tansytrack/Manager.java
+++ b/src/test/java/tansytrack/Manager.java
@@ -21,7 +21,6 @@
     boolean cancels = true;
     boolean copies;
     boolean probes;
-    double perSecond;
     Settings.ColdRule cold;
     Settings.RationRule ration;
     final List<String> did = new ArrayList<>();
@@ -44,10 +43,10 @@
                     grade("once", Grade.Repeat.ONE_SHOT, Grade.Scope.ALL, true),
                     grade("load", Grade.Repeat.HARMLESS, Grade.Scope.ALL, false),
                     grade("bound", Grade.Repeat.HARMLESS, Grade.Scope.ALL, false, "big")),
-                    List.of(new Settings.Tenant("a", 0.75, perSecond), new Settings.Tenant("b", 0.25, perSecond)),
+                    List.of(new Settings.Tenant("a", 0.75, 100), new Settings.Tenant("b", 0.25, 100)),
                     Map.of("small", new Settings.Kind(4, 1000), "big", new Settings.Kind(8, 2000)),
                     new Settings.Levers(probes, cancels, copies, true, 500 * MS, 3, true, 0.5, true, true, 0, false),
-                    1000 * MS, cold, 300 * MS, ration, 0.1), this);
+                    1000 * MS, cold, 300 * MS, ration), this);
         }
         return module;
     }
