--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -881,10 +881,11 @@
                 sign();
                 handled(forward, cost, memoryMb);
             } else if (outcome == Outcome.ERROR || outcome == Outcome.UNREACHED || outcome == Outcome.RESET) {
-                // An engine that fails fast looks idle, and would draw ever more tasks.
+                // An engine that fails fast looks idle, and would draw ever more tasks. Judged against the fleet:
+                // where all fail alike, leaving the one that failed last helps nobody.
                 failing = mean(failing, 1, 4 * LEARN);
-                if (outcome != Outcome.ERROR || failing > FAILING) {
-                    suspect(outcome == Outcome.ERROR ? "its answers fail" : "unreached or reset");
+                if (outcome == Outcome.UNREACHED || failing > failingLimit()) {
+                    suspect(outcome == Outcome.UNREACHED ? "unreached" : "its answers fail");
                 }
             } else if (outcome == Outcome.FULL || outcome == Outcome.TIME_OUT) {
                 pressedUntil = now + PRESSURE_LASTS;
@@ -944,7 +945,7 @@
                 double others = Math.max(0, told.held() - out.size());
                 ours = mean(ours, clamp(1 - others / (cores * warmth() * THREADS_PER_CORE), 0, 1), 2 * LEARN);
             } else if (told.held() >= 4) {
-                ours = mean(ours, Math.min(1, out.size() / told.held()), 4 * LEARN);
+                ours = mean(ours, Math.min(1, out.size() / told.held()), 8 * LEARN);
             }
             if (told.coresBusy() >= CROWDED || told.memoryGranted() >= CROWDED) {
                 pressedUntil = now + PRESSURE_LASTS;
@@ -968,7 +969,7 @@
             owed = 0;
             signAt = now;
             trialAt = Math.min(trialAt, now + SHORTEST_SILENCE);
-            if (suspect && probesFailed < 2 && failing < FAILING) {
+            if (suspect && probesFailed < 2 && failing <= failingLimit()) {
                 suspect = false;
                 act.log("engine " + id + " answers again: back in the draw");
             }
@@ -996,6 +997,11 @@
             }
         }
 
+        private double failingLimit() {
+            return FAILING + engines.values().stream().filter(engine -> engine.ready && engine != this)
+                    .mapToDouble(engine -> engine.failing).average().orElse(0);
+        }
+
         private void suspect(String why) {
             if (!suspect) {
                 suspect = true;
