--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -618,11 +618,14 @@
         private void reprice() {
             double usual = Math.exp(worthMean);
             for (Market market : markets.values()) {
-                boolean wait = tenants.values().stream().flatMap(tenant -> tenant.waiters.stream()).anyMatch(
-                        task -> task.row.market == market && now - task.wantedSince > PATIENCE);
-                double next = clamp(market.price * (wait ? 1 + PRICE_STEP : 1 - PRICE_STEP), 0, usual);
-                double least = usual * LEAST_PRICE;
-                market.price = next >= least ? next : wait ? least : 0;
+                // How far through its budget the waiter is that is nearest to its end.
+                double spent = tenants.values().stream().flatMap(tenant -> tenant.waiters.stream())
+                        .filter(task -> task.row.market == market && now - task.wantedSince > PATIENCE)
+                        .mapToDouble(task -> (now - task.wantedSince) / (double) (task.waitUntil - task.wantedSince))
+                        .max().orElse(0);
+                double wanted = spent > 0 ? usual * Math.pow(LEAST_PRICE, 1 - Math.min(1, spent)) : 0;
+                market.price = Math.max(wanted, market.price * (1 - 2 * PRICE_STEP));
+                market.price = market.price < usual * LEAST_PRICE ? 0 : market.price;
             }
         }
 
