--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -831,7 +831,7 @@
         /** More for tasks that earn much for their work, and for loads, as others wait for what they hold. */
         private int priority(Task task) {
             double above = task.lnWorth - gate.worthMean;
-            int usual = (int) clamp(Math.ceil(3 - (PRIORITY_TOP - above) / PRIORITY_STEP), 0, 3);
+            int usual = 3 - (int) clamp(Math.ceil((PRIORITY_TOP - above) / PRIORITY_STEP), 0, 3);
             return task.grade.load() ? Math.max(2, usual) : usual;
         }
 
