--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -21,9 +21,9 @@
     private static final long LONGEST_WAIT = 5000 * MS;
     private static final int WAIT_PART = 5;
 
-    // The price of engine work while tasks wait: after how long a wait, and how it moves a sweep.
+    // The price of engine work while tasks wait: after how long a wait, and how it falls.
     private static final long PATIENCE = 150 * MS;
-    private static final double PRICE_STEP = 0.02;
+    private static final double PRICE_FALL = 0.96;        // a sweep
     private static final double LEAST_PRICE = 0.02;       // of the usual worth
     private static final double GRADE_PART = 0.5;         // of what sets a grade's worth apart: left out
 
@@ -284,6 +284,12 @@
 
         long budget() { return Math.min(LONGEST_WAIT, Math.max(0, cutOffAt - now) / WAIT_PART); }
 
+        /** The part of its budget that a waiter has used, once it has waited at all long. */
+        double spent() {
+            long waited = now - wantedSince;
+            return waited > PATIENCE ? Math.min(1, waited / (double) (waitUntil - wantedSince)) : 0;
+        }
+
         boolean harmless() { return grade.repeat() == Grade.Repeat.HARMLESS; }
 
         /** Rule 2: may it go to that engine, given what its earlier forwards may have done? */
@@ -410,12 +416,8 @@
                 weights += tenant.waiters.isEmpty() && tenant != task.tenant ? 0 : tenant.weight;
             }
             double ahead = position(task.tenant.waiters, task) * weights / task.tenant.weight;
-            double least = Double.MAX_VALUE;
-            for (Engine engine : engines.values()) {
-                if (engine.ready && engine.allowed(task)) {
-                    least = Math.min(least, engine.leastRemaining());
-                }
-            }
+            double least = engines.values().stream().filter(engine -> engine.ready && engine.allowed(task))
+                    .mapToDouble(Engine::leastRemaining).min().orElse(Double.MAX_VALUE);
             return Math.min(waiting, ahead) * spacing + (least == Double.MAX_VALUE ? 0 : least);
         }
 
@@ -550,9 +552,8 @@
         private void ended(Forward forward, Outcome outcome, boolean over) {
             Task task = forward.task;
             task.out.remove(forward);
-            boolean neverRan = outcome == Outcome.FULL || outcome == Outcome.UNREACHED
-                    || outcome == Outcome.NEVER_SENT;
-            if (!neverRan && task.ran == null) {
+            if (task.ran == null && outcome != Outcome.FULL && outcome != Outcome.UNREACHED
+                    && outcome != Outcome.NEVER_SENT) {
                 task.ran = forward;
             }
             if (task.line != null) {
@@ -610,9 +611,9 @@
         }
 
         /**
-         * Early refusal by worth. While tasks wait, engine work has a price, which rises as long as they do;
-         * a task that earns less for its work is refused at once. Guards against heavy tasks that take the
-         * room of many, from any cause: bursts, overload, slow or lost engines, costs far above the usual.
+         * Early refusal by worth. While tasks wait, engine work has a price, higher the more of its budget
+         * one has spent; a new task that earns less for its work is refused at once. Guards against heavy
+         * tasks that take the room of many: bursts, overload, slow or lost engines, costs above the usual.
          * Grades bound to the same engines share a price: a wait for some must not shed what fits others.
          */
         private void reprice() {
@@ -620,11 +621,9 @@
             for (Market market : markets.values()) {
                 // How far through its budget the waiter is that is nearest to its end.
                 double spent = tenants.values().stream().flatMap(tenant -> tenant.waiters.stream())
-                        .filter(task -> task.row.market == market && now - task.wantedSince > PATIENCE)
-                        .mapToDouble(task -> (now - task.wantedSince) / (double) (task.waitUntil - task.wantedSince))
-                        .max().orElse(0);
-                double wanted = spent > 0 ? usual * Math.pow(LEAST_PRICE, 1 - Math.min(1, spent)) : 0;
-                market.price = Math.max(wanted, market.price * (1 - 2 * PRICE_STEP));
+                        .filter(task -> task.row.market == market).mapToDouble(Task::spent).max().orElse(0);
+                double wanted = spent > 0 ? usual * Math.pow(LEAST_PRICE, 1 - spent) : 0;
+                market.price = Math.max(wanted, market.price * PRICE_FALL);
                 market.price = market.price < usual * LEAST_PRICE ? 0 : market.price;
             }
         }
@@ -741,12 +740,9 @@
                 // A new process: nothing learned of the old one holds.
                 warm.clear();
                 suspect = false;
-                pace = 0;
-                strain = 0;
                 report = null;
-                pressedUntil = 0;
-                probesFailed = 0;
-                failing = 0;
+                pace = strain = failing = 0;
+                pressedUntil = probesFailed = 0;
                 bound = cores * THREADS_PER_CORE * share();
             }
         }
@@ -884,8 +880,7 @@
                 sign();
                 handled(forward, cost, memoryMb);
             } else if (outcome == Outcome.ERROR || outcome == Outcome.UNREACHED || outcome == Outcome.RESET) {
-                // An engine that fails fast looks idle, and would draw ever more tasks. Judged against the fleet:
-                // where all fail alike, leaving the one that failed last helps nobody.
+                // An engine that fails fast looks idle, and would draw ever more tasks.
                 failing = mean(failing, 1, 4 * LEARN);
                 if (outcome == Outcome.UNREACHED || failing > failingLimit()) {
                     suspect(outcome == Outcome.UNREACHED ? "unreached" : "its answers fail");
@@ -1000,6 +995,7 @@
             }
         }
 
+        /** Against the fleet: where all fail alike, leaving the one that failed last helps nobody. */
         private double failingLimit() {
             return FAILING + engines.values().stream().filter(engine -> engine.ready && engine != this)
                     .mapToDouble(engine -> engine.failing).average().orElse(0);
@@ -1018,12 +1014,9 @@
 
         /** When our first task there should end, by the mean run of its grade. */
         double leastRemaining() {
-            double least = Double.MAX_VALUE;
-            for (Forward forward : out) {
-                double run = Double.isNaN(forward.task.row.meanRun) ? 0 : forward.task.row.meanRun;
-                least = Math.min(least, Math.max(0, run - (now - forward.sentAt)));
-            }
-            return least;
+            return out.stream().mapToDouble(forward -> Math.max(0, forward.sentAt - now
+                    + (Double.isNaN(forward.task.row.meanRun) ? 0 : forward.task.row.meanRun)))
+                    .min().orElse(Double.MAX_VALUE);
         }
 
         /** Load a core: reported use, else tasks held, else our threads; plus our sends since. */
