--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -137,6 +137,11 @@
         Forward forward = find(engine, id, index);
         if (forward != null) {
             forward.engine.put(forward.engine::sign);
+            if (what == Progress.WAITS && levers.cancel()) {
+                // Stuck behind a load, maybe another manager's, or for memory: it may run elsewhere. Where a
+                // first forward cannot be taken back, a second one would only feed the crowd.
+                gate.put(() -> gate.rescue(forward));
+            }
         }
     }
 
@@ -573,8 +578,8 @@
 
         /** Its forwards all failed: wanted again where the rules leave a way, else answered at once. */
         private void again(Task task) {
-            if (task.forwards < levers.mostForwards() && task.cutOffAt - now > ANSWER_MARGIN
-                    && (task.ran == null || task.grade.repeat() != Grade.Repeat.ONE_SHOT)) {
+            boolean left = task.forwards < levers.mostForwards() && task.cutOffAt - now > ANSWER_MARGIN;
+            if (left && (task.ran == null || task.grade.repeat() != Grade.Repeat.ONE_SHOT)) {
                 enqueue(task);
             } else {
                 answer(task);
@@ -601,12 +606,8 @@
             if (rule == null) {
                 return true;
             }
-            while (!taken.isEmpty() && taken.peek() <= now - rule.window()) {
-                taken.poll();
-            }
-            while (!further.isEmpty() && further.peek() < now - rule.window()) {
-                further.poll();
-            }
+            taken.removeIf(at -> at <= now - rule.window());
+            further.removeIf(at -> at < now - rule.window());
             return further.size() + 1 <= rule.spare() + rule.share() * taken.size();
         }
 
@@ -772,9 +773,7 @@
             if (able >= 1) {
                 return true;
             }
-            while (!coldSends.isEmpty() && coldSends.peek()[0] < now - rule.window()) {
-                coldSends.poll();
-            }
+            coldSends.removeIf(send -> send[0] < now - rule.window());
             double work = task.row.meanCost + coldSends.stream().mapToLong(send -> send[1]).sum();
             return work <= COLD_PART * rule.multiple() * able * cores * rule.window() / set.siblings();
         }
--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -158,6 +158,18 @@
         assertThat(manager.sentTo("e") - before).as("but one trial").isLessThanOrEqualTo(1);
     }
 
+    @ParameterizedTest(name = "cancels {0}, second copies {1}: forwards {2}, cancels {3}")
+    @CsvSource({"true, true, 2, 0", "true, false, 1, 1", "false, true, 1, 0"})
+    void aForwardThatStandsStillMayRunElsewhere(boolean cancels, boolean copies, int forwards, int cancelled) {
+        // Guards against tasks stuck behind a load; a copy of what cannot be taken back would feed a crowd.
+        Manager manager = new Manager();
+        manager.cancels = cancels;
+        manager.copies = copies;
+        manager.list(true, small("e"), small("f")).take("t short a").decide().waits("t");
+        assertThat(manager.did("forward t")).hasSize(forwards);
+        assertThat(manager.did("cancel t")).hasSize(cancelled);
+    }
+
     @Test
     void whenAllAreSilentNoneIsLeft() {
         Manager manager = answering(false).takeAll(9, "t# short a").pass(3000);
--- a/src/test/java/tansytrack/Manager.java
+++ b/src/test/java/tansytrack/Manager.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import tansytrack.api.Actions;
+import tansytrack.api.Decisions;
 import tansytrack.api.EngineEntry;
 import tansytrack.api.Grade;
 import tansytrack.api.LoadReport;
@@ -116,6 +117,13 @@
         return decide();
     }
 
+    /** The first forward of that task is said to stand still. */
+    Manager waits(String task) {
+        String engine = did("forward " + task + " ").get(0).split(" ")[2];
+        module().progress(now, task, 0, engine, Decisions.Progress.WAITS, 2);
+        return decide();
+    }
+
     Manager leave(String task) {
         module().abandoned(now, task);
         return decide();
