--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -603,12 +603,7 @@
         /** Rule 7: one more further forward within the ration? */
         boolean rationAllows() {
             Settings.RationRule rule = set.ration();
-            if (rule == null) {
-                return true;
-            }
-            taken.removeIf(at -> at <= now - rule.window());
-            further.removeIf(at -> at < now - rule.window());
-            return further.size() + 1 <= rule.spare() + rule.share() * taken.size();
+            return rule == null || further.size() + 1 <= rule.spare() + rule.share() * taken.size();
         }
 
         /**
@@ -631,7 +626,9 @@
 
         private void sweep() {
             reprice();
-            rationAllows();                   // drops what has left the window
+            long window = set.ration() == null ? 0 : set.ration().window();
+            taken.removeIf(at -> at <= now - window + 2 * SWEEP);   // too early rather than too late
+            further.removeIf(at -> at < now - window);
             for (Tenant tenant : tenants.values()) {
                 for (int i = tenant.waiters.size() - 1; i >= 0; i--) {
                     if (now >= tenant.waiters.get(i).waitUntil) {
