--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -658,19 +658,9 @@
 
     /** Draws among the engines that fit, weighted against their load; an unheard one counts as average. */
     private Engine draw(Task task) {
-        double sum = 0;
-        int heard = 0;
-        List<Engine> fitting = new ArrayList<>();
-        for (Engine engine : engines.values()) {
-            if (engine.ready && engine.heard()) {
-                sum += engine.load(1);
-                heard++;
-            }
-            if (engine.fits(task)) {
-                fitting.add(engine);
-            }
-        }
-        double average = heard == 0 ? 1 : sum / heard;
+        double average = engines.values().stream().filter(engine -> engine.ready && engine.heard())
+                .mapToDouble(engine -> engine.load(1)).average().orElse(1);
+        List<Engine> fitting = engines.values().stream().filter(engine -> engine.fits(task)).toList();
         double[] upTo = new double[fitting.size()];
         double total = 0;
         for (int i = 0; i < upTo.length; i++) {
@@ -713,6 +703,8 @@
         double gap = FIRST_GAP;               // mean and deviation of what was owed at a sign
         double gapSpread = FIRST_GAP;
         double failing;                       // part of its answers that fail, the last ones counting most
+        boolean unreached;                    // the last try: then the fleet is no excuse
+        long unreachedAt;
         boolean suspect;
         long trialAt;
         long trialGap;
@@ -740,7 +732,7 @@
                 suspect = false;
                 report = null;
                 pace = strain = failing = 0;
-                pressedUntil = probesFailed = 0;
+                pressedUntil = unreachedAt = probesFailed = 0;
                 bound = cores * THREADS_PER_CORE * share();
             }
         }
@@ -753,13 +745,17 @@
                     && (task.grade.kinds().isEmpty() || task.grade.kinds().contains(entry.kind()));
         }
 
-        /** The part of its capacity that an engine surely has by now. */
+        /**
+         * The part of its capacity that an engine surely has by now. One that was not reached may have started
+         * since, before any list tells: it would fall over under all that was held up meanwhile.
+         */
         private double warmth() {
             Settings.ColdRule rule = set.cold();
-            if (rule == null || entry.startedAt() <= 0 || now - entry.startedAt() >= rule.warmAfter()) {
+            long start = Math.max(entry.startedAt(), unreachedAt);
+            if (rule == null || start <= 0 || now - start >= rule.warmAfter()) {
                 return 1;
             }
-            double age = Math.max(0, now - entry.startedAt()) / (double) rule.warmAfter();
+            double age = Math.max(0, now - start) / (double) rule.warmAfter();
             return rule.startCapacity() + (1 - rule.startCapacity()) * age;
         }
 
@@ -788,7 +784,7 @@
             if (!rulesAllow(task) || task.out.stream().anyMatch(forward -> forward.engine == this)) {
                 return false;
             }
-            return suspect && !mostSuspect() ? now >= trialAt && task.harmless()
+            return unreached || suspect && !mostSuspect() ? now >= trialAt && task.harmless()
                     : threadsFit(task) && memoryFits(task);
         }
 
@@ -878,8 +874,12 @@
             } else if (outcome == Outcome.ERROR || outcome == Outcome.UNREACHED || outcome == Outcome.RESET) {
                 // An engine that fails fast looks idle, and would draw ever more tasks.
                 failing = mean(failing, 1, 4 * LEARN);
-                if (outcome == Outcome.UNREACHED || failing > failingLimit()) {
-                    suspect(outcome == Outcome.UNREACHED ? "unreached" : "its answers fail");
+                if (outcome == Outcome.UNREACHED) {
+                    unreached = true;
+                    unreachedAt = now;
+                }
+                if (unreached || failing > failingLimit()) {
+                    suspect(unreached ? "unreached" : "its answers fail");
                 }
             } else if (outcome == Outcome.FULL || outcome == Outcome.TIME_OUT) {
                 pressedUntil = now + PRESSURE_LASTS;
@@ -962,6 +962,7 @@
             gap = mean(gap, owed, LEARN);
             owed = 0;
             signAt = now;
+            unreached = false;
             trialAt = Math.min(trialAt, now + SHORTEST_SILENCE);
             if (suspect && probesFailed < 2 && failing <= failingLimit()) {
                 suspect = false;
--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -12,6 +12,7 @@
 import tansytrack.api.EngineEntry.State;
 import tansytrack.api.LoadReport;
 import tansytrack.api.Outcome;
+import tansytrack.api.Settings;
 
 /** The mechanism, and each defence with the failure that it answers. */
 class DecideTest {
@@ -190,6 +191,18 @@
         assertThat(manager.sentTo("e") - before).isBetween(1L, 4L);
     }
 
+    @Test
+    void anEngineNotReachedIsColdWhenItIsBack() {
+        // Guards against the flood that fells an engine which restarted before any list told; and against sending to
+        // dead engines because all are.
+        Manager manager = new Manager();
+        manager.cold = new Settings.ColdRule(0.3, 10_000 * Manager.MS, 2, 1000 * Manager.MS);
+        manager.list(true, small("e")).take("t stamp a").decide().end("t", 0, Outcome.UNREACHED);
+        assertThat(manager.takeAll(4, "u# short a").did("forward u")).isEmpty();
+        manager.pass(1000).end("u0", 0, Outcome.OK).takeAll(30, "w# short b cost=300");
+        assertThat(manager.did("forward w").size()).isBetween(1, 7);
+    }
+
     @Test
     void aRestartedEngineStartsAnew() {
         Manager manager = answering(false).take("t short a").decide();
