--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -729,7 +729,7 @@
             if (fresh) {
                 // A new process: nothing learned of the old one holds.
                 warm.clear();
-                suspect = false;
+                suspect = unreached = false;
                 report = null;
                 pace = strain = failing = 0;
                 pressedUntil = unreachedAt = probesFailed = 0;
@@ -746,8 +746,8 @@
         }
 
         /**
-         * The part of its capacity that an engine surely has by now. One that was not reached may have started
-         * since, before any list tells: it would fall over under all that was held up meanwhile.
+         * The part of its capacity that an engine surely has by now. One that was not reached may have
+         * started since, before any list tells: it would fall over under all that was held up meanwhile.
          */
         private double warmth() {
             Settings.ColdRule rule = set.cold();
