--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -25,7 +25,7 @@
     private static final long PATIENCE = 150 * MS;
     private static final double PRICE_FALL = 0.96;        // a sweep
     private static final double LEAST_PRICE = 0.02;       // of the usual worth
-    private static final double GRADE_PART = 0.5;         // of what sets a grade's worth apart: left out
+    private static final double GRADE_PART = 0.8;         // of what sets a grade's worth apart: left out
 
     // The room: the design's bound, what counts as busy and slow, and how long one sign of pressure lasts.
     private static final double THREADS_PER_CORE = 2;
@@ -284,7 +284,7 @@
         /** And as the fleet runs now. */
         double usualRun() { return alone() * (Double.isNaN(row.usual) ? 2 : Math.exp(row.usual)); }
 
-        /** Earnings for its work, half of what sets its grade apart left out: no grade is shed whole. */
+        /** Earnings for its work, most of what sets its grade apart left out: no grade is shed whole. */
         double worth() { return Math.exp(lnWorth - GRADE_PART * (row.worthMean - gate.worthMean)); }
 
         long budget() { return Math.min(LONGEST_WAIT, Math.max(0, cutOffAt - now) / WAIT_PART); }
