--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -44,6 +44,7 @@
     private static final double UNUSUAL = 4;              // -log10 of the chance of a silence: suspected
     private static final long SHORTEST_SILENCE = 400 * MS;
     private static final double FIRST_GAP = 1;            // signs owed between two signs, until learned
+    private static final double STUCK = 4;                // usual runs after which a forward is doubled
     private static final long FIRST_TRIAL = 1000 * MS;
     private static final long LONGEST_TRIAL_GAP = 4000 * MS;
     private static final double FAILING = 0.3;            // part of failed answers that is suspected
@@ -976,7 +977,13 @@
                 act.probe(id);
             }
             for (Forward forward : out) {
-                owed += SWEEP / forward.task.usualRun();
+                double usual = forward.task.usualRun();
+                owed += SWEEP / usual;
+                // Far over its usual run: stuck or on a bad plan, from whatever cause. Doubled where the first can be
+                // cancelled, so that the copy adds little; the ration bounds how many.
+                if (levers.secondCopies() && levers.cancel() && now - forward.sentAt > STUCK * usual) {
+                    gate.put(() -> gate.rescue(forward));
+                }
             }
             long silence = now - signAt;
             double unusual = owed / (Math.max(gap, FIRST_GAP) + gapSpread) / Math.log(10);
