--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -483,10 +483,9 @@
                 spacing = mean(spacing, Math.min(now - lastGrant, 1000 * MS), LEARN);
             }
             lastGrant = now;
-            if (task.forwards > 0) {
+            if (task.forwards++ > 0) {
                 further.add(now);
             }
-            task.forwards++;
             task.out.add(forward);
             if (task.line != null) {
                 task.line.out++;
@@ -836,10 +835,8 @@
             }
             act.forward(task.id, id, 0);
             Forward forward = new Forward(task, this, task.forwards, now, memory);
-            if (out.isEmpty()) {
-                owed = 0;
-                signAt = now;
-            }
+            owed = out.isEmpty() ? 0 : owed;
+            signAt = out.isEmpty() ? now : signAt;
             out.add(forward);
             threads += task.grade.threads();
             threadsSince += task.grade.threads();
@@ -853,10 +850,8 @@
             if (warm.size() > WARM_SETS) {
                 warm.remove(warm.iterator().next());
             }
-            if (suspect) {
-                trialGap = Math.min(LONGEST_TRIAL_GAP, trialGap * 2);
-                trialAt = now + trialGap;
-            }
+            trialGap = Math.min(LONGEST_TRIAL_GAP, trialGap * 2);       // both are read only under suspicion
+            trialAt = now + trialGap;
             gate.put(() -> gate.sent(forward));
         }
 
@@ -875,10 +870,8 @@
             } else if (outcome == Outcome.ERROR || outcome == Outcome.UNREACHED || outcome == Outcome.RESET) {
                 // An engine that fails fast looks idle, and would draw ever more tasks.
                 failing = mean(failing, 1, 4 * LEARN);
-                if (outcome == Outcome.UNREACHED) {
-                    unreached = true;
-                    unreachedAt = now;
-                }
+                unreached |= outcome == Outcome.UNREACHED;
+                unreachedAt = outcome == Outcome.UNREACHED ? now : unreachedAt;
                 if (unreached || failing > failingLimit()) {
                     suspect(unreached ? "unreached" : "its answers fail");
                 }
@@ -979,9 +972,10 @@
             for (Forward forward : out) {
                 double usual = forward.task.usualRun();
                 owed += SWEEP / usual;
-                // Far over its usual run: stuck or on a bad plan, from whatever cause. Doubled where the first can be
-                // cancelled, so that the copy adds little; the ration bounds how many.
-                if (levers.secondCopies() && levers.cancel() && now - forward.sentAt > STUCK * usual) {
+                // Far over its usual run: stuck or on a bad plan, whatever the cause. Doubled where that adds
+                // little: the first can be cancelled, and it earns more for its work than most.
+                if (levers.secondCopies() && levers.cancel() && now - forward.sentAt > STUCK * usual
+                        && forward.task.lnWorth > gate.worthMean) {
                     gate.put(() -> gate.rescue(forward));
                 }
             }
--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -171,6 +171,18 @@
         assertThat(manager.did("cancel t")).hasSize(cancelled);
     }
 
+    @Test
+    void aShortTaskFarOverItsUsualRunIsDoubled() {
+        // Guards against being stuck without a word: on a bad plan, or behind another manager's load.
+        Manager manager = answering(true).take("heavy stamp a cost=5000").take("t short a cost=20").decide();
+        for (int i = 0; i < 40; i++) {
+            manager.take("q" + i + " short a").decide().pass(25).end("q" + i, 0, Outcome.OK);
+        }
+        assertThat(manager.did("forward t ")).hasSize(2);
+        assertThat(manager.did("forward heavy")).hasSize(1);
+        assertThat(manager.end("t", 1, Outcome.OK).did("cancel")).containsExactly("cancel t 0");
+    }
+
     @Test
     void whenAllAreSilentNoneIsLeft() {
         Manager manager = answering(false).takeAll(9, "t# short a").pass(3000);
