--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -694,8 +694,8 @@
         double ours;                          // our part of the tasks that it reports to hold, smoothed
         LoadReport report;
         long reportAt;
-        int threadsSince;                     // sent since that report, and their memory
-        double grantedSince;
+        int threadsSince;                     // sent since that report
+        double othersMemory;                  // what it reported granted, less what was ours then
         long probeAt;
         int probesFailed;
         long signAt;                          // last sign of life, or when one was first owed
@@ -804,7 +804,7 @@
          */
         private boolean memoryFits(Task task) {
             boolean told = heard() && !Double.isNaN(report.memoryGranted());
-            double used = told ? report.memoryGranted() * totalMemory + grantedSince : granted;
+            double used = granted + (told ? othersMemory : 0);
             double most = totalMemory * (told ? 1 : share());
             return totalMemory <= 0 || out.isEmpty() || used + grant(task) <= most;
         }
@@ -841,7 +841,6 @@
             threads += task.grade.threads();
             threadsSince += task.grade.threads();
             granted += memory;
-            grantedSince += memory;
             if (warmth() < 1) {
                 coldSends.add(new long[] {now, (long) task.row.meanCost});
             }
@@ -927,7 +926,7 @@
             report = told;
             reportAt = now;
             threadsSince = 0;
-            grantedSince = 0;
+            othersMemory = Math.max(0, told.memoryGranted() * totalMemory - granted);
             if (told.coresBusy() < BUSY && told.held() >= 0) {
                 // While cores idle, all that others are not seen to hold is free for us.
                 double others = Math.max(0, told.held() - out.size());
