--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -38,6 +38,7 @@
     private static final double COLD_PART = 0.9;          // of the cold budget: the rest is for misjudgement
     private static final double PRIORITY_TOP = -0.7;      // ln of worth over the mean: the top priority
     private static final double PRIORITY_STEP = 1.1;      // and for each one under it
+    private static final double GRANT_SPREAD = 2;         // times the mean deviation of what was needed
     private static final double GRANT_MARGIN = 0.25;      // over the estimate, until its scatter is told
 
     // Health and reports.
@@ -889,7 +890,7 @@
             }
             if (toldMemory > 0 && task.memoryMb > 0) {
                 double told = toldMemory / task.memoryMb;
-                row.memoryScatter = mean(row.memoryScatter, Math.abs(told - row.memoryBias) * 1.3, LEARN);
+                row.memoryScatter = mean(row.memoryScatter, Math.abs(told - row.memoryBias) * GRANT_SPREAD, LEARN);
                 row.memoryBias = clamp(mean(row.memoryBias, told, LEARN), 0.2, 5);
             }
             long run = Math.max(MS, now - forward.sentAt);
