--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -56,7 +56,7 @@
     private static final double IDLE = 0.15;              // load a core of an engine that does nothing
     private static final double HELD_PART = 0.5;          // of tasks held a core, beside reported use
     private static final int WARM_SETS = 4;
-    private static final double WARM = 2;                 // weight of one that has read the data set lately
+    private static final double WARM = 6;                 // for how much faster warm data sets are seen to be
     private static final double HELD = 0.02;              // of one where a load of ours holds it
     private static final double FAR = 0.5;                // of one in another place, where crossing costs
 
@@ -110,11 +110,11 @@
         Row row = rows.get(offer.grade() == null ? "" : offer.grade());
         if (row == null) {
             act.bounce(offer.id(), 0);
-            return;
+        } else {
+            Task task = new Task(offer, row);
+            tasks.put(task.id, task);
+            gate.put(() -> gate.taken(task));
         }
-        Task task = new Task(offer, row);
-        tasks.put(task.id, task);
-        gate.put(() -> gate.taken(task));
     }
 
     public void outcome(long at, String id, int index, String engine, Outcome outcome, long lag, boolean over,
@@ -308,7 +308,7 @@
             if (first == null || harmless()) {
                 return true;
             }
-            return grade.repeat() == Grade.Repeat.STAMPED && now - first.sentAt < grade.repeatWindow() - SWEEP
+            return grade.repeat() == Grade.Repeat.STAMPED && now - first.at < grade.repeatWindow() - SWEEP
                     && switch (grade.scope()) {
                         case ALL -> true;
                         case PLACE -> first.engine.entry.place().equals(engine.entry.place());
@@ -323,7 +323,7 @@
         }
     }
 
-    private record Forward(Task task, Engine engine, int index, long sentAt, double memoryMb) { }
+    private record Forward(Task task, Engine engine, int index, long at, double memoryMb, boolean warm) { }
 
     /** The tasks of one key, in the order taken (rule 5). */
     private static final class KeyLine {
@@ -349,6 +349,8 @@
         final Map<Long, KeyLine> lines = new TreeMap<>();
         final ArrayDeque<Long> taken = new ArrayDeque<>();    // times within the ration's window (rule 7)
         final ArrayDeque<Long> further = new ArrayDeque<>();
+        double warm;                          // mean ln of run time over the usual with a warm data set
+        double cold = 0.1;                    // and without
         boolean reports;                      // has any engine ever told its load?
         int waiting;
         long lastGrant;
@@ -401,11 +403,8 @@
         }
 
         private void unqueue(Task task) {
-            if (task.queued) {
-                task.tenant.waiters.remove(task);
-                task.queued = false;
-                waiting--;
-            }
+            waiting -= task.queued && task.tenant.waiters.remove(task) ? 1 : 0;
+            task.queued = false;
         }
 
         private int position(ArrayList<Task> waiters, Task task) {
@@ -491,7 +490,7 @@
             if (task.line != null) {
                 task.line.out++;
             }
-            if (task.tenant != null) {
+            if (task.tenant != null) {        // the others had no turn
                 turn();
             }
         }
@@ -835,7 +834,8 @@
                         levers.priorities() ? priority(task) : 1);
             }
             act.forward(task.id, id, 0);
-            Forward forward = new Forward(task, this, task.forwards, now, memory);
+            boolean read = warm.remove(task.dataSet);
+            Forward forward = new Forward(task, this, task.forwards, now, memory, read);
             owed = out.isEmpty() ? 0 : owed;
             signAt = out.isEmpty() ? now : signAt;
             out.add(forward);
@@ -845,7 +845,6 @@
             if (warmth() < 1) {
                 coldSends.add(new long[] {now, (long) task.row.meanCost});
             }
-            warm.remove(task.dataSet);
             warm.add(task.dataSet);
             if (warm.size() > WARM_SETS) {
                 warm.remove(warm.iterator().next());
@@ -890,16 +889,19 @@
             }
             if (toldMemory > 0 && task.memoryMb > 0) {
                 double told = toldMemory / task.memoryMb;
-                row.memoryScatter = mean(row.memoryScatter, Math.abs(told - row.memoryBias) * GRANT_SPREAD, LEARN);
+                double off = Math.abs(told - row.memoryBias);
+                row.memoryScatter = mean(row.memoryScatter, GRANT_SPREAD * off, LEARN);
                 row.memoryBias = clamp(mean(row.memoryBias, told, LEARN), 0.2, 5);
             }
-            long run = Math.max(MS, now - forward.sentAt);
+            long run = Math.max(MS, now - forward.at);
             double told = toldCost > 0 ? Math.max(toldCost / task.grade.threads(), 5 * MS) : task.alone();
             double ratio = Math.log(run / told);
             row.meanRun = mean(row.meanRun, run, LEARN);
             row.usual = mean(row.usual, ratio, LEARN);
             row.best = Double.isNaN(row.best) ? row.usual : Math.min(row.best, row.usual);
             double above = ratio - Math.max(0, row.best);
+            gate.warm = mean(gate.warm, ratio - row.usual, forward.warm ? LEARN / 5 : 0);
+            gate.cold = mean(gate.cold, ratio - row.usual, forward.warm ? 0 : LEARN / 5);
             pace = mean(pace, ratio - row.usual, 2 * LEARN);
             strain = mean(strain, above, 2 * LEARN);
             boolean busy = heard() && report.coresBusy() >= BUSY;
@@ -974,7 +976,7 @@
                 owed += SWEEP / usual;
                 // Far over its usual run: stuck or on a bad plan, whatever the cause. Doubled where that adds
                 // little: the first can be cancelled, and it earns more for its work than most.
-                if (levers.secondCopies() && levers.cancel() && now - forward.sentAt > STUCK * usual
+                if (levers.secondCopies() && levers.cancel() && now - forward.at > STUCK * usual
                         && forward.task.lnWorth > gate.worthMean) {
                     gate.put(() -> gate.rescue(forward));
                 }
@@ -986,7 +988,7 @@
             }
             if (suspect && !mostSuspect()) {
                 for (Forward forward : out) {
-                    if (now - forward.sentAt > SHORTEST_SILENCE) {
+                    if (now - forward.at > SHORTEST_SILENCE) {
                         gate.put(() -> gate.rescue(forward));
                     }
                 }
@@ -1012,7 +1014,7 @@
 
         /** When our first task there should end, by the mean run of its grade. */
         double leastRemaining() {
-            return out.stream().mapToDouble(forward -> Math.max(0, forward.sentAt - now
+            return out.stream().mapToDouble(forward -> Math.max(0, forward.at - now
                     + (Double.isNaN(forward.task.row.meanRun) ? 0 : forward.task.row.meanRun)))
                     .min().orElse(Double.MAX_VALUE);
         }
@@ -1030,7 +1032,7 @@
         double weight(Task task, double average) {
             double load = IDLE + load(average);
             double weight = cores * warmth() / (load * load * load) / Math.exp(2 * pace);
-            weight *= warm.contains(task.dataSet) ? WARM : 1;
+            weight *= warm.contains(task.dataSet) ? Math.exp(WARM * clamp(gate.cold - gate.warm, 0, 0.5)) : 1;
             weight *= levers.placesPriced() && !entry.place().equals(set.place()) ? FAR : 1;
             if (task.grade.load() || task.grade.waitsForLoads()) {
                 for (Forward forward : out) {
--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -89,6 +89,28 @@
         assertThat(unheard.sentTo("g")).isGreaterThan(unheard.sentTo("e"));
     }
 
+    @ParameterizedTest(name = "warm sets run in {0} ms, others in 100")
+    @CsvSource({"25, 0.75, 1.0", "100, 0.1, 0.45"})
+    void whatWarmDataSetsSaveIsLearned(int warm, double least, double most) {
+        // Guards against chasing warm data sets where engines gain nothing from them.
+        Manager manager = new Manager().list(true, small("e"), small("f"));
+        java.util.Map<String, List<Integer>> read = java.util.Map.of("e", new java.util.LinkedList<>(), "f",
+                new java.util.LinkedList<>());
+        int hits = 0;
+        for (int i = 0; i < 1200; i++) {
+            manager.take("t" + i + " short a set=" + i % 8).decide();
+            List<Integer> sets = read.get(manager.did.get(manager.did.size() - 1).split(" ")[2]);
+            boolean hit = sets.remove((Integer) (i % 8));
+            sets.add(i % 8);
+            if (sets.size() > 4) {
+                sets.remove(0);
+            }
+            hits += hit && i >= 800 ? 1 : 0;
+            manager.pass(hit ? warm : 100).end("t" + i, 0, Outcome.OK);
+        }
+        assertThat(hits / 400.0).isBetween(least, most);
+    }
+
     @Test
     void memoryThatDoesNotFitIsWaitedFor() {
         // Guards against grants past an engine's memory, which make all its tasks spill or page.
