--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -695,6 +695,7 @@
         LoadReport report;
         long reportAt;
         int threadsSince;                     // sent since that report
+        double othersHeld;                    // tasks that it reported, less ours then
         double othersMemory;                  // what it reported granted, less what was ours then
         long probeAt;
         int probesFailed;
@@ -929,6 +930,7 @@
             report = told;
             reportAt = now;
             threadsSince = 0;
+            othersHeld = Math.max(0, told.held() - out.size());
             othersMemory = Math.max(0, told.memoryGranted() * totalMemory - granted);
             if (told.coresBusy() < BUSY && told.held() >= 0) {
                 // While cores idle, all that others are not seen to hold is free for us.
@@ -1023,10 +1025,10 @@
         double load(double average) {
             double able = cores * warmth();
             double told = heard() ? report.coresBusy() : Double.NaN;
-            double held = heard() ? report.held() / able : Double.NaN;
+            double held = heard() ? (othersHeld + threads) / able : Double.NaN;
             told = Double.isNaN(told) ? held : Double.isNaN(held) ? told : told + HELD_PART * held;
-            return !gate.reports ? threads / (able * share())
-                    : (Double.isNaN(told) ? average : told) + threadsSince / able;
+            double since = heard() && Double.isNaN(report.coresBusy()) ? 0 : threadsSince / able;
+            return !gate.reports ? threads / (able * share()) : (Double.isNaN(told) ? average : told) + since;
         }
 
         double weight(Task task, double average) {
