--- a/src/main/java/tansytrack/adapter/Adapter.java
+++ b/src/main/java/tansytrack/adapter/Adapter.java
@@ -11,12 +11,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiFunction;
 import tansytrack.Decide;
 import tansytrack.api.Actions;
 import tansytrack.api.Decisions;
 import tansytrack.api.EngineEntry;
 import tansytrack.api.LoadReport;
 import tansytrack.api.Outcome;
+import tansytrack.api.Settings;
 import tansytrack.api.TaskOffer;
 
 /** The bench's wire on one side, the module's interface on the other; each instance is a module of its own. */
@@ -27,6 +29,7 @@
     private final Fields in;
     private final OutputStream out;
     private final PrintStream err;
+    private final BiFunction<Settings, Actions, Decisions> start;
     private final StringBuilder reply = new StringBuilder();
     private final Map<String, Instance> instances = new HashMap<>();
     private final List<List<EngineEntry>> lists = new ArrayList<>();
@@ -36,6 +39,11 @@
     private boolean failed;
 
     public Adapter(InputStream in, OutputStream out, PrintStream err) {
+        this(in, out, err, Decide::new);
+    }
+
+    Adapter(InputStream in, OutputStream out, PrintStream err, BiFunction<Settings, Actions, Decisions> start) {
+        this.start = start;
         this.in = new Fields(in);
         this.out = out;
         this.err = err;
@@ -190,7 +198,8 @@
         instance.columns = boot.columns();
         touched.remove(instances.put(instance.name, instance));
         touched.add(instance);
-        instance.module = new Decide(boot.settings(seed), instance);
+        Settings settings = boot.settings(seed);
+        guarded(instance, () -> instance.module = start.apply(settings, instance));
     }
 
     private void changed(long now, Instance to) {
--- a/src/test/java/tansytrack/adapter/AdapterTest.java
+++ b/src/test/java/tansytrack/adapter/AdapterTest.java
@@ -64,6 +64,17 @@
         assertThat(out.toString(StandardCharsets.UTF_8).lines().filter(line -> line.startsWith("FORWARD"))).hasSize(2);
     }
 
+    @org.junit.jupiter.api.Test
+    void aFailureInsideTheDecisionsIsSaidOnce() throws IOException {
+        byte[] in = batch(0, ATTACH + LISTED + TASK).getBytes(StandardCharsets.UTF_8);
+        PrintStream said = new PrintStream(err, true, StandardCharsets.UTF_8);
+        assertThat(new Adapter(new ByteArrayInputStream(in), out, said, (settings, actions) -> {
+            throw new IllegalStateException("no\nidea");
+        }).run()).isZero();
+        assertThat(out.toString(StandardCharsets.UTF_8).lines()).hasSize(2).first().asString()
+                .startsWith("DIE manager-1 java.lang.IllegalStateException: no idea at ");
+    }
+
     @org.junit.jupiter.api.Test
     void aListNumberIsReadInTheOrderOfEvents() throws IOException {
         String reused = LISTED + "REGISTER 0 1\nM 1 z 0 engine-a k - 0\n" + TASK;
