Read once more: the load's cases, the adapter's events and list numbers each stand once

The load a core asked four times whether a report was heard, what others hold was computed twice, the adapter switched twice on each event and checked list numbers in two places, and read an attribute bit that changed nothing. Absent names are empty everywhere now, as they were for engines.

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -106,7 +106,7 @@
 
     public void task(long at, TaskOffer offer) {
         now = at;
-        Row row = rows.get(offer.grade() == null ? "" : offer.grade());
+        Row row = rows.get(offer.grade());
         if (row == null) {
             act.bounce(offer.id(), 0);
         } else {
@@ -224,6 +224,7 @@
     /** What differs by service grade. */
     private static final class Row {
         final Grade grade;
+        final Market market;
         double costBias = 1;                  // told cost over estimated cost
         double memoryBias = 1;                // told memory over estimated memory, and its scatter
         double memoryScatter = GRANT_MARGIN;
@@ -234,8 +235,6 @@
         double worthMean = Double.NaN;        // ln of the earnings for the work of its tasks
         boolean noRoom;                       // at this turn
 
-        final Market market;
-
         Row(Grade grade, Market market) {
             this.grade = grade;
             this.market = market;
@@ -268,7 +267,7 @@
             id = offer.id();
             this.row = row;
             grade = row.grade;
-            tenant = offer.tenant() == null ? null : tenants.get(offer.tenant());
+            tenant = tenants.get(offer.tenant());
             key = grade.inOrder() ? offer.key() : -1;
             cutOffAt = offer.cutOffAt();
             double usual = Double.isNaN(row.meanCost) ? MS : row.meanCost;
@@ -933,8 +932,7 @@
             othersMemory = Math.max(0, told.memoryGranted() * totalMemory - granted);
             if (told.coresBusy() < BUSY && told.held() >= 0) {
                 // While cores idle, all that others are not seen to hold is free for us.
-                double others = Math.max(0, told.held() - out.size());
-                ours = mean(ours, clamp(1 - others / (cores * warmth() * THREADS_PER_CORE), 0, 1), 2 * LEARN);
+                ours = mean(ours, Math.max(0, 1 - othersHeld / (cores * warmth() * THREADS_PER_CORE)), 2 * LEARN);
             } else if (told.held() >= 4) {
                 ours = mean(ours, Math.min(1, out.size() / told.held()), 8 * LEARN);
             }
@@ -1023,11 +1021,13 @@
         /** Load a core: reported use, else tasks held, else our threads; plus our sends since. */
         double load(double average) {
             double able = cores * warmth();
-            double told = heard() ? report.coresBusy() : Double.NaN;
-            double held = heard() ? (othersHeld + threads) / able : Double.NaN;
-            told = Double.isNaN(told) ? held : Double.isNaN(held) ? told : told + held;
-            double since = heard() && Double.isNaN(report.coresBusy()) ? 0 : threadsSince / able;
-            return !gate.reports ? threads / (able * share()) : (Double.isNaN(told) ? average : told) + since;
+            double since = threadsSince / able;
+            if (!gate.reports || !heard()) {
+                return gate.reports ? average + since : threads / (able * share());
+            }
+            double held = (othersHeld + threads) / able;
+            return Double.isNaN(report.coresBusy()) ? Double.isNaN(held) ? average : held
+                    : report.coresBusy() + (Double.isNaN(held) ? 0 : held) + since;
         }
 
         double weight(Task task, double average) {
--- a/src/main/java/tansytrack/adapter/Adapter.java
+++ b/src/main/java/tansytrack/adapter/Adapter.java
@@ -102,47 +102,39 @@
     }
 
     private void event(long now, String event) throws IOException {
-        if (event.equals("REGISTER")) {
-            register();
-            return;
-        }
-        String name;
         switch (event) {
-            case "ATTACH":
-                attach();
-                return;
-            case "EXIT":
-                Instance dead = instances.remove(in.text("manager_id"));
-                touched.remove(dead);
-                return;
-            case "BACKENDS_CHANGED": case "INCOMING": case "WAKEUP": case "RESOLVED": case "SAMPLED": case "SIGNAL":
-            case "ABANDONED": case "INBOX": case "ACK_FIRST":
-                name = in.text("manager_id");
-                break;
-            default:
-                throw new Fields.Malformed("unknown event " + event);
-        }
-        Instance to = instances.get(name);
-        if (to == null) {
-            throw new Fields.Malformed("no instance " + name);
-        }
-        touched.add(to);
-        switch (event) {
-            case "BACKENDS_CHANGED" -> changed(now, to);
-            case "INCOMING" -> incoming(now, to);
-            case "RESOLVED" -> resolved(now, to);
-            case "SAMPLED" -> sampled(now, to);
-            case "SIGNAL" -> signal(now, to);
+            case "REGISTER" -> register();
+            case "ATTACH" -> attach();
+            case "EXIT" -> touched.remove(instances.remove(in.text("manager_id")));
+            case "BACKENDS_CHANGED" -> changed(now, told());
+            case "INCOMING" -> incoming(now, told());
+            case "RESOLVED" -> resolved(now, told());
+            case "SAMPLED" -> sampled(now, told());
+            case "SIGNAL" -> signal(now, told());
             case "WAKEUP" -> {
+                Instance to = told();
                 String token = in.text("nonce");
                 guarded(to, () -> to.module.woken(now, token));
             }
             case "ABANDONED" -> {
+                Instance to = told();
                 String task = in.text("op_id");
                 guarded(to, () -> to.module.abandoned(now, task));
             }
-            default -> { }
+            case "INBOX", "ACK_FIRST" -> told();
+            default -> throw new Fields.Malformed("unknown event " + event);
+        }
+    }
+
+    /** The instance that an event is for; it may act in this batch. */
+    private Instance told() {
+        String name = in.text("manager_id");
+        Instance to = instances.get(name);
+        if (to == null) {
+            throw new Fields.Malformed("no instance " + name);
         }
+        touched.add(to);
+        return to;
     }
 
     /** A failure inside the decisions is said once, and ends the day. */
@@ -160,12 +152,17 @@
         }
     }
 
-    private void register() throws IOException {
-        int slot = (int) in.integer("slot", -1);
-        long count = in.integer("members", 0);
+    private int slot() {
+        long slot = in.integer("slot", -1);
         if (slot < 0 || slot >= LISTS) {
             throw new Fields.Malformed("slot out of range");
         }
+        return (int) slot;
+    }
+
+    private void register() throws IOException {
+        int slot = slot();
+        long count = in.integer("members", 0);
         List<EngineEntry> entries = new ArrayList<>();
         for (long i = 0; i < count; i++) {
             if (!nextLine() || !in.text("entry").equals("M")) {
@@ -211,26 +208,21 @@
         if (kind == 3) {
             return;
         }
-        int slot = (int) in.integer("slot", -1);
-        if (slot < 0 || slot >= LISTS) {
-            throw new Fields.Malformed("slot out of range");
-        }
-        List<EngineEntry> entries = lists.get(slot);
+        List<EngineEntry> entries = lists.get(slot());
         guarded(to, () -> to.module.engines(now, kind != 0, entries));
     }
 
     private void incoming(long now, Instance to) {
         String id = in.text("op_id");
-        String grade = in.textOrNull("tier_class");
-        String tenant = in.textOrNull("party");
+        String grade = in.textOrEmpty("tier_class");
+        String tenant = in.textOrEmpty("party");
         long key = in.integer("relation", -1);
         long until = in.time("valid_until_ms");
         long cost = in.time("est_cost_ms");
         double memory = in.number("want_mb");
         long set = in.integer("source_set", -1);
-        long bits = in.integer("attrs", 0);
-        TaskOffer offer = new TaskOffer(id, grade, tenant, key, until,
-                (bits & 1) != 0 || cost > 0 ? cost : 0, memory, set);
+        in.integer("attrs", 0);
+        TaskOffer offer = new TaskOffer(id, grade, tenant, key, until, cost, memory, set);
         guarded(to, () -> to.module.task(now, offer));
     }
 
--- a/src/test/java/tansytrack/Manager.java
+++ b/src/test/java/tansytrack/Manager.java
@@ -88,7 +88,7 @@
                 default -> set = value;
             }
         }
-        module().task(now, new TaskOffer(word[0], word[1], word[2].equals("-") ? null : word[2], key, now + left * MS,
+        module().task(now, new TaskOffer(word[0], word[1], word[2].equals("-") ? "" : word[2], key, now + left * MS,
                 cost * MS, mb, set));
         return this;
     }
