--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -172,9 +172,7 @@
     // ---- Notes, parts, and the one loop ----
 
     /** A note in an inbox: what the part that takes it is to do. */
-    private interface Note {
-        void take();
-    }
+    private interface Note { void take(); }
 
     private abstract class Part {
         private final ArrayDeque<Note> inbox = new ArrayDeque<>();
@@ -932,7 +930,8 @@
             othersMemory = Math.max(0, told.memoryGranted() * totalMemory - granted);
             if (told.coresBusy() < BUSY && told.held() >= 0) {
                 // While cores idle, all that others are not seen to hold is free for us.
-                ours = mean(ours, Math.max(0, 1 - othersHeld / (cores * warmth() * THREADS_PER_CORE)), 2 * LEARN);
+                double free = 1 - othersHeld / (cores * warmth() * THREADS_PER_CORE);
+                ours = mean(ours, Math.max(0, free), 2 * LEARN);
             } else if (told.held() >= 4) {
                 ours = mean(ours, Math.min(1, out.size() / told.held()), 8 * LEARN);
             }
