--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -50,6 +50,7 @@
     private static final long LONGEST_TRIAL_GAP = 4000 * MS;
     private static final double FAILING = 0.3;            // part of failed answers that is suspected
     private static final long PROBE_EVERY = 400 * MS;
+    private static final double PROBES_A_TASK = 1;        // at most: many managers probe the same engines
     private static final long REPORT_LASTS = 3000 * MS;
 
     // The draw.
@@ -214,7 +215,7 @@
 
     // ---- The grade table, tasks, forwards ----
 
-    /** The engines that some grades are bound to, and what work on them is worth while tasks wait there. */
+    /** Engines that grades are bound to, and what work on them is worth while tasks wait. */
     private static final class Market {
         double price;                         // of engine work, in earnings; 0 unless tasks wait
     }
@@ -300,7 +301,8 @@
             if (!out.isEmpty() && !levers.secondCopies()) {
                 return false;
             }
-            Forward first = ran != null ? ran : out.isEmpty() ? null : out.get(0);
+            // The earliest that may have run: a later one may have ended while that one is still out.
+            Forward first = out.isEmpty() || ran != null && ran.index < out.get(0).index ? ran : out.get(0);
             if (first == null || harmless()) {
                 return true;
             }
@@ -348,13 +350,21 @@
         double warm;                          // mean ln of run time over the usual with a warm data set
         double cold = 0.1;                    // and without
         boolean reports;                      // has any engine ever told its load?
+        boolean mostSuspect;                  // when most of the fleet looks bad, no engine is kept out for it
         int waiting;
         long lastGrant;
+        long lastTaken = now;
+        double taskGap;                       // mean time between tasks taken
         double spacing = 10 * MS;             // mean time between sends, while tasks wait
         double worthMean = Double.NaN;        // mean ln of the worth of the tasks taken
 
+        /** Guards against probes that cost more than they tell: they follow the tasks that we take. */
+        long probeEvery() { return (long) Math.max(PROBE_EVERY, engines.size() * taskGap / PROBES_A_TASK); }
+
         private void taken(Task task) {
             taken.add(now);
+            taskGap = mean(taskGap, now - lastTaken, LEARN);
+            lastTaken = now;
             worthMean = mean(worthMean, task.lnWorth, LEARN);
             task.row.worthMean = mean(task.row.worthMean, task.lnWorth, LEARN);
             if (task.cutOffAt - now <= ANSWER_MARGIN) {
@@ -458,12 +468,18 @@
             engine.put(() -> engine.send(task));
         }
 
+        /** Judged against the fleet, whenever an engine is listed, suspected or cleared: never in a scan. */
+        private void survey() {
+            mostSuspect = engines.values().stream().filter(engine -> engine.ready)
+                    .mapToDouble(engine -> engine.suspect ? engine.cores : -engine.cores).sum() > 0;
+        }
+
         /** The waiter with least time left that fits; one that fits nowhere steps aside for those that do. */
         private Task next(ArrayList<Task> waiters) {
             for (int i = 0; i < waiters.size(); i++) {
                 Task task = waiters.get(i);
                 boolean plain = task.forwards == 0 && task.line == null;
-                if (!plain || !task.row.noRoom) {
+                if (!task.row.noRoom) {       // no room for a plain one is none for the others
                     if (fits(task)) {
                         return task;
                     }
@@ -553,8 +569,8 @@
         private void ended(Forward forward, Outcome outcome, boolean over) {
             Task task = forward.task;
             task.out.remove(forward);
-            if (task.ran == null && outcome != Outcome.FULL && outcome != Outcome.UNREACHED
-                    && outcome != Outcome.NEVER_SENT) {
+            boolean mayHaveRun = outcome != Outcome.FULL && outcome != Outcome.UNREACHED && outcome != Outcome.NEVER_SENT;
+            if (mayHaveRun && (task.ran == null || forward.index < task.ran.index)) {
                 task.ran = forward;
             }
             if (task.line != null) {
@@ -646,12 +662,6 @@
 
     // ---- The weighted draw ----
 
-    /** Judged against the fleet: when most of it looks bad, no engine is kept out for it. */
-    private boolean mostSuspect() {
-        return engines.values().stream().filter(engine -> engine.ready)
-                .mapToDouble(engine -> engine.suspect ? engine.cores : -engine.cores).sum() > 0;
-    }
-
     /** Draws among the engines that fit, weighted against their load; an unheard one counts as average. */
     private Engine draw(Task task) {
         double average = engines.values().stream().filter(engine -> engine.ready && engine.heard())
@@ -710,10 +720,11 @@
 
         Engine(String id) {
             this.id = id;
-            probeAt = now + (long) (chance.nextDouble() * PROBE_EVERY);
+            probeAt = now + (long) (chance.nextDouble() * gate.probeEvery());
         }
 
         private void listed(EngineEntry told) {
+            gate.put(gate::survey);
             ready = told != null && told.state() == EngineEntry.State.READY;
             if (told == null) {
                 return;
@@ -781,7 +792,7 @@
             if (!rulesAllow(task) || task.out.stream().anyMatch(forward -> forward.engine == this)) {
                 return false;
             }
-            return unreached || suspect && !mostSuspect() ? now >= trialAt && task.harmless()
+            return unreached || suspect && !gate.mostSuspect ? now >= trialAt && task.harmless()
                     : threadsFit(task) && memoryFits(task);
         }
 
@@ -960,13 +971,14 @@
             trialAt = Math.min(trialAt, now + SHORTEST_SILENCE);
             if (suspect && probesFailed < 2 && failing <= failingLimit()) {
                 suspect = false;
+                gate.survey();
                 act.log("engine " + id + " answers again: back in the draw");
             }
         }
 
         private void sweep() {
             if (levers.probe() && ready && now >= probeAt) {
-                probeAt = now + PROBE_EVERY;
+                probeAt = now + (probesFailed > 0 ? PROBE_EVERY : gate.probeEvery());
                 act.probe(id);
             }
             for (Forward forward : out) {
@@ -984,7 +996,7 @@
             if (!suspect && silence > SHORTEST_SILENCE && unusual > UNUSUAL) {
                 suspect("silent for " + silence / MS + " ms");
             }
-            if (suspect && !mostSuspect()) {
+            if (suspect && !gate.mostSuspect) {
                 for (Forward forward : out) {
                     if (now - forward.at > SHORTEST_SILENCE) {
                         gate.put(() -> gate.rescue(forward));
@@ -1002,6 +1014,7 @@
         private void suspect(String why) {
             if (!suspect) {
                 suspect = true;
+                gate.survey();
                 trialGap = FIRST_TRIAL;
                 trialAt = now + trialGap;
                 act.log("engine " + id + " suspected: " + why + "; no more tasks but trials");
--- a/src/test/java/tansytrack/RulesTest.java
+++ b/src/test/java/tansytrack/RulesTest.java
@@ -49,6 +49,11 @@
                 rule("2 stamped within it: sent again", m -> m.list(true, small("e"))
                         .take("t stamp a").decide().pass(1000).end("t", 0, Outcome.ERROR),
                         "forward t e", "forward t e"),
+                rule("2 stamped: the window runs from the first forward, also while that is still out", m -> {
+                    m.copies = true;
+                    m.list(true, small("e"), small("f")).take("t stamp a").decide().pass(3000).waits("t");
+                    m.end("t", 1, Outcome.ERROR).pass(2500).waits("t");
+                }, "forward t f", "forward t e"),
                 rule("2 stamped for one cell: never to another, and aborted", m -> m.list(true, small("e"))
                         .take("t cell a").decide().list(true, small("f")).end("t", 0, Outcome.ERROR).pass(5000),
                         "forward t e", "abort t"),
