--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -80,7 +80,7 @@
         chance = new SplittableRandom(settings.seed());
         for (Grade grade : settings.grades()) {
             String bounds = new TreeSet<>(grade.places()) + "/" + new TreeSet<>(grade.kinds());
-            rows.put(grade.name(), new Row(grade, markets.computeIfAbsent(bounds, key -> new Market())));
+            rows.put(grade.name(), new Row(grade, markets.computeIfAbsent(bounds, key -> new Market(grade))));
         }
         for (Settings.Tenant tenant : settings.tenants()) {
             tenants.put(tenant.name(), new Tenant(Math.max(tenant.share(), 0.001)));
@@ -215,9 +215,60 @@
 
     // ---- The grade table, tasks, forwards ----
 
-    /** Engines that grades are bound to, and what work on them is worth while tasks wait. */
-    private static final class Market {
+    /** The room: a bound on our threads, of one engine or of a market. */
+    private class Room {
+        double bound;
+        int threads;                          // of our tasks there
+        double strain;                        // ln of how much slower than the best seen
+        long halvedAt;
+        long pressedUntil;
+
+        /** It binds only under pressure; our threads up to the first bound are that too. */
+        boolean fits(Grade grade, double able) {
+            boolean pressed = strain > WELL_ABOVE_BEST || now < pressedUntil || threads >= able * THREADS_PER_CORE;
+            return !pressed || threads + grade.threads() <= Math.max(bound, grade.threads());
+        }
+
+        void answered(Grade grade, double above, boolean busy, double most) {
+            strain = mean(strain, above, 2 * LEARN);
+            if (above > SLOW_ANSWER) {
+                halve();
+            } else if (above < WELL_ABOVE_BEST && !busy) {
+                bound = Math.min(bound + grade.threads(), most);
+            }
+        }
+
+        void halve() {
+            if (now - halvedAt > PRESSURE_LASTS) {
+                halvedAt = now;
+                bound = Math.max(bound / 2, 1);
+            }
+        }
+
+        void refused() {
+            pressedUntil = now + PRESSURE_LASTS;
+            halve();
+        }
+    }
+
+    /**
+     * Engines that grades are bound to, and what work on them is worth while tasks wait. Its room is that of all
+     * together: where our part of one engine holds no task, a floor of one task an engine would come to far more,
+     * over all managers, than the engines hold.
+     */
+    private final class Market extends Room {
+        final Grade grade;                    // one of those
+        double able;                          // cores, our even part of them
         double price;                         // of engine work, in earnings; 0 unless tasks wait
+
+        Market(Grade grade) { this.grade = grade; }
+
+        private void survey() {
+            double before = able;
+            able = engines.values().stream().filter(engine -> engine.usable() && engine.allowed(grade))
+                    .mapToDouble(engine -> engine.cores * engine.warmth()).sum() / set.siblings();
+            bound = before == 0 ? able * THREADS_PER_CORE : bound * able / before;
+        }
     }
 
     /** What differs by service grade. */
@@ -428,7 +479,7 @@
                 weights += tenant.waiters.isEmpty() && tenant != task.tenant ? 0 : tenant.weight;
             }
             double ahead = position(task.tenant.waiters, task) * weights / task.tenant.weight;
-            double least = engines.values().stream().filter(engine -> engine.ready && engine.allowed(task))
+            double least = engines.values().stream().filter(engine -> engine.ready && engine.allowed(task.grade))
                     .mapToDouble(Engine::leastRemaining).min().orElse(Double.MAX_VALUE);
             return Math.min(waiting, ahead) * spacing + (least == Double.MAX_VALUE ? 0 : least);
         }
@@ -468,10 +519,11 @@
             engine.put(() -> engine.send(task));
         }
 
-        /** Judged against the fleet, whenever an engine is listed, suspected or cleared: never in a scan. */
+        /** The fleet as a whole, whenever an engine is listed, suspected or cleared, and at the sweep: never in a scan. */
         private void survey() {
             mostSuspect = engines.values().stream().filter(engine -> engine.ready)
                     .mapToDouble(engine -> engine.suspect ? engine.cores : -engine.cores).sum() > 0;
+            markets.values().forEach(Market::survey);
         }
 
         /** The waiter with least time left that fits; one that fits nowhere steps aside for those that do. */
@@ -637,6 +689,8 @@
         }
 
         private void sweep() {
+            engines.values().removeIf(engine -> engine.gone && engine.out.isEmpty());
+            survey();
             reprice();
             long window = set.ration() == null ? 0 : set.ration().window();
             taken.removeIf(at -> at <= now - window + 2 * SWEEP);   // too early rather than too late
@@ -687,16 +741,13 @@
         final String id;
         EngineEntry entry;                    // as last listed
         boolean ready;
+        boolean gone;                         // forgotten once its forwards have ended
         double cores = 1;
         double totalMemory;
         final ArrayList<Forward> out = new ArrayList<>();
-        int threads;                          // of our tasks there
         double granted;                       // memory of our tasks there
-        double bound;                         // the room, in threads
-        long halvedAt;
-        long pressedUntil;
+        final Room room = new Room();
         double pace;                          // ln of how much slower than the fleet its answers are
-        double strain;                        // ln of how much slower than the best seen
         double ours;                          // our part of the tasks that it reports to hold, smoothed
         LoadReport report;
         long reportAt;
@@ -726,6 +777,7 @@
         private void listed(EngineEntry told) {
             gate.put(gate::survey);
             ready = told != null && told.state() == EngineEntry.State.READY;
+            gone = told == null || told.state() == EngineEntry.State.GONE;
             if (told == null) {
                 return;
             }
@@ -739,20 +791,22 @@
                 warm.clear();
                 suspect = unreached = false;
                 report = null;
-                pace = strain = failing = 0;
-                pressedUntil = unreachedAt = probesFailed = 0;
-                bound = cores * THREADS_PER_CORE * share();
+                pace = room.strain = failing = 0;
+                room.pressedUntil = unreachedAt = probesFailed = 0;
+                room.bound = cores * THREADS_PER_CORE * share();
             }
         }
 
         // -- May it be sent to? --
 
         /** Rule 6: placement. */
-        boolean allowed(Task task) {
-            return (task.grade.places().isEmpty() || task.grade.places().contains(entry.place()))
-                    && (task.grade.kinds().isEmpty() || task.grade.kinds().contains(entry.kind()));
+        boolean allowed(Grade grade) {
+            return (grade.places().isEmpty() || grade.places().contains(entry.place()))
+                    && (grade.kinds().isEmpty() || grade.kinds().contains(entry.kind()));
         }
 
+        boolean usable() { return ready && !unreached && (!suspect || gate.mostSuspect); }
+
         /**
          * The part of its capacity that an engine surely has by now. One that was not reached may have
          * started since, before any list tells: it would fall over under all that was held up meanwhile.
@@ -781,7 +835,7 @@
 
         /** Every rule on sending, in one place; rule 3 (drains) without its grace, as the list is late. */
         private boolean rulesAllow(Task task) {
-            return ready && allowed(task) && task.mayRepeatOn(this) && coldAllows(task)
+            return ready && allowed(task.grade) && task.mayRepeatOn(this) && coldAllows(task)
                     && task.forwards < levers.mostForwards() && (task.forwards == 0 || gate.rationAllows())
                     && (task.line == null || task.line.line.peek() == task
                             && (task.forwards > 0 || gate.open(task.line)));
@@ -792,18 +846,25 @@
             if (!rulesAllow(task) || task.out.stream().anyMatch(forward -> forward.engine == this)) {
                 return false;
             }
-            return unreached || suspect && !gate.mostSuspect ? now >= trialAt && task.harmless()
+            return !usable() ? now >= trialAt && task.harmless()
                     : threadsFit(task) && memoryFits(task);
         }
 
         /** This manager's part of the engine: an even one, or more where it is seen to hold mostly ours. */
         private double share() { return Math.max(1.0 / set.siblings(), ours); }
 
-        /** The room in threads binds only under pressure; our threads up to the first bound are that too. */
+        /** The room in threads: its own, or the market's where our part of it holds no task. */
         private boolean threadsFit(Task task) {
-            boolean pressed = strain > WELL_ABOVE_BEST || now < pressedUntil
-                    || threads >= cores * warmth() * THREADS_PER_CORE * share();
-            return !pressed || threads + task.grade.threads() <= Math.max(bound, task.grade.threads());
+            double able = cores * share();
+            return able * THREADS_PER_CORE >= task.grade.threads() ? room.fits(task.grade, able * warmth())
+                    : now >= room.pressedUntil && task.row.market.fits(task.grade, task.row.market.able);
+        }
+
+        private void count(Grade grade, int sign) {
+            room.threads += sign * grade.threads();
+            for (Market market : markets.values()) {
+                market.threads += allowed(market.grade) ? sign * grade.threads() : 0;
+            }
         }
 
         /**
@@ -847,7 +908,7 @@
             owed = out.isEmpty() ? 0 : owed;
             signAt = out.isEmpty() ? now : signAt;
             out.add(forward);
-            threads += task.grade.threads();
+            count(task.grade, 1);
             threadsSince += task.grade.threads();
             granted += memory;
             if (warmth() < 1) {
@@ -867,7 +928,7 @@
         private void ended(Forward forward, Outcome outcome, boolean over, long cost, double memoryMb,
                 LoadReport told) {
             out.remove(forward);
-            threads -= forward.task.grade.threads();
+            count(forward.task.grade, -1);
             granted -= forward.memoryMb;
             hear(told);
             if (outcome == Outcome.OK) {
@@ -883,8 +944,8 @@
                     suspect(unreached ? "unreached" : "its answers fail");
                 }
             } else if (outcome == Outcome.FULL || outcome == Outcome.TIME_OUT) {
-                pressedUntil = now + PRESSURE_LASTS;
-                halve();
+                room.refused();
+                forward.task.row.market.refused();
             }
             gate.put(() -> gate.ended(forward, outcome, over));
         }
@@ -911,20 +972,9 @@
             gate.warm = mean(gate.warm, ratio - row.usual, forward.warm ? LEARN / 5 : 0);
             gate.cold = mean(gate.cold, ratio - row.usual, forward.warm ? 0 : LEARN / 5);
             pace = mean(pace, ratio - row.usual, 2 * LEARN);
-            strain = mean(strain, above, 2 * LEARN);
             boolean busy = heard() && report.coresBusy() >= BUSY;
-            if (above > SLOW_ANSWER) {
-                halve();
-            } else if (above < WELL_ABOVE_BEST && !busy) {
-                bound = Math.min(bound + task.grade.threads(), cores * MOST_THREADS_PER_CORE);
-            }
-        }
-
-        private void halve() {
-            if (now - halvedAt > PRESSURE_LASTS) {
-                halvedAt = now;
-                bound = Math.max(bound / 2, 1);
-            }
+            room.answered(task.grade, above, busy, cores * MOST_THREADS_PER_CORE);
+            row.market.answered(task.grade, above, busy, row.market.able * MOST_THREADS_PER_CORE);
         }
 
         private boolean heard() { return report != null && now - reportAt <= REPORT_LASTS; }
@@ -947,7 +997,7 @@
                 ours = mean(ours, Math.min(1, out.size() / told.held()), 8 * LEARN);
             }
             if (told.coresBusy() >= CROWDED || told.memoryGranted() >= CROWDED) {
-                pressedUntil = now + PRESSURE_LASTS;
+                room.pressedUntil = now + PRESSURE_LASTS;
             }
         }
 
@@ -1035,9 +1085,9 @@
             double able = cores * warmth();
             double since = threadsSince / able;
             if (!gate.reports || !heard()) {
-                return gate.reports ? average + since : threads / (able * share());
+                return gate.reports ? average + since : room.threads / (able * share());
             }
-            double held = (othersHeld + threads) / able;
+            double held = (othersHeld + room.threads) / able;
             return Double.isNaN(report.coresBusy()) ? Double.isNaN(held) ? average : held
                     : report.coresBusy() + (Double.isNaN(held) ? 0 : held) + since;
         }
--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -135,6 +135,16 @@
         assertThat(manager.did("forward").size() - before).isEqualTo(4);
     }
 
+    @ParameterizedTest(name = "{0} managers: {1} of 12 go")
+    @CsvSource({"1, 12", "8, 4", "100, 1"})
+    void aRoomThatHoldsNoTaskIsThatOfAll(int siblings, int most) {
+        // Guards against a floor of one task an engine and manager, which is far more than the engines hold.
+        Manager manager = new Manager();
+        manager.siblings = siblings;
+        manager.list(true, small("e"), small("f"), small("g"), small("h")).takeAll(12, "t# short a mb=1");
+        assertThat(manager.did("forward")).hasSize(most);
+    }
+
     @Test
     void whileTasksWaitTheHeavyOnesAreRefused() {
         // Guards against a few heavy tasks that take the room of many.
