--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -259,6 +259,8 @@
     private final class Market extends Room {
         final Grade grade;                    // one of those
         double able;                          // cores, our even part of them
+        double memory;                        // likewise
+        double granted;                       // of that, to our tasks
         double price;                         // of engine work, in earnings; 0 unless tasks wait
 
         Market(Grade grade) { this.grade = grade; }
@@ -267,6 +269,8 @@
             double before = able;
             able = engines.values().stream().filter(engine -> engine.usable() && engine.allowed(grade))
                     .mapToDouble(engine -> engine.cores * engine.warmth()).sum() / set.siblings();
+            memory = engines.values().stream().filter(engine -> engine.usable() && engine.allowed(grade))
+                    .mapToDouble(engine -> engine.totalMemory).sum() / set.siblings();
             bound = before == 0 ? able * THREADS_PER_CORE : bound * able / before;
         }
     }
@@ -860,10 +864,13 @@
                     : now >= room.pressedUntil && task.row.market.fits(task.grade, task.row.market.able);
         }
 
-        private void count(Grade grade, int sign) {
-            room.threads += sign * grade.threads();
+        /** One more of our tasks here, or one less. */
+        private void count(int threads, double memory) {
+            room.threads += threads;
+            granted += memory;
             for (Market market : markets.values()) {
-                market.threads += allowed(market.grade) ? sign * grade.threads() : 0;
+                market.threads += allowed(market.grade) ? threads : 0;
+                market.granted += allowed(market.grade) ? memory : 0;
             }
         }
 
@@ -875,7 +882,9 @@
             boolean told = heard() && !Double.isNaN(report.memoryGranted());
             double used = granted + (told ? othersMemory : 0);
             double most = totalMemory * (told ? 1 : share());
-            return totalMemory <= 0 || out.isEmpty() || used + grant(task) <= most;
+            Market market = task.row.market;
+            return totalMemory <= 0 || used + grant(task) <= most
+                    || out.isEmpty() && (!told && market.granted + grant(task) <= market.memory || market.threads == 0);
         }
 
         /** What a task is to be granted here; where grants are not heeded, what it will take. */
@@ -908,9 +917,8 @@
             owed = out.isEmpty() ? 0 : owed;
             signAt = out.isEmpty() ? now : signAt;
             out.add(forward);
-            count(task.grade, 1);
+            count(task.grade.threads(), memory);
             threadsSince += task.grade.threads();
-            granted += memory;
             if (warmth() < 1) {
                 coldSends.add(new long[] {now, (long) task.row.meanCost});
             }
@@ -928,8 +936,7 @@
         private void ended(Forward forward, Outcome outcome, boolean over, long cost, double memoryMb,
                 LoadReport told) {
             out.remove(forward);
-            count(forward.task.grade, -1);
-            granted -= forward.memoryMb;
+            count(-forward.task.grade.threads(), -forward.memoryMb);
             hear(told);
             if (outcome == Outcome.OK) {
                 failing = mean(failing, 0, 4 * LEARN);
