--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -36,6 +36,7 @@
     private static final double SLOW_ANSWER = Math.log(5);
     private static final long PRESSURE_LASTS = 1000 * MS;
     private static final double COLD_PART = 0.9;          // of the cold budget: the rest is for misjudgement
+    private static final double COLD_DEVIATIONS = 4;      // kept clear of it where chance decides
     private static final double PRIORITY_TOP = -0.7;      // ln of worth over the mean: the top priority
     private static final double PRIORITY_STEP = 1.1;      // and for each one under it
     private static final double GRANT_SPREAD = 2;         // times the mean deviation of what was needed
@@ -770,6 +771,8 @@
         boolean suspect;
         long trialAt;
         long trialGap;
+        long ticketUntil;                     // a cold engine's, for this window
+        double ticketDrawn;
         final ArrayDeque<long[]> coldSends = new ArrayDeque<>();    // {when, work}
         final LinkedHashSet<Long> warm = new LinkedHashSet<>();     // data sets read last, oldest first
 
@@ -825,16 +828,34 @@
             return rule.startCapacity() + (1 - rule.startCapacity()) * age;
         }
 
-        /** Rule 4: an even part, alike for every manager, of what a cold engine may get in the window. */
+        /**
+         * Rule 4: an even part, alike for every manager, of what a cold engine may get in the window. Where that
+         * part holds no task, each manager draws once a window whether it may send one, so rarely that all of them
+         * together pass the budget only by a chance of many deviations, in step or not.
+         */
         private boolean coldAllows(Task task) {
-            Settings.ColdRule rule = set.cold();
-            double able = warmth();
-            if (able >= 1) {
+            if (warmth() >= 1) {
                 return true;
             }
-            coldSends.removeIf(send -> send[0] < now - rule.window());
-            double work = task.row.meanCost + coldSends.stream().mapToLong(send -> send[1]).sum();
-            return work <= COLD_PART * rule.multiple() * able * cores * rule.window() / set.siblings();
+            coldSends.removeIf(send -> send[0] < now - set.cold().window());
+            double sent = coldSends.stream().mapToLong(send -> send[1]).sum();
+            return sent + task.cost <= coldBudget() / set.siblings() || sent == 0 && ticket(task) > 0;
+        }
+
+        private double coldBudget() {
+            return COLD_PART * set.cold().multiple() * warmth() * cores * set.cold().window();
+        }
+
+        /** The chance that a task gets in when our part does not hold it; 0 where this window's draw failed. */
+        private double ticket(Task task) {
+            if (now >= ticketUntil) {
+                ticketUntil = now + set.cold().window();
+                ticketDrawn = chance.nextDouble();
+            }
+            double deviations = COLD_DEVIATIONS * Math.sqrt(task.cost) / 2;
+            double mean = Math.sqrt(coldBudget() + deviations * deviations) - deviations;
+            double part = mean * mean / (set.siblings() * task.cost);
+            return ticketDrawn < part ? Math.min(1, part) : 0;
         }
 
         /** Every rule on sending, in one place; rule 3 (drains) without its grace, as the list is late. */
@@ -920,7 +941,7 @@
             count(task.grade.threads(), memory);
             threadsSince += task.grade.threads();
             if (warmth() < 1) {
-                coldSends.add(new long[] {now, (long) task.row.meanCost});
+                coldSends.add(new long[] {now, (long) task.cost});
             }
             warm.add(task.dataSet);
             if (warm.size() > WARM_SETS) {
@@ -1103,6 +1124,9 @@
             double load = IDLE + load(average);
             double weight = cores * warmth() / (load * load * load) / Math.exp(2 * pace);
             weight *= warm.contains(task.dataSet) ? Math.exp(WARM * clamp(gate.cold - gate.warm, 0, 0.5)) : 1;
+            if (warmth() < 1 && task.cost > coldBudget() / set.siblings()) {
+                weight /= Math.max(ticket(task), 1e-9);     // as often in all as if it needed no ticket
+            }
             weight *= levers.placesPriced() && !entry.place().equals(set.place()) ? FAR : 1;
             if (task.grade.load() || task.grade.waitsForLoads()) {
                 for (Forward forward : out) {
--- a/src/test/java/tansytrack/Manager.java
+++ b/src/test/java/tansytrack/Manager.java
@@ -19,6 +19,7 @@
     static final long MS = 1_000_000L;
 
     int siblings = 1;
+    long seed = 7;
     boolean cancels = true;
     boolean copies;
     boolean probes;
@@ -37,7 +38,7 @@
 
     private Decide module() {
         if (module == null) {
-            module = new Decide(new Settings(7, siblings, "here", List.of(
+            module = new Decide(new Settings(seed, siblings, "here", List.of(
                     grade("short", Grade.Repeat.HARMLESS, Grade.Scope.ALL, false),
                     grade("stamp", Grade.Repeat.STAMPED, Grade.Scope.ALL, false),
                     grade("cell", Grade.Repeat.STAMPED, Grade.Scope.CELL, false),
--- a/src/test/java/tansytrack/RulesTest.java
+++ b/src/test/java/tansytrack/RulesTest.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import tansytrack.api.EngineEntry.State;
 import tansytrack.api.Outcome;
@@ -121,6 +122,22 @@
         assertThat(manager.sentTo("e")).isEqualTo(most);
     }
 
+    @ParameterizedTest(name = "4 cold: {0} managers together, {1} s after the start")
+    @CsvSource({"50, 0", "200, 0", "200, 9"})
+    void allManagersTogetherKeepAColdEngineUp(int siblings, long age) {
+        // Guards against a cold engine left idle since an even part holds no task, and against all sending one.
+        int sent = 0;
+        for (int i = 0; i < siblings; i++) {
+            Manager manager = new Manager();
+            manager.seed = i;
+            manager.siblings = siblings;
+            manager.cold = new Settings.ColdRule(0.3, 10_000 * MS, 2, 1000 * MS);
+            manager.list(true, engine("e", "small", 0, State.READY, 100_000 - age * 1000)).takeAll(3, "t# short a");
+            sent += (int) manager.sentTo("e");
+        }
+        assertThat(sent * 0.1).isBetween(0.3, 2 * (0.3 + 0.07 * age) * 4);
+    }
+
     @org.junit.jupiter.api.Test
     void afterARestartACachedListIsEnough() {
         Manager manager = new Manager().list(true, small("e"), big("g"));
