--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -53,6 +53,7 @@
     private static final long PROBE_EVERY = 400 * MS;
     private static final double PROBES_A_TASK = 1;        // at most: many managers probe the same engines
     private static final long REPORT_LASTS = 3000 * MS;
+    private static final long PACE_LASTS = 8000 * MS;     // after which an engine's pace is half forgotten
 
     // The draw.
     private static final double IDLE = 0.15;              // load a core of an engine that does nothing
@@ -140,6 +141,10 @@
         Forward forward = find(engine, id, index);
         if (forward != null) {
             forward.engine.put(forward.engine::sign);
+            if (what == Progress.SHARE_DONE && amount > 0) {
+                double run = Math.max(MS, now - forward.at) / Math.min(1, amount);
+                forward.engine.put(() -> forward.engine.paced(forward.task, Math.log(run / forward.task.alone())));
+            }
             if (what == Progress.WAITS && levers.cancel()) {
                 // Stuck behind a load, maybe another manager's, or for memory: it may run elsewhere. Where a
                 // first forward cannot be taken back, a second one would only feed the crowd.
@@ -268,10 +273,15 @@
 
         private void survey() {
             double before = able;
-            able = engines.values().stream().filter(engine -> engine.usable() && engine.allowed(grade))
-                    .mapToDouble(engine -> engine.cores * engine.warmth()).sum() / set.siblings();
-            memory = engines.values().stream().filter(engine -> engine.usable() && engine.allowed(grade))
-                    .mapToDouble(engine -> engine.totalMemory).sum() / set.siblings();
+            able = memory = granted = threads = 0;
+            for (Engine engine : engines.values()) {
+                if (engine.usable() && engine.allowed(grade)) {
+                    able += engine.cores * engine.warmth() / set.siblings();
+                    memory += engine.totalMemory / set.siblings();
+                    threads += engine.room.threads;
+                    granted += engine.granted;
+                }
+            }
             bound = before == 0 ? able * THREADS_PER_CORE : bound * able / before;
         }
     }
@@ -753,6 +763,7 @@
         double granted;                       // memory of our tasks there
         final Room room = new Room();
         double pace;                          // ln of how much slower than the fleet its answers are
+        long pacedAt = now;
         double ours;                          // our part of the tasks that it reports to hold, smoothed
         LoadReport report;
         long reportAt;
@@ -890,8 +901,9 @@
             room.threads += threads;
             granted += memory;
             for (Market market : markets.values()) {
-                market.threads += allowed(market.grade) ? threads : 0;
-                market.granted += allowed(market.grade) ? memory : 0;
+                boolean counts = usable() && allowed(market.grade);     // what is stuck takes no room elsewhere
+                market.threads += counts ? threads : 0;
+                market.granted += counts ? memory : 0;
             }
         }
 
@@ -999,12 +1011,21 @@
             double above = ratio - Math.max(0, row.best);
             gate.warm = mean(gate.warm, ratio - row.usual, forward.warm ? LEARN / 5 : 0);
             gate.cold = mean(gate.cold, ratio - row.usual, forward.warm ? 0 : LEARN / 5);
-            pace = mean(pace, ratio - row.usual, 2 * LEARN);
+            paced(task, ratio);
             boolean busy = heard() && report.coresBusy() >= BUSY;
             room.answered(task.grade, above, busy, cores * MOST_THREADS_PER_CORE);
             row.market.answered(task.grade, above, busy, row.market.able * MOST_THREADS_PER_CORE);
         }
 
+        /** How much slower than the fleet; a sample counts the more the rarer they come. */
+        private void paced(Task task, double ratio) {
+            if (!Double.isNaN(task.row.usual)) {
+                double weight = clamp((now - pacedAt) / (double) PACE_LASTS, 2 * LEARN, 0.5);
+                pace = mean(pace, ratio - task.row.usual, weight);
+                pacedAt = now;
+            }
+        }
+
         private boolean heard() { return report != null && now - reportAt <= REPORT_LASTS; }
 
         private void hear(LoadReport told) {
