--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -37,6 +37,7 @@
     private static final long PRESSURE_LASTS = 1000 * MS;
     private static final double COLD_PART = 0.9;          // of the cold budget: the rest is for misjudgement
     private static final double COLD_DEVIATIONS = 4;      // kept clear of it where chance decides
+    private static final double SMALL = 0.25;             // of our part of a market's memory: always let in
     private static final double PRIORITY_TOP = -0.7;      // ln of worth over the mean: the top priority
     private static final double PRIORITY_STEP = 1.1;      // and for each one under it
     private static final double GRANT_SPREAD = 2;         // times the mean deviation of what was needed
@@ -47,6 +48,7 @@
     private static final long SHORTEST_SILENCE = 400 * MS;
     private static final double FIRST_GAP = 1;            // signs owed between two signs, until learned
     private static final double STUCK = 4;                // usual runs after which a forward is doubled
+    private static final double HOPELESS = 3;             // usual runs still to go: better taken elsewhere
     private static final long FIRST_TRIAL = 1000 * MS;
     private static final long LONGEST_TRIAL_GAP = 4000 * MS;
     private static final double FAILING = 0.3;            // part of failed answers that is suspected
@@ -140,14 +142,17 @@
         now = at;
         Forward forward = find(engine, id, index);
         if (forward != null) {
+            Task task = forward.task;
+            double run = Math.max(MS, now - forward.at) / clamp(amount, 0.001, 1);
+            boolean told = what == Progress.SHARE_DONE && amount > 0;
             forward.engine.put(forward.engine::sign);
-            if (what == Progress.SHARE_DONE && amount > 0) {
-                double run = Math.max(MS, now - forward.at) / Math.min(1, amount);
-                forward.engine.put(() -> forward.engine.paced(forward.task, Math.log(run / forward.task.alone())));
+            if (told) {
+                forward.engine.put(() -> forward.engine.paced(task, Math.log(run / task.alone())));
             }
-            if (what == Progress.WAITS && levers.cancel()) {
-                // Stuck behind a load, maybe another manager's, or for memory: it may run elsewhere. Where a
-                // first forward cannot be taken back, a second one would only feed the crowd.
+            boolean hopeless = told && run - (now - forward.at) > HOPELESS * task.usualRun();
+            if ((hopeless || what == Progress.WAITS) && levers.cancel()) {
+                // Stuck behind a load, maybe another manager's, for memory, or in a jam: it may run elsewhere. Where
+                // a first forward cannot be taken back, a second one would only feed the crowd.
                 gate.put(() -> gate.rescue(forward));
             }
         }
@@ -267,21 +272,25 @@
         double able;                          // cores, our even part of them
         double memory;                        // likewise
         double granted;                       // of that, to our tasks
+        boolean pooled;                       // our part of an engine holds no thread, on average
         double price;                         // of engine work, in earnings; 0 unless tasks wait
 
         Market(Grade grade) { this.grade = grade; }
 
         private void survey() {
             double before = able;
+            double parts = 0;
             able = memory = granted = threads = 0;
             for (Engine engine : engines.values()) {
                 if (engine.usable() && engine.allowed(grade)) {
                     able += engine.cores * engine.warmth() / set.siblings();
                     memory += engine.totalMemory / set.siblings();
                     threads += engine.room.threads;
+                    parts += engine.cores * THREADS_PER_CORE * engine.share() - 1;
                     granted += engine.granted;
                 }
             }
+            pooled = parts < 0;
             bound = before == 0 ? able * THREADS_PER_CORE : bound * able / before;
         }
     }
@@ -458,7 +467,8 @@
             task.waitUntil = now + task.budget();
             int depth = task.tenant == null ? 0 : task.tenant.waiters.size();
             boolean cheap = task.forwards == 0 && task.worth() < task.row.market.price;
-            if (cheap || !fits(task) && (task.tenant == null || waiting >= DEPTH_IN_ALL
+            boolean full = !fits(task);
+            if (cheap && (full || !task.row.market.pooled) || full && (task.tenant == null || waiting >= DEPTH_IN_ALL
                     || depth >= DEPTH_PER_TENANT || expectedWait(task) > task.budget())) {
                 refuse(task);
             } else if (task.tenant == null) {
@@ -917,7 +927,7 @@
             double most = totalMemory * (told ? 1 : share());
             Market market = task.row.market;
             return totalMemory <= 0 || used + grant(task) <= most
-                    || out.isEmpty() && (!told && market.granted + grant(task) <= market.memory || market.threads == 0);
+                    || out.isEmpty() && (!told && (market.granted + grant(task) <= market.memory || grant(task) < SMALL * market.memory) || market.threads == 0);
         }
 
         /** What a task is to be granted here; where grants are not heeded, what it will take. */
