--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -13,6 +13,7 @@
     private static final long MS = 1_000_000L;
     private static final double LEARN = 0.05;             // weight of one new sample in a running mean
     private static final long SWEEP = 25 * MS;            // how often waiters and engines are seen to
+    private static final long LONGEST_SWEEP = 50 * MS;    // where tasks are rare; under the margin below
     private static final long ANSWER_MARGIN = 60 * MS;    // a task is answered so long before its cut-off
 
     // The queues: the source's bounds, its longest wait, and the design's part of the client's time left.
@@ -161,10 +162,12 @@
     public void woken(long at, String token) {
         now = at;
         for (Engine engine : engines.values()) {
-            engine.put(engine::sweep);
+            if (!engine.out.isEmpty() || levers.probe() && now >= engine.probeAt) {
+                engine.put(engine::sweep);
+            }
         }
         gate.put(gate::sweep);
-        act.wake(SWEEP, token);
+        act.wake(gate.nextSweep(), token);
     }
 
     public void abandoned(long at, String id) {
@@ -277,6 +280,8 @@
 
         Market(Grade grade) { this.grade = grade; }
 
+        boolean fits(Grade grade) { return fits(grade, able); }
+
         private void survey() {
             double before = able;
             double parts = 0;
@@ -381,7 +386,7 @@
             if (first == null || harmless()) {
                 return true;
             }
-            return grade.repeat() == Grade.Repeat.STAMPED && now - first.at < grade.repeatWindow() - SWEEP
+            return grade.repeat() == Grade.Repeat.STAMPED && now - first.at < grade.repeatWindow() - LONGEST_SWEEP
                     && switch (grade.scope()) {
                         case ALL -> true;
                         case PLACE -> first.engine.entry.place().equals(engine.entry.place());
@@ -428,11 +433,15 @@
         boolean mostSuspect;                  // when most of the fleet looks bad, no engine is kept out for it
         int waiting;
         long lastGrant;
+        long sweptAt = now;
         long lastTaken = now;
         double taskGap;                       // mean time between tasks taken
         double spacing = 10 * MS;             // mean time between sends, while tasks wait
         double worthMean = Double.NaN;        // mean ln of the worth of the tasks taken
 
+        /** Rarer where few tasks come: what sweeps cost must not grow with the managers. */
+        long nextSweep() { return (long) clamp(taskGap / 2, SWEEP, LONGEST_SWEEP); }
+
         /** Guards against probes that cost more than they tell: they follow the tasks that we take. */
         long probeEvery() { return (long) Math.max(PROBE_EVERY, engines.size() * taskGap / PROBES_A_TASK); }
 
@@ -510,7 +519,7 @@
         }
 
         private boolean fits(Task task) {
-            return engines.values().stream().anyMatch(engine -> engine.fits(task));
+            return (!task.row.market.pooled || task.row.market.fits(task.grade)) && engines.values().stream().anyMatch(engine -> engine.fits(task));
         }
 
         /** One turn: smooth weighted round-robin over the tenants whose next waiter fits some room. */
@@ -703,12 +712,14 @@
          */
         private void reprice() {
             double usual = Math.exp(worthMean);
+            double fall = Math.pow(PRICE_FALL, (now - sweptAt) / (double) SWEEP);
+            sweptAt = now;
             for (Market market : markets.values()) {
                 // How far through its budget the waiter is that is nearest to its end.
                 double spent = tenants.values().stream().flatMap(tenant -> tenant.waiters.stream())
                         .filter(task -> task.row.market == market).mapToDouble(Task::spent).max().orElse(0);
                 double wanted = spent > 0 ? usual * Math.pow(LEAST_PRICE, 1 - spent) : 0;
-                market.price = Math.max(wanted, market.price * PRICE_FALL);
+                market.price = Math.max(wanted, market.price * fall);
                 market.price = market.price < usual * LEAST_PRICE ? 0 : market.price;
             }
         }
@@ -718,7 +729,7 @@
             survey();
             reprice();
             long window = set.ration() == null ? 0 : set.ration().window();
-            taken.removeIf(at -> at <= now - window + 2 * SWEEP);   // too early rather than too late
+            taken.removeIf(at -> at <= now - window + 2 * LONGEST_SWEEP);   // too early rather than too late
             further.removeIf(at -> at < now - window);
             for (Tenant tenant : tenants.values()) {
                 for (int i = tenant.waiters.size() - 1; i >= 0; i--) {
@@ -782,6 +793,7 @@
         double othersMemory;                  // what it reported granted, less what was ours then
         long probeAt;
         int probesFailed;
+        long sweptAt;
         long signAt;                          // last sign of life, or when one was first owed
         double owed;                          // how many signs usual run times led to expect since then
         double gap = FIRST_GAP;               // mean and deviation of what was owed at a sign
@@ -889,7 +901,7 @@
 
         /** Rules, health and room together. */
         boolean fits(Task task) {
-            if (!rulesAllow(task) || task.out.stream().anyMatch(forward -> forward.engine == this)) {
+            if (!rulesAllow(task) || !task.out.isEmpty() && task.out.get(0).engine == this) {
                 return false;
             }
             return !usable() ? now >= trialAt && task.harmless()
@@ -899,11 +911,10 @@
         /** This manager's part of the engine: an even one, or more where it is seen to hold mostly ours. */
         private double share() { return Math.max(1.0 / set.siblings(), ours); }
 
-        /** The room in threads: its own, or the market's where our part of it holds no task. */
+        /** The room in threads: its own, or the market's where our part of an engine holds no thread. */
         private boolean threadsFit(Task task) {
-            double able = cores * share();
-            return able * THREADS_PER_CORE >= task.grade.threads() ? room.fits(task.grade, able * warmth())
-                    : now >= room.pressedUntil && task.row.market.fits(task.grade, task.row.market.able);
+            return task.row.market.pooled ? now >= room.pressedUntil && task.row.market.fits(task.grade)
+                    : room.fits(task.grade, cores * share() * warmth());
         }
 
         /** One more of our tasks here, or one less. */
@@ -959,6 +970,7 @@
             Forward forward = new Forward(task, this, task.forwards, now, memory, read);
             owed = out.isEmpty() ? 0 : owed;
             signAt = out.isEmpty() ? now : signAt;
+            sweptAt = out.isEmpty() ? now : sweptAt;
             out.add(forward);
             count(task.grade.threads(), memory);
             threadsSince += task.grade.threads();
@@ -1092,7 +1104,7 @@
             }
             for (Forward forward : out) {
                 double usual = forward.task.usualRun();
-                owed += SWEEP / usual;
+                owed += Math.min(now - sweptAt, now - forward.at) / usual;
                 // Far over its usual run: stuck or on a bad plan, whatever the cause. Doubled where that adds
                 // little: the first can be cancelled, and it earns more for its work than most.
                 if (levers.secondCopies() && levers.cancel() && now - forward.at > STUCK * usual
@@ -1100,6 +1112,7 @@
                     gate.put(() -> gate.rescue(forward));
                 }
             }
+            sweptAt = now;
             long silence = now - signAt;
             double unusual = owed / (Math.max(gap, FIRST_GAP) + gapSpread) / Math.log(10);
             if (!suspect && silence > SHORTEST_SILENCE && unusual > UNUSUAL) {
--- a/src/test/java/tansytrack/RulesTest.java
+++ b/src/test/java/tansytrack/RulesTest.java
@@ -32,6 +32,9 @@
                 rule("1 time-out at the cut-off: answered at once", m -> m.list(true, small("e"))
                         .take("t short a left=2000").decide().pass(2000).end("t", 0, Outcome.TIME_OUT),
                         "forward t e", "bounce t"),
+                rule("1 sweeps are rarer where tasks are rare, yet in time", m -> m.list(true).take("x short -").decide()
+                        .pass(900).take("y short -").decide().pass(25).take("t short a left=76").decide().pass(75),
+                        "bounce x", "bounce y", "bounce t"),
                 rule("1 no engine: held for its budget, then bounced", m -> m.list(true)
                         .take("t short a left=1000").decide().pass(225), "bounce t"),
                 rule("1 nothing after the client left", m -> m.list(true, small("e"))
