--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -5,8 +5,11 @@
 // The interface is tansytrack.api: Decisions (in), Actions (out), Settings (at first). Why: docs/design.md
 // From top to bottom: values, the door, the loop, the grade table, tasks, the gate (queues, turns), engines.
 
+import static tansytrack.parts.Num.*;
+
 import java.util.*;
 import tansytrack.api.*;
+import tansytrack.parts.*;
 
 public final class Decide implements Decisions {
 
@@ -48,7 +51,6 @@
     private static final double UNUSUAL = 4;              // -log10 of the chance of a silence: suspected
     private static final long SHORTEST_SILENCE = 400 * MS;
     private static final double FIRST_GAP = 1;            // signs owed between two signs, until learned
-    private static final double STUCK = 4;                // usual runs after which a forward is doubled
     private static final double HOPELESS = 3;             // usual runs still to go: better taken elsewhere
     private static final long FIRST_TRIAL = 1000 * MS;
     private static final long LONGEST_TRIAL_GAP = 4000 * MS;
@@ -69,7 +71,7 @@
     private final Settings.Levers levers;
     private final Actions act;
     private final SplittableRandom chance;
-    private final ArrayDeque<Part> ready = new ArrayDeque<>();
+    private final Loop loop = new Loop();
     private final Map<String, Engine> engines = new TreeMap<>();
     private final Map<String, Task> tasks = new HashMap<>();
     private final Map<String, Row> rows = new TreeMap<>();
@@ -104,9 +106,7 @@
         }
         for (Engine engine : engines.values()) {
             EngineEntry entry = named.get(engine.id);
-            if (entry != null || complete) {
-                engine.put(() -> engine.listed(entry));
-            }
+            if (entry != null || complete) { engine.put(() -> engine.listed(entry)); }
         }
     }
 
@@ -134,9 +134,7 @@
     public void probed(long at, String engine, Outcome outcome, LoadReport report) {
         now = at;
         Engine from = engines.get(engine);
-        if (from != null) {
-            from.put(() -> from.probed(outcome, report));
-        }
+        if (from != null) { from.put(() -> from.probed(outcome, report)); }
     }
 
     public void progress(long at, String id, int index, String engine, Progress what, double amount) {
@@ -144,16 +142,15 @@
         Forward forward = find(engine, id, index);
         if (forward != null) {
             Task task = forward.task;
-            double run = Math.max(MS, now - forward.at) / clamp(amount, 0.001, 1);
             boolean told = what == Progress.SHARE_DONE && amount > 0;
+            long age = Math.max(MS, now - forward.at);
+            double run = age / clamp(amount, 0.001, 1);
             forward.engine.put(forward.engine::sign);
-            if (told) {
-                forward.engine.put(() -> forward.engine.paced(task, Math.log(run / task.alone())));
-            }
-            boolean hopeless = told && run - (now - forward.at) > HOPELESS * task.usualRun();
-            if ((hopeless || what == Progress.WAITS) && levers.cancel()) {
-                // Stuck behind a load, maybe another manager's, for memory, or in a jam: it may run elsewhere. Where
-                // a first forward cannot be taken back, a second one would only feed the crowd.
+            if (told) { forward.engine.put(() -> forward.engine.paced(task, Math.log(run / task.alone()))); }
+            boolean hopeless = what == Progress.WAITS || told && run - age > HOPELESS * task.usualRun();
+            if (levers.cancel() && hopeless) {
+                // Stuck behind a load, for memory or in a jam: it may run elsewhere. Where a first forward
+                // cannot be taken back, a second one would only feed the crowd.
                 gate.put(() -> gate.rescue(forward));
             }
         }
@@ -173,9 +170,7 @@
     public void abandoned(long at, String id) {
         now = at;
         Task task = tasks.get(id);
-        if (task != null) {
-            gate.put(() -> gate.finish(task));
-        }
+        if (task != null) { gate.put(() -> gate.finish(task)); }
     }
 
     private Forward find(String engine, String task, int index) {
@@ -184,47 +179,12 @@
                 && forward.task.id.equals(task)).findFirst().orElse(null);
     }
 
-    // ---- Notes, parts, and the one loop ----
-
-    /** A note in an inbox: what the part that takes it is to do. */
-    private interface Note { void take(); }
-
-    private abstract class Part {
-        private final ArrayDeque<Note> inbox = new ArrayDeque<>();
-
-        final void put(Note note) {
-            inbox.add(note);
-            if (inbox.size() == 1) {
-                ready.add(this);
-            }
-        }
-    }
-
     /** All news first, so that no turn goes to a task whose end is in this batch; then the turns. */
     public void decide(long at) {
         now = at;
-        empty();
+        loop.empty();
         gate.put(gate::turn);
-        empty();
-    }
-
-    private void empty() {
-        while (!ready.isEmpty()) {
-            Part part = ready.poll();
-            part.inbox.peek().take();
-            part.inbox.poll();
-            if (!part.inbox.isEmpty()) {
-                ready.add(part);
-            }
-        }
-    }
-
-    private static double mean(double old, double sample, double weight) {
-        return Double.isNaN(old) ? sample : old + weight * (sample - old);
-    }
-
-    private static double clamp(double value, double least, double most) {
-        return Math.max(least, Math.min(most, value));
+        loop.empty();
     }
 
     // ---- The grade table, tasks, forwards ----
@@ -239,8 +199,9 @@
 
         /** It binds only under pressure; our threads up to the first bound are that too. */
         boolean fits(Grade grade, double able) {
-            boolean pressed = strain > WELL_ABOVE_BEST || now < pressedUntil || threads >= able * THREADS_PER_CORE;
-            return !pressed || threads + grade.threads() <= Math.max(bound, grade.threads());
+            boolean pressed = strain > WELL_ABOVE_BEST || now < pressedUntil;
+            return !pressed && threads < able * THREADS_PER_CORE
+                    || threads + grade.threads() <= Math.max(bound, grade.threads());
         }
 
         void answered(Grade grade, double above, boolean busy, double most) {
@@ -253,10 +214,9 @@
         }
 
         void halve() {
-            if (now - halvedAt > PRESSURE_LASTS) {
-                halvedAt = now;
-                bound = Math.max(bound / 2, 1);
-            }
+            if (now - halvedAt <= PRESSURE_LASTS) { return; }
+            halvedAt = now;
+            bound = Math.max(bound / 2, 1);
         }
 
         void refused() {
@@ -266,9 +226,8 @@
     }
 
     /**
-     * Engines that grades are bound to, and what work on them is worth while tasks wait. Its room is that of all
-     * together: where our part of one engine holds no task, a floor of one task an engine would come to far more,
-     * over all managers, than the engines hold.
+     * Engines that grades are bound to, what work there is worth while tasks wait, and the room of them all:
+     * a floor of one task an engine and manager is, with many managers, far more than the engines hold.
      */
     private final class Market extends Room {
         final Grade grade;                    // one of those
@@ -280,8 +239,6 @@
 
         Market(Grade grade) { this.grade = grade; }
 
-        boolean fits(Grade grade) { return fits(grade, able); }
-
         private void survey() {
             double before = able;
             double parts = 0;
@@ -326,12 +283,11 @@
         final Grade grade;
         final Tenant tenant;                  // null: unknown, never held
         final long key;
-        KeyLine line;                         // where its grade keeps order
+        KeyLine<Task> line;                         // where its grade keeps order
         final long cutOffAt;
         final double cost;                    // nanoseconds of work
         final double lnWorth;                 // earnings for its work
-        final double memoryMb;
-        final long dataSet;
+        final TaskOffer offer;
         boolean keyed;                        // waits for its key
         boolean queued;                       // waits for room
         boolean over;
@@ -343,6 +299,7 @@
         long cancelled;                       // a bit a forward
 
         Task(TaskOffer offer, Row row) {
+            this.offer = offer;
             id = offer.id();
             this.row = row;
             grade = row.grade;
@@ -353,8 +310,6 @@
             cost = Math.max(MS, offer.cost() > 0 ? offer.cost() * row.costBias : usual);
             row.meanCost = mean(row.meanCost, cost, LEARN);
             lnWorth = Math.log(Math.max(grade.earnings(), 1e-9) / cost);
-            memoryMb = offer.memoryMb();
-            dataSet = offer.dataSet();
         }
 
         /** Run time on an engine that does nothing else. */
@@ -378,15 +333,12 @@
 
         /** Rule 2: may it go to that engine, given what its earlier forwards may have done? */
         boolean mayRepeatOn(Engine engine) {
-            if (!out.isEmpty() && !levers.secondCopies()) {
-                return false;
-            }
+            if (!out.isEmpty() && !levers.secondCopies()) { return false; }
             // The earliest that may have run: a later one may have ended while that one is still out.
             Forward first = out.isEmpty() || ran != null && ran.index < out.get(0).index ? ran : out.get(0);
-            if (first == null || harmless()) {
-                return true;
-            }
-            return grade.repeat() == Grade.Repeat.STAMPED && now - first.at < grade.repeatWindow() - LONGEST_SWEEP
+            if (first == null || harmless()) { return true; }
+            long since = now - first.at + LONGEST_SWEEP;
+            return grade.repeat() == Grade.Repeat.STAMPED && since < grade.repeatWindow()
                     && switch (grade.scope()) {
                         case ALL -> true;
                         case PLACE -> first.engine.entry.place().equals(engine.entry.place());
@@ -403,16 +355,6 @@
 
     private record Forward(Task task, Engine engine, int index, long at, double memoryMb, boolean warm) { }
 
-    /** The tasks of one key, in the order taken (rule 5). */
-    private static final class KeyLine {
-        final long key;
-        final ArrayDeque<Task> line = new ArrayDeque<>();
-        int out;                              // forwards without an outcome
-        long restsUntil;
-
-        KeyLine(long key) { this.key = key; }
-    }
-
     private static final class Tenant {
         final double weight;
         double current;                       // smooth weighted round-robin
@@ -423,14 +365,14 @@
 
     // ---- The gate: tenant queues, turns, final answers ----
 
-    private final class Gate extends Part {
-        final Map<Long, KeyLine> lines = new TreeMap<>();
-        final ArrayDeque<Long> taken = new ArrayDeque<>();    // times within the ration's window (rule 7)
-        final ArrayDeque<Long> further = new ArrayDeque<>();
+    private final class Gate extends Loop.Part {
+        final Map<Long, KeyLine<Task>> lines = new TreeMap<>();
+        final Recent taken = new Recent();    // times within the ration's window (rule 7)
+        final Recent further = new Recent();
         double warm;                          // mean ln of run time over the usual with a warm data set
         double cold = 0.1;                    // and without
         boolean reports;                      // has any engine ever told its load?
-        boolean mostSuspect;                  // when most of the fleet looks bad, no engine is kept out for it
+        boolean mostSuspect;                  // of the fleet: then no engine is kept out for it
         int waiting;
         long lastGrant;
         long sweptAt = now;
@@ -439,6 +381,8 @@
         double spacing = 10 * MS;             // mean time between sends, while tasks wait
         double worthMean = Double.NaN;        // mean ln of the worth of the tasks taken
 
+        Gate() { super(loop); }
+
         /** Rarer where few tasks come: what sweeps cost must not grow with the managers. */
         long nextSweep() { return (long) clamp(taskGap / 2, SWEEP, LONGEST_SWEEP); }
 
@@ -446,7 +390,7 @@
         long probeEvery() { return (long) Math.max(PROBE_EVERY, engines.size() * taskGap / PROBES_A_TASK); }
 
         private void taken(Task task) {
-            taken.add(now);
+            taken.add(now, 1);
             taskGap = mean(taskGap, now - lastTaken, LEARN);
             lastTaken = now;
             worthMean = mean(worthMean, task.lnWorth, LEARN);
@@ -467,7 +411,7 @@
             enqueue(task);
         }
 
-        boolean open(KeyLine line) { return line.out == 0 && now >= line.restsUntil; }
+        boolean open(KeyLine<Task> line) { return line.out == 0 && now >= line.restsUntil; }
 
         /** Into its tenant's queue; refused at once if it earns little, fits no bound or waits too long. */
         private void enqueue(Task task) {
@@ -477,8 +421,9 @@
             int depth = task.tenant == null ? 0 : task.tenant.waiters.size();
             boolean cheap = task.forwards == 0 && task.worth() < task.row.market.price;
             boolean full = !fits(task);
-            if (cheap && (full || !task.row.market.pooled) || full && (task.tenant == null || waiting >= DEPTH_IN_ALL
-                    || depth >= DEPTH_PER_TENANT || expectedWait(task) > task.budget())) {
+            if (cheap && (full || !task.row.market.pooled)
+                    || full && (task.tenant == null || waiting >= DEPTH_IN_ALL || depth >= DEPTH_PER_TENANT
+                            || expectedWait(task) > task.budget())) {
                 refuse(task);
             } else if (task.tenant == null) {
                 route(task);                  // of no tenant: at once or not at all
@@ -499,11 +444,7 @@
         }
 
         private int position(ArrayList<Task> waiters, Task task) {
-            int at = waiters.size();
-            while (at > 0 && waiters.get(at - 1).cutOffAt > task.cutOffAt) {
-                at--;
-            }
-            return at;
+            return (int) waiters.stream().filter(waiter -> waiter.cutOffAt <= task.cutOffAt).count();
         }
 
         /** The send spacing behind it, plus, with no room, the least remaining mean run time on an engine. */
@@ -513,32 +454,31 @@
                 weights += tenant.waiters.isEmpty() && tenant != task.tenant ? 0 : tenant.weight;
             }
             double ahead = position(task.tenant.waiters, task) * weights / task.tenant.weight;
-            double least = engines.values().stream().filter(engine -> engine.ready && engine.allowed(task.grade))
+            double least = engines.values().stream()
+                    .filter(engine -> engine.ready && engine.allowed(task.grade))
                     .mapToDouble(Engine::leastRemaining).min().orElse(Double.MAX_VALUE);
             return Math.min(waiting, ahead) * spacing + (least == Double.MAX_VALUE ? 0 : least);
         }
 
         private boolean fits(Task task) {
-            return (!task.row.market.pooled || task.row.market.fits(task.grade)) && engines.values().stream().anyMatch(engine -> engine.fits(task));
+            Market market = task.row.market;
+            return (!market.pooled || market.fits(task.grade, market.able))
+                    && engines.values().stream().anyMatch(engine -> engine.fits(task));
         }
 
         /** One turn: smooth weighted round-robin over the tenants whose next waiter fits some room. */
         private void turn() {
-            for (Row row : rows.values()) {
-                row.noRoom = false;
-            }
+            rows.values().forEach(row -> row.noRoom = false);
             Task chosen = null;
             Tenant best = null;
             double total = 0;
             for (Tenant tenant : tenants.values()) {
                 Task next = next(tenant.waiters);
-                if (next != null) {
-                    tenant.current += tenant.weight;
-                    total += tenant.weight;
-                    if (best == null || tenant.current > best.current) {
-                        best = tenant;
-                        chosen = next;
-                    }
+                tenant.current += next != null ? tenant.weight : 0;
+                total += next != null ? tenant.weight : 0;
+                if (next != null && (best == null || tenant.current > best.current)) {
+                    best = tenant;
+                    chosen = next;
                 }
             }
             if (best != null) {
@@ -553,7 +493,7 @@
             engine.put(() -> engine.send(task));
         }
 
-        /** The fleet as a whole, whenever an engine is listed, suspected or cleared, and at the sweep: never in a scan. */
+        /** The fleet as a whole, at the sweep and whenever an engine is listed, suspected or cleared. */
         private void survey() {
             mostSuspect = engines.values().stream().filter(engine -> engine.ready)
                     .mapToDouble(engine -> engine.suspect ? engine.cores : -engine.cores).sum() > 0;
@@ -566,9 +506,7 @@
                 Task task = waiters.get(i);
                 boolean plain = task.forwards == 0 && task.line == null;
                 if (!task.row.noRoom) {       // no room for a plain one is none for the others
-                    if (fits(task)) {
-                        return task;
-                    }
+                    if (fits(task)) { return task; }
                     task.row.noRoom |= plain;
                 }
             }
@@ -577,37 +515,25 @@
 
         private void sent(Forward forward) {
             Task task = forward.task;
-            if (waiting > 0 || now > task.wantedSince) {
-                spacing = mean(spacing, Math.min(now - lastGrant, 1000 * MS), LEARN);
-            }
+            double since = Math.min(now - lastGrant, 1000 * MS);
+            spacing = waiting > 0 || now > task.wantedSince ? mean(spacing, since, LEARN) : spacing;
             lastGrant = now;
-            if (task.forwards++ > 0) {
-                further.add(now);
-            }
+            if (task.forwards++ > 0) { further.add(now, 1); }
             task.out.add(forward);
-            if (task.line != null) {
-                task.line.out++;
-            }
-            if (task.tenant != null) {        // the others had no turn
-                turn();
-            }
+            if (task.line != null) { task.line.out++; }
+            if (task.tenant != null) { turn(); }        // the others had no turn
         }
 
         /** The re-check failed: back into the queue, within the budget that it has left. */
         private void back(Task task) {
-            if (now >= task.waitUntil || task.tenant == null) {
-                refuse(task);
-            } else {
-                queue(task);
-            }
+            boolean inVain = now >= task.waitUntil || task.tenant == null;
+            if (inVain) { refuse(task); } else { queue(task); }
         }
 
         /** Gives a task up; one that still has a forward out only stops waiting for a further one. */
         private void refuse(Task task) {
             unqueue(task);
-            if (task.out.isEmpty()) {
-                answer(task);
-            }
+            if (task.out.isEmpty()) { answer(task); }
         }
 
         /** Rule 1: the one final answer. */
@@ -626,9 +552,7 @@
             unqueue(task);
             task.over = true;
             tasks.remove(task.id);
-            for (Forward forward : task.out) {
-                cancel(forward);
-            }
+            task.out.forEach(this::cancel);
             if (task.line != null) {
                 task.line.line.remove(task);
                 release(task.line);
@@ -643,7 +567,7 @@
         }
 
         /** Rule 5: the next task of a key is wanted once the one before is over and the key has rested. */
-        private void release(KeyLine line) {
+        private void release(KeyLine<Task> line) {
             Task head = line.line.peek();
             if (open(line) && head == null) {
                 lines.remove(line.key);
@@ -655,8 +579,8 @@
         private void ended(Forward forward, Outcome outcome, boolean over) {
             Task task = forward.task;
             task.out.remove(forward);
-            boolean mayHaveRun = outcome != Outcome.FULL && outcome != Outcome.UNREACHED && outcome != Outcome.NEVER_SENT;
-            if (mayHaveRun && (task.ran == null || forward.index < task.ran.index)) {
+            boolean never = EnumSet.of(Outcome.FULL, Outcome.UNREACHED, Outcome.NEVER_SENT).contains(outcome);
+            if (!never && (task.ran == null || forward.index < task.ran.index)) {
                 task.ran = forward;
             }
             if (task.line != null) {
@@ -677,11 +601,8 @@
         /** Its forwards all failed: wanted again where the rules leave a way, else answered at once. */
         private void again(Task task) {
             boolean left = task.forwards < levers.mostForwards() && task.cutOffAt - now > ANSWER_MARGIN;
-            if (left && (task.ran == null || task.grade.repeat() != Grade.Repeat.ONE_SHOT)) {
-                enqueue(task);
-            } else {
-                answer(task);
-            }
+            boolean may = left && (task.ran == null || task.grade.repeat() != Grade.Repeat.ONE_SHOT);
+            if (may) { enqueue(task); } else { answer(task); }
         }
 
         /** A forward stuck on its engine: taken back, or doubled, where grade, rules and levers allow. */
@@ -701,14 +622,12 @@
         /** Rule 7: one more further forward within the ration? */
         boolean rationAllows() {
             Settings.RationRule rule = set.ration();
-            return rule == null || further.size() + 1 <= rule.spare() + rule.share() * taken.size();
+            return rule == null || further.count() + 1 <= rule.spare() + rule.share() * taken.count();
         }
 
         /**
-         * Early refusal by worth. While tasks wait, engine work has a price, higher the more of its budget
-         * one has spent; a new task that earns less for its work is refused at once. Guards against heavy
-         * tasks that take the room of many: bursts, overload, slow or lost engines, costs above the usual.
-         * Grades bound to the same engines share a price: a wait for some must not shed what fits others.
+         * Early refusal by worth: while tasks wait, work has a price. Guards against heavy tasks that take
+         * the room of many, in any jam. A wait for some engines must not shed what fits others.
          */
         private void reprice() {
             double usual = Math.exp(worthMean);
@@ -729,21 +648,14 @@
             survey();
             reprice();
             long window = set.ration() == null ? 0 : set.ration().window();
-            taken.removeIf(at -> at <= now - window + 2 * LONGEST_SWEEP);   // too early rather than too late
-            further.removeIf(at -> at < now - window);
-            for (Tenant tenant : tenants.values()) {
-                for (int i = tenant.waiters.size() - 1; i >= 0; i--) {
-                    if (now >= tenant.waiters.get(i).waitUntil) {
-                        refuse(tenant.waiters.get(i));
-                    }
-                }
-            }
-            for (KeyLine line : new ArrayList<>(lines.values())) {
+            taken.forget(now - window + 2 * LONGEST_SWEEP + 1);   // too early rather than too late
+            further.forget(now - window);
+            tenants.values().stream().flatMap(tenant -> tenant.waiters.stream())
+                    .filter(task -> now >= task.waitUntil).toList().forEach(this::refuse);
+            for (KeyLine<Task> line : new ArrayList<>(lines.values())) {
                 for (Task task : new ArrayList<>(line.line)) {
                     double needed = Math.max(ANSWER_MARGIN, task.alone());
-                    if (task.keyed && task.cutOffAt - now <= needed) {
-                        answer(task);
-                    }
+                    if (task.keyed && task.cutOffAt - now <= needed) { answer(task); }
                 }
                 release(line);
             }
@@ -757,23 +669,13 @@
         double average = engines.values().stream().filter(engine -> engine.ready && engine.heard())
                 .mapToDouble(engine -> engine.load(1)).average().orElse(1);
         List<Engine> fitting = engines.values().stream().filter(engine -> engine.fits(task)).toList();
-        double[] upTo = new double[fitting.size()];
-        double total = 0;
-        for (int i = 0; i < upTo.length; i++) {
-            total += fitting.get(i).weight(task, average);
-            upTo[i] = total;
-        }
-        double pick = chance.nextDouble() * total;
-        int at = 0;
-        while (at < upTo.length - 1 && upTo[at] <= pick) {
-            at++;
-        }
-        return fitting.get(at);
+        double[] weights = fitting.stream().mapToDouble(engine -> engine.weight(task, average)).toArray();
+        return fitting.get(pick(weights, chance.nextDouble()));
     }
 
     // ---- Engines: the one record of each, its room, its health, the one place that every send passes ----
 
-    private final class Engine extends Part {
+    private final class Engine extends Loop.Part {
         final String id;
         EngineEntry entry;                    // as last listed
         boolean ready;
@@ -806,10 +708,11 @@
         long trialGap;
         long ticketUntil;                     // a cold engine's, for this window
         double ticketDrawn;
-        final ArrayDeque<long[]> coldSends = new ArrayDeque<>();    // {when, work}
+        final Recent coldSends = new Recent();      // work
         final LinkedHashSet<Long> warm = new LinkedHashSet<>();     // data sets read last, oldest first
 
         Engine(String id) {
+            super(loop);
             this.id = id;
             probeAt = now + (long) (chance.nextDouble() * gate.probeEvery());
         }
@@ -818,9 +721,7 @@
             gate.put(gate::survey);
             ready = told != null && told.state() == EngineEntry.State.READY;
             gone = told == null || told.state() == EngineEntry.State.GONE;
-            if (told == null) {
-                return;
-            }
+            if (told == null) { return; }
             boolean fresh = entry == null || told.startedAt() > entry.startedAt();
             entry = told;
             Settings.Kind figures = set.kinds().get(told.kind());
@@ -847,31 +748,23 @@
 
         boolean usable() { return ready && !unreached && (!suspect || gate.mostSuspect); }
 
-        /**
-         * The part of its capacity that an engine surely has by now. One that was not reached may have
-         * started since, before any list tells: it would fall over under all that was held up meanwhile.
-         */
+        /** What it surely can do by now; one not reached may have started since, before any list tells. */
         private double warmth() {
             Settings.ColdRule rule = set.cold();
             long start = Math.max(entry.startedAt(), unreachedAt);
-            if (rule == null || start <= 0 || now - start >= rule.warmAfter()) {
-                return 1;
-            }
+            if (rule == null || start <= 0 || now - start >= rule.warmAfter()) { return 1; }
             double age = Math.max(0, now - start) / (double) rule.warmAfter();
             return rule.startCapacity() + (1 - rule.startCapacity()) * age;
         }
 
         /**
-         * Rule 4: an even part, alike for every manager, of what a cold engine may get in the window. Where that
-         * part holds no task, each manager draws once a window whether it may send one, so rarely that all of them
-         * together pass the budget only by a chance of many deviations, in step or not.
+         * Rule 4: an even part, alike for all managers, of what a cold engine may get in the window. Where it
+         * holds no task, each draws once a window whether to send one, so rarely that the sum stays within.
          */
         private boolean coldAllows(Task task) {
-            if (warmth() >= 1) {
-                return true;
-            }
-            coldSends.removeIf(send -> send[0] < now - set.cold().window());
-            double sent = coldSends.stream().mapToLong(send -> send[1]).sum();
+            if (warmth() >= 1) { return true; }
+            coldSends.forget(now - set.cold().window());
+            double sent = coldSends.sum();
             return sent + task.cost <= coldBudget() / set.siblings() || sent == 0 && ticket(task) > 0;
         }
 
@@ -879,7 +772,7 @@
             return COLD_PART * set.cold().multiple() * warmth() * cores * set.cold().window();
         }
 
-        /** The chance that a task gets in when our part does not hold it; 0 where this window's draw failed. */
+        /** The chance that a task gets in when our part does not hold it; 0 where the draw failed. */
         private double ticket(Task task) {
             if (now >= ticketUntil) {
                 ticketUntil = now + set.cold().window();
@@ -904,8 +797,7 @@
             if (!rulesAllow(task) || !task.out.isEmpty() && task.out.get(0).engine == this) {
                 return false;
             }
-            return !usable() ? now >= trialAt && task.harmless()
-                    : threadsFit(task) && memoryFits(task);
+            return !usable() ? now >= trialAt && task.harmless() : threadsFit(task) && memoryFits(task);
         }
 
         /** This manager's part of the engine: an even one, or more where it is seen to hold mostly ours. */
@@ -913,7 +805,8 @@
 
         /** The room in threads: its own, or the market's where our part of an engine holds no thread. */
         private boolean threadsFit(Task task) {
-            return task.row.market.pooled ? now >= room.pressedUntil && task.row.market.fits(task.grade)
+            Market market = task.row.market;
+            return market.pooled ? now >= room.pressedUntil && market.fits(task.grade, market.able)
                     : room.fits(task.grade, cores * share() * warmth());
         }
 
@@ -922,28 +815,26 @@
             room.threads += threads;
             granted += memory;
             for (Market market : markets.values()) {
-                boolean counts = usable() && allowed(market.grade);     // what is stuck takes no room elsewhere
+                boolean counts = usable() && allowed(market.grade);     // what is stuck takes none elsewhere
                 market.threads += counts ? threads : 0;
                 market.granted += counts ? memory : 0;
             }
         }
 
-        /**
-         * The room in memory: past it an engine spills, waits or pages, and all its tasks pay. Always binds,
-         * since no answer tells of it in time; floored at one task.
-         */
+        /** The room in memory always binds: past it an engine spills, waits or pages, and tells too late. */
         private boolean memoryFits(Task task) {
             boolean told = heard() && !Double.isNaN(report.memoryGranted());
-            double used = granted + (told ? othersMemory : 0);
-            double most = totalMemory * (told ? 1 : share());
+            double wanted = grant(task);
             Market market = task.row.market;
-            return totalMemory <= 0 || used + grant(task) <= most
-                    || out.isEmpty() && (!told && (market.granted + grant(task) <= market.memory || grant(task) < SMALL * market.memory) || market.threads == 0);
+            double most = told ? totalMemory - othersMemory : totalMemory * share();
+            if (totalMemory <= 0 || granted + wanted <= most) { return true; }
+            boolean let = market.granted + wanted <= market.memory || wanted < SMALL * market.memory;
+            return out.isEmpty() && (!told && let || market.threads == 0);
         }
 
         /** What a task is to be granted here; where grants are not heeded, what it will take. */
         private double grant(Task task) {
-            double memory = task.memoryMb * (task.row.memoryBias + task.row.memoryScatter);
+            double memory = task.offer.memoryMb() * (task.row.memoryBias + task.row.memoryScatter);
             double most = levers.grantCap() > 0 && totalMemory > 0 ? levers.grantCap() * totalMemory : memory;
             return Math.min(memory, most);
         }
@@ -966,7 +857,7 @@
                         levers.priorities() ? priority(task) : 1);
             }
             act.forward(task.id, id, 0);
-            boolean read = warm.remove(task.dataSet);
+            boolean read = warm.remove(task.offer.dataSet());
             Forward forward = new Forward(task, this, task.forwards, now, memory, read);
             owed = out.isEmpty() ? 0 : owed;
             signAt = out.isEmpty() ? now : signAt;
@@ -974,13 +865,9 @@
             out.add(forward);
             count(task.grade.threads(), memory);
             threadsSince += task.grade.threads();
-            if (warmth() < 1) {
-                coldSends.add(new long[] {now, (long) task.cost});
-            }
-            warm.add(task.dataSet);
-            if (warm.size() > WARM_SETS) {
-                warm.remove(warm.iterator().next());
-            }
+            if (warmth() < 1) { coldSends.add(now, (long) task.cost); }
+            warm.add(task.offer.dataSet());
+            if (warm.size() > WARM_SETS) { warm.remove(warm.iterator().next()); }
             trialGap = Math.min(LONGEST_TRIAL_GAP, trialGap * 2);       // both are read only under suspicion
             trialAt = now + trialGap;
             gate.put(() -> gate.sent(forward));
@@ -1002,9 +889,8 @@
                 failing = mean(failing, 1, 4 * LEARN);
                 unreached |= outcome == Outcome.UNREACHED;
                 unreachedAt = outcome == Outcome.UNREACHED ? now : unreachedAt;
-                if (unreached || failing > failingLimit()) {
-                    suspect(unreached ? "unreached" : "its answers fail");
-                }
+                String why = unreached ? "unreached" : "its answers fail";
+                if (unreached || failing > failingLimit()) { suspect(why); }
             } else if (outcome == Outcome.FULL || outcome == Outcome.TIME_OUT) {
                 room.refused();
                 forward.task.row.market.refused();
@@ -1018,8 +904,8 @@
             if (toldCost > 0) {
                 row.costBias = clamp(mean(row.costBias, toldCost * row.costBias / task.cost, LEARN), 0.2, 5);
             }
-            if (toldMemory > 0 && task.memoryMb > 0) {
-                double told = toldMemory / task.memoryMb;
+            if (toldMemory > 0 && task.offer.memoryMb() > 0) {
+                double told = toldMemory / task.offer.memoryMb();
                 double off = Math.abs(told - row.memoryBias);
                 row.memoryScatter = mean(row.memoryScatter, GRANT_SPREAD * off, LEARN);
                 row.memoryBias = clamp(mean(row.memoryBias, told, LEARN), 0.2, 5);
@@ -1041,19 +927,15 @@
 
         /** How much slower than the fleet; a sample counts the more the rarer they come. */
         private void paced(Task task, double ratio) {
-            if (!Double.isNaN(task.row.usual)) {
-                double weight = clamp((now - pacedAt) / (double) PACE_LASTS, 2 * LEARN, 0.5);
-                pace = mean(pace, ratio - task.row.usual, weight);
-                pacedAt = now;
-            }
+            double weight = clamp((now - pacedAt) / (double) PACE_LASTS, 2 * LEARN, 0.5);
+            pace = Double.isNaN(task.row.usual) ? pace : mean(pace, ratio - task.row.usual, weight);
+            pacedAt = now;
         }
 
         private boolean heard() { return report != null && now - reportAt <= REPORT_LASTS; }
 
         private void hear(LoadReport told) {
-            if (told == null) {
-                return;
-            }
+            if (told == null) { return; }
             gate.reports |= !Double.isNaN(told.coresBusy()) || !Double.isNaN(told.held());
             report = told;
             reportAt = now;
@@ -1102,16 +984,8 @@
                 probeAt = now + (probesFailed > 0 ? PROBE_EVERY : gate.probeEvery());
                 act.probe(id);
             }
-            for (Forward forward : out) {
-                double usual = forward.task.usualRun();
-                owed += Math.min(now - sweptAt, now - forward.at) / usual;
-                // Far over its usual run: stuck or on a bad plan, whatever the cause. Doubled where that adds
-                // little: the first can be cancelled, and it earns more for its work than most.
-                if (levers.secondCopies() && levers.cancel() && now - forward.at > STUCK * usual
-                        && forward.task.lnWorth > gate.worthMean) {
-                    gate.put(() -> gate.rescue(forward));
-                }
-            }
+            out.forEach(forward ->
+                    owed += Math.min(now - sweptAt, now - forward.at) / forward.task.usualRun());
             sweptAt = now;
             long silence = now - signAt;
             double unusual = owed / (Math.max(gap, FIRST_GAP) + gapSpread) / Math.log(10);
@@ -1119,11 +993,8 @@
                 suspect("silent for " + silence / MS + " ms");
             }
             if (suspect && !gate.mostSuspect) {
-                for (Forward forward : out) {
-                    if (now - forward.at > SHORTEST_SILENCE) {
-                        gate.put(() -> gate.rescue(forward));
-                    }
-                }
+                out.stream().filter(forward -> now - forward.at > SHORTEST_SILENCE)
+                        .forEach(forward -> gate.put(() -> gate.rescue(forward)));
             }
         }
 
@@ -1134,13 +1005,12 @@
         }
 
         private void suspect(String why) {
-            if (!suspect) {
-                suspect = true;
-                gate.survey();
-                trialGap = FIRST_TRIAL;
-                trialAt = now + trialGap;
-                act.log("engine " + id + " suspected: " + why + "; no more tasks but trials");
-            }
+            if (suspect) { return; }
+            suspect = true;
+            gate.survey();
+            trialGap = FIRST_TRIAL;
+            trialAt = now + trialGap;
+            act.log("engine " + id + " suspected: " + why + "; no more tasks but trials");
         }
 
         // -- The draw's figures --
@@ -1167,18 +1037,16 @@
         double weight(Task task, double average) {
             double load = IDLE + load(average);
             double weight = cores * warmth() / (load * load * load) / Math.exp(2 * pace);
-            weight *= warm.contains(task.dataSet) ? Math.exp(WARM * clamp(gate.cold - gate.warm, 0, 0.5)) : 1;
+            double saved = WARM * clamp(gate.cold - gate.warm, 0, 0.5);
+            weight *= warm.contains(task.offer.dataSet()) ? Math.exp(saved) : 1;
             if (warmth() < 1 && task.cost > coldBudget() / set.siblings()) {
                 weight /= Math.max(ticket(task), 1e-9);     // as often in all as if it needed no ticket
             }
             weight *= levers.placesPriced() && !entry.place().equals(set.place()) ? FAR : 1;
-            if (task.grade.load() || task.grade.waitsForLoads()) {
-                for (Forward forward : out) {
-                    if (forward.task.grade.load() && forward.task.dataSet == task.dataSet) {
-                        return weight * HELD;
-                    }
-                }
-            }
+            boolean held = task.grade.load() || task.grade.waitsForLoads();
+            held = held && out.stream().anyMatch(forward -> forward.task.grade.load()
+                    && forward.task.offer.dataSet() == task.offer.dataSet());
+            weight *= held ? HELD : 1;
             return weight;
         }
     }
