--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -3,7 +3,6 @@
 // Every decision of a workload manager. One instance a manager: new Decide(settings, actions); then any calls
 // that tell it something, which only put notes into inboxes; then decide(now), which empties them and acts.
 // The interface is tansytrack.api: Decisions (in), Actions (out), Settings (at first). Why: docs/design.md
-// From top to bottom: values, the door, the loop, the grade table, tasks, the gate (queues, turns), engines.
 
 import static tansytrack.parts.Num.*;
 
@@ -55,8 +54,9 @@
     private static final long FIRST_TRIAL = 1000 * MS;
     private static final long LONGEST_TRIAL_GAP = 4000 * MS;
     private static final double FAILING = 0.3;            // part of failed answers that is suspected
+    private static final long PROBE_SILENCE = 1000 * MS; // what our own answers tell of is not probed
     private static final long PROBE_EVERY = 400 * MS;
-    private static final double PROBES_A_TASK = 1;        // at most: many managers probe the same engines
+    private static final double REPORT_FADES = 8000 * MS;  // into the average, as others send there too
     private static final long REPORT_LASTS = 3000 * MS;
     private static final long PACE_LASTS = 8000 * MS;     // after which an engine's pace is half forgotten
 
@@ -231,7 +231,7 @@
      */
     private final class Market extends Room {
         final Grade grade;                    // one of those
-        double able;                          // cores, our even part of them
+        double able;                          // cores, our part of them
         double memory;                        // likewise
         double granted;                       // of that, to our tasks
         boolean pooled;                       // our part of an engine holds no thread, on average
@@ -245,8 +245,8 @@
             able = memory = granted = threads = 0;
             for (Engine engine : engines.values()) {
                 if (engine.usable() && engine.allowed(grade)) {
-                    able += engine.cores * engine.warmth() / set.siblings();
-                    memory += engine.totalMemory / set.siblings();
+                    able += engine.cores * engine.warmth() * engine.share();
+                    memory += engine.totalMemory * engine.share();
                     threads += engine.room.threads;
                     parts += engine.cores * THREADS_PER_CORE * engine.share() - 1;
                     granted += engine.granted;
@@ -377,7 +377,7 @@
         long lastGrant;
         long sweptAt = now;
         long lastTaken = now;
-        double taskGap;                       // mean time between tasks taken
+        double taskGap = 1000 * MS;           // mean time between tasks taken; from rare on
         double spacing = 10 * MS;             // mean time between sends, while tasks wait
         double worthMean = Double.NaN;        // mean ln of the worth of the tasks taken
 
@@ -386,12 +386,14 @@
         /** Rarer where few tasks come: what sweeps cost must not grow with the managers. */
         long nextSweep() { return (long) clamp(taskGap / 2, SWEEP, LONGEST_SWEEP); }
 
-        /** Guards against probes that cost more than they tell: they follow the tasks that we take. */
-        long probeEvery() { return (long) Math.max(PROBE_EVERY, engines.size() * taskGap / PROBES_A_TASK); }
+        /** Guards against probes that cost more than they tell: rarer with fewer tasks and more managers. */
+        long probeEvery() {
+            return (long) Math.max(PROBE_EVERY, engines.size() * taskGap * Math.sqrt(set.siblings()));
+        }
 
         private void taken(Task task) {
             taken.add(now, 1);
-            taskGap = mean(taskGap, now - lastTaken, LEARN);
+            taskGap = mean(taskGap, Math.min(now - lastTaken, 1000 * MS), LEARN);
             lastTaken = now;
             worthMean = mean(worthMean, task.lnWorth, LEARN);
             task.row.worthMean = mean(task.row.worthMean, task.lnWorth, LEARN);
@@ -526,8 +528,7 @@
 
         /** The re-check failed: back into the queue, within the budget that it has left. */
         private void back(Task task) {
-            boolean inVain = now >= task.waitUntil || task.tenant == null;
-            if (inVain) { refuse(task); } else { queue(task); }
+            if (now >= task.waitUntil || task.tenant == null) { refuse(task); } else { queue(task); }
         }
 
         /** Gives a task up; one that still has a forward out only stops waiting for a further one. */
@@ -823,9 +824,9 @@
 
         /** The room in memory always binds: past it an engine spills, waits or pages, and tells too late. */
         private boolean memoryFits(Task task) {
-            boolean told = heard() && !Double.isNaN(report.memoryGranted());
-            double wanted = grant(task);
             Market market = task.row.market;
+            boolean told = heard() && !Double.isNaN(report.memoryGranted()) && !market.pooled;
+            double wanted = grant(task);
             double most = told ? totalMemory - othersMemory : totalMemory * share();
             if (totalMemory <= 0 || granted + wanted <= most) { return true; }
             boolean let = market.granted + wanted <= market.memory || wanted < SMALL * market.memory;
@@ -889,8 +890,8 @@
                 failing = mean(failing, 1, 4 * LEARN);
                 unreached |= outcome == Outcome.UNREACHED;
                 unreachedAt = outcome == Outcome.UNREACHED ? now : unreachedAt;
-                String why = unreached ? "unreached" : "its answers fail";
-                if (unreached || failing > failingLimit()) { suspect(why); }
+                if (unreached) { suspect("unreached"); }
+                if (failing > failingLimit()) { suspect("its answers fail"); }
             } else if (outcome == Outcome.FULL || outcome == Outcome.TIME_OUT) {
                 room.refused();
                 forward.task.row.market.refused();
@@ -911,8 +912,8 @@
                 row.memoryBias = clamp(mean(row.memoryBias, told, LEARN), 0.2, 5);
             }
             long run = Math.max(MS, now - forward.at);
-            double told = toldCost > 0 ? Math.max(toldCost / task.grade.threads(), 5 * MS) : task.alone();
-            double ratio = Math.log(run / told);
+            double alone = toldCost > 0 ? Math.max(toldCost / task.grade.threads(), 5 * MS) : task.alone();
+            double ratio = Math.log(run / alone);
             row.meanRun = mean(row.meanRun, run, LEARN);
             row.usual = mean(row.usual, ratio, LEARN);
             row.best = Double.isNaN(row.best) ? row.usual : Math.min(row.best, row.usual);
@@ -980,7 +981,7 @@
         }
 
         private void sweep() {
-            if (levers.probe() && ready && now >= probeAt) {
+            if (levers.probe() && ready && now >= probeAt && now - signAt >= PROBE_SILENCE) {
                 probeAt = now + (probesFailed > 0 ? PROBE_EVERY : gate.probeEvery());
                 act.probe(id);
             }
@@ -1025,26 +1026,26 @@
         /** Load a core: reported use, else tasks held, else our threads; plus our sends since. */
         double load(double average) {
             double able = cores * warmth();
-            double since = threadsSince / able;
             if (!gate.reports || !heard()) {
-                return gate.reports ? average + since : room.threads / (able * share());
+                return (gate.reports ? average : 0) + room.threads / (able * share());
             }
             double held = (othersHeld + room.threads) / able;
             return Double.isNaN(report.coresBusy()) ? Double.isNaN(held) ? average : held
-                    : report.coresBusy() + (Double.isNaN(held) ? 0 : held) + since;
+                    : report.coresBusy() + (Double.isNaN(held) ? 0 : held) + threadsSince / able;
         }
 
         double weight(Task task, double average) {
-            double load = IDLE + load(average);
+            double trust = heard() ? Math.exp((reportAt - now) * (1 / share() - 1) / REPORT_FADES) : 1;
+            double load = IDLE + average + (load(average) - average) * trust;
             double weight = cores * warmth() / (load * load * load) / Math.exp(2 * pace);
-            double saved = WARM * clamp(gate.cold - gate.warm, 0, 0.5);
-            weight *= warm.contains(task.offer.dataSet()) ? Math.exp(saved) : 1;
+            boolean read = warm.contains(task.offer.dataSet());
+            weight *= read ? Math.exp(WARM * clamp(gate.cold - gate.warm, 0, 0.5)) : 1;
             if (warmth() < 1 && task.cost > coldBudget() / set.siblings()) {
                 weight /= Math.max(ticket(task), 1e-9);     // as often in all as if it needed no ticket
             }
             weight *= levers.placesPriced() && !entry.place().equals(set.place()) ? FAR : 1;
-            boolean held = task.grade.load() || task.grade.waitsForLoads();
-            held = held && out.stream().anyMatch(forward -> forward.task.grade.load()
+            boolean stands = task.grade.load() || task.grade.waitsForLoads();
+            boolean held = stands && out.stream().anyMatch(forward -> forward.task.grade.load()
                     && forward.task.offer.dataSet() == task.offer.dataSet());
             weight *= held ? HELD : 1;
             return weight;
--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -89,6 +89,40 @@
         assertThat(unheard.sentTo("g")).isGreaterThan(unheard.sentTo("e"));
     }
 
+    @ParameterizedTest(name = "{0} managers, report {1} ms old")
+    @CsvSource({"1, 0, 5, 8", "1, 1000, 5, 8", "50, 0, 5, 8", "50, 1000, 0, 6"})
+    void anOldReportFadesWhereOthersSendToo(int siblings, long age, int least, int most) {
+        // Guards against many managers that crowd onto the engine which was idle some time ago.
+        int sent = 0;
+        for (int seed = 0; seed < 8; seed++) {
+            Manager manager = new Manager();
+            manager.seed = seed;
+            manager.siblings = siblings;
+            manager.list(true, small("e"), small("f"), small("g"));
+            manager.probed("e", Outcome.OK, report(Double.NaN, 8, Double.NaN));
+            manager.probed("f", Outcome.OK, report(Double.NaN, 0, Double.NaN));
+            manager.probed("g", Outcome.OK, report(Double.NaN, 8, Double.NaN));
+            sent += (int) manager.pass(age).take("t short a").decide().sentTo("f");
+        }
+        assertThat(sent).isBetween(least, most);
+    }
+
+    @ParameterizedTest(name = "{0} managers, a task every {1} ms: {2} to {3} probes of 10 engines in 10 s")
+    @CsvSource({"1, 5, 0, 20", "1, 500, 10, 50", "100, 500, 0, 10"})
+    void probesAskOnlyWhatAnswersDoNotTell(int siblings, long gap, int least, int most) {
+        // Guards against probes that cost more than they tell: many managers, each with few tasks.
+        Manager manager = new Manager();
+        manager.probes = true;
+        manager.siblings = siblings;
+        for (int i = 0; i < 10; i++) {
+            manager.list(false, small("e" + i));
+        }
+        for (long at = 0; at < 10_000; at += gap) {
+            manager.take("t" + at + " short a").decide().end("t" + at, 0, Outcome.OK).pass(gap);
+        }
+        assertThat(manager.did("probe ").size()).isBetween(least, most);
+    }
+
     @ParameterizedTest(name = "warm sets run in {0} ms, others in 100")
     @CsvSource({"25, 0.75, 1.0", "100, 0.1, 0.45"})
     void whatWarmDataSetsSaveIsLearned(int warm, double least, double most) {
