--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -179,6 +179,16 @@
         assertThat(manager.did("forward")).hasSize(most);
     }
 
+    @ParameterizedTest(name = "tasks of {0} MB: {1} of 4 go")
+    @CsvSource({"160, 2", "80, 4"})
+    void theMemoryOfTheMarketBindsAllButSmallTasks(int mb, int most) {
+        // Guards against one task an engine from each of many managers, at twice the memory that there is.
+        Manager manager = new Manager();
+        manager.siblings = 9;
+        manager.list(true, small("e"), small("f"), small("g"), small("h")).takeAll(4, "t# short a mb=" + mb);
+        assertThat(manager.did("forward")).hasSize(most);
+    }
+
     @Test
     void whileTasksWaitTheHeavyOnesAreRefused() {
         // Guards against a few heavy tasks that take the room of many.
--- a/src/test/java/tansytrack/RulesTest.java
+++ b/src/test/java/tansytrack/RulesTest.java
@@ -68,6 +68,10 @@
                 rule("3 a change names only what changed", m -> m.list(true, small("e")).list(false, small("f"))
                         .list(false, engine("f", "small", 0, State.GONE, 0)).take("t short a").decide(),
                         "forward t e"),
+                rule("3 replaced under a new id with a forward out: what it still says counts", m -> m
+                        .list(true, small("e")).take("t once a").decide().list(true, small("f")).pass(200)
+                        .end("t", 0, Outcome.FULL).pass(200).list(true, small("f")).end("t", 1, Outcome.OK),
+                        "forward t e", "forward t f"),
                 rule("5 one key: one at a time, in order", m -> m.list(true, small("e"))
                         .take("t once a key=1 left=9000").take("u once a key=1 left=5000").take("v once a key=2")
                         .decide().end("t", 0, Outcome.OK), "forward t e", "forward v e", "forward u e"),
