--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -13,6 +13,7 @@
 public final class Decide implements Decisions {
 
     private static final long MS = 1_000_000L;
+    private static final Set<Outcome> UNRUN = EnumSet.of(Outcome.FULL, Outcome.UNREACHED, Outcome.NEVER_SENT);
     private static final double LEARN = 0.05;             // weight of one new sample in a running mean
     private static final long SWEEP = 25 * MS;            // how often waiters and engines are seen to
     private static final long LONGEST_SWEEP = 50 * MS;    // where tasks are rare; under the margin below
@@ -108,6 +109,7 @@
             EngineEntry entry = named.get(engine.id);
             if (entry != null || complete) { engine.put(() -> engine.listed(entry)); }
         }
+        gate.put(gate::survey);
     }
 
     public void task(long at, TaskOffer offer) {
@@ -283,7 +285,7 @@
         final Grade grade;
         final Tenant tenant;                  // null: unknown, never held
         final long key;
-        KeyLine<Task> line;                         // where its grade keeps order
+        KeyLine<Task> line;                   // where its grade keeps order
         final long cutOffAt;
         final double cost;                    // nanoseconds of work
         final double lnWorth;                 // earnings for its work
@@ -580,8 +582,7 @@
         private void ended(Forward forward, Outcome outcome, boolean over) {
             Task task = forward.task;
             task.out.remove(forward);
-            boolean never = EnumSet.of(Outcome.FULL, Outcome.UNREACHED, Outcome.NEVER_SENT).contains(outcome);
-            if (!never && (task.ran == null || forward.index < task.ran.index)) {
+            if (!UNRUN.contains(outcome) && (task.ran == null || forward.index < task.ran.index)) {
                 task.ran = forward;
             }
             if (task.line != null) {
@@ -719,7 +720,6 @@
         }
 
         private void listed(EngineEntry told) {
-            gate.put(gate::survey);
             ready = told != null && told.state() == EngineEntry.State.READY;
             gone = told == null || told.state() == EngineEntry.State.GONE;
             if (told == null) { return; }
@@ -891,7 +891,7 @@
                 unreached |= outcome == Outcome.UNREACHED;
                 unreachedAt = outcome == Outcome.UNREACHED ? now : unreachedAt;
                 if (unreached) { suspect("unreached"); }
-                if (failing > failingLimit()) { suspect("its answers fail"); }
+                if (!suspect && failing > failingLimit()) { suspect("its answers fail"); }
             } else if (outcome == Outcome.FULL || outcome == Outcome.TIME_OUT) {
                 room.refused();
                 forward.task.row.market.refused();
