--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -284,7 +284,7 @@
         final Row row;
         final Grade grade;
         final Tenant tenant;                  // null: unknown, never held
-        final long key;
+        final Long key;                       // null: none
         KeyLine<Task> line;                   // where its grade keeps order
         final long cutOffAt;
         final double cost;                    // nanoseconds of work
@@ -306,7 +306,7 @@
             this.row = row;
             grade = row.grade;
             tenant = tenants.get(offer.tenant());
-            key = grade.inOrder() ? offer.key() : -1;
+            key = grade.inOrder() ? offer.key() : null;
             cutOffAt = offer.cutOffAt();
             double usual = Double.isNaN(row.meanCost) ? MS : row.meanCost;
             cost = Math.max(MS, offer.cost() > 0 ? offer.cost() * row.costBias : usual);
@@ -403,7 +403,7 @@
                 answer(task);
                 return;
             }
-            if (task.key >= 0) {
+            if (task.key != null) {
                 // Looked up only now: one named at the door may have been dropped before its task got here.
                 task.line = lines.computeIfAbsent(task.key, KeyLine::new);
                 task.line.line.add(task);
--- a/src/main/java/tansytrack/Main.java
+++ b/src/main/java/tansytrack/Main.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import tansytrack.adapter.Adapter;
+import tansytrack.service.Service;
 
 /** Picks the command. */
 public final class Main {
@@ -12,7 +13,10 @@
         if (args.length == 1 && args[0].equals("adapter")) {
             System.exit(new Adapter(System.in, System.out, System.err).run());
         }
-        System.err.println("usage: java -jar tansytrack.jar adapter");
+        if (args.length == 1 && args[0].equals("serve")) {
+            System.exit(Service.serve(System.getenv("ROUTER_CONFIG")));
+        }
+        System.err.println("usage: java -jar tansytrack.jar adapter|serve");
         System.exit(2);
     }
 }
--- a/src/main/java/tansytrack/adapter/Adapter.java
+++ b/src/main/java/tansytrack/adapter/Adapter.java
@@ -20,6 +20,8 @@
 import tansytrack.api.Outcome;
 import tansytrack.api.Settings;
 import tansytrack.api.TaskOffer;
+import tansytrack.settings.Pairs;
+import tansytrack.settings.Unusable;
 
 /** The bench's wire on one side, the module's interface on the other; each instance is a module of its own. */
 public final class Adapter {
@@ -61,7 +63,7 @@
                 }
             }
             return 0;
-        } catch (Fields.Malformed | ArithmeticException e) {
+        } catch (Unusable | ArithmeticException e) {
             err.println("tansytrack: line " + lineNumber + ": " + e.getMessage() + " in '" + in.whole() + "'");
             return 2;
         }
@@ -188,7 +190,7 @@
     private void attach() {
         Instance instance = new Instance(in.text("manager_id"));
         long seed = in.integer("init_seed", 0);
-        Boot boot = new Boot();
+        Pairs boot = new Pairs();
         while (in.more()) {
             boot.put(in.text("pair"));
         }
@@ -222,7 +224,7 @@
         double memory = in.number("want_mb");
         long set = in.integer("source_set", -1);
         in.integer("attrs", 0);
-        TaskOffer offer = new TaskOffer(id, grade, tenant, key, until, cost, memory, set);
+        TaskOffer offer = new TaskOffer(id, grade, tenant, key < 0 ? null : key, until, cost, memory, set);
         guarded(to, () -> to.module.task(now, offer));
     }
 
--- /dev/null
+++ b/src/main/java/tansytrack/service/Channel.java
@@ -0,0 +1,142 @@
+package tansytrack.service;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.tinylog.Logger;
+import tansytrack.api.EngineEntry;
+import tansytrack.state.Manager;
+import tansytrack.state.Timers;
+import tansytrack.wire.Http;
+import tansytrack.wire.HttpLine;
+import tansytrack.wire.Json;
+import tansytrack.wire.Junk;
+import tansytrack.wire.Sockets;
+
+/** The command channel: one long poll after the other, resumed by number. */
+final class Channel implements HttpLine.Holder, HttpLine.Caller {
+
+    private static final long MS = 1_000_000L;
+    private static final long BLOCK = 1000;             // short, so that a silent connection is soon noticed
+    private static final long SILENT = 500 * MS;        // over the block: then the connection is given up
+    private static final long PAUSE = 50 * MS;          // before a new connection after one that failed
+
+    private final Sockets sockets;
+    private final Timers timers;
+    private final InetSocketAddress address;
+    private final Manager manager;
+    private HttpLine line;
+    private Timers.Timer timer;
+    private long cursor;
+    private boolean complained;
+
+    Channel(Sockets sockets, Timers timers, InetSocketAddress address, Manager manager) {
+        this.sockets = sockets;
+        this.timers = timers;
+        this.address = address;
+        this.manager = manager;
+    }
+
+    /** Applies events; those known already are skipped. */
+    void take(Object told) throws Junk {
+        Map<String, Object> all = Json.map(told, "the channel's answer");
+        for (Object event : Json.list(all.get("cmds"), "cmds")) {
+            Map<String, Object> one = Json.map(event, "an event");
+            long number = (long) Json.number(one.get("cursor"), "cursor");
+            if (number <= cursor) {
+                continue;
+            }
+            if (one.get("nodes") != null) {
+                nodes(Json.map(one.get("nodes"), "nodes"));
+            }
+            cursor = number;
+        }
+        cursor = Math.max(cursor, (long) Json.number(all.get("cursor"), "cursor"));
+    }
+
+    private void nodes(Map<String, Object> nodes) throws Junk {
+        List<EngineEntry> entries = new ArrayList<>();
+        Map<String, InetSocketAddress> addresses = new HashMap<>();
+        for (Object member : Json.list(nodes.get("members"), "members")) {
+            Map<String, Object> one = Json.map(member, "a member");
+            String id = Json.text(one.get("id"), "id");
+            EngineEntry.State state = switch (Json.text(one.get("phase"), "phase")) {
+                case "ready" -> EngineEntry.State.READY;
+                case "draining" -> EngineEntry.State.DRAINING;
+                case "gone" -> EngineEntry.State.GONE;
+                default -> throw new Junk("unknown phase");
+            };
+            if (one.get("host_port") != null) {
+                addresses.put(id, Service.address(Json.text(one.get("host_port"), "host_port")));
+            }
+            entries.add(new EngineEntry(id, amount(one, "size", 1), word(one, "locality"), word(one, "flavor"),
+                    (int) amount(one, "cell", 0), state, Math.round(amount(one, "up_since_ms", 0) * MS)));
+        }
+        manager.engines(Boolean.TRUE.equals(nodes.get("complete")), entries, addresses);
+    }
+
+    private static double amount(Map<String, Object> from, String name, double otherwise) throws Junk {
+        return from.get(name) == null ? otherwise : Json.number(from.get(name), name);
+    }
+
+    private static String word(Map<String, Object> from, String name) throws Junk {
+        return from.get(name) == null ? "" : Json.text(from.get(name), name);
+    }
+
+    void ask() {
+        if (line == null) {
+            line = new HttpLine(sockets, address, this);
+        }
+        timer = timers.at(timers.now() + BLOCK * MS + SILENT, this::silent);
+        line.call("GET", "/cmd/next?resume=" + cursor + "&block=" + BLOCK, "", new byte[0], this);
+    }
+
+    private void silent() {
+        line.drop();
+        manager.counters().add("channel.silent");
+        ask();
+    }
+
+    @Override
+    public void answered(Http.Answer answer) {
+        timer.cancel();
+        try {
+            if (answer.status() != 200) {
+                throw new Junk("status " + answer.status());
+            }
+            take(Json.read(answer.body()));
+            complained = false;
+            manager.counters().add("channel.answers");
+            ask();
+        } catch (Junk e) {
+            complain(e.getMessage());
+            timer = timers.at(timers.now() + PAUSE, this::ask);
+        }
+    }
+
+    @Override
+    public void failed(boolean wasUp) {
+        timer.cancel();
+        complain("connection lost");
+        timer = timers.at(timers.now() + (wasUp ? 0 : PAUSE), this::ask);
+    }
+
+    /** Once for each time that it goes wrong. */
+    private void complain(String what) {
+        manager.counters().add("channel.failed");
+        if (!complained) {
+            Logger.warn("command channel: {}; asking again, the known list stays", what);
+        }
+        complained = true;
+    }
+
+    @Override
+    public void free(HttpLine free) { }
+
+    @Override
+    public void lost(HttpLine lost) {
+        line = null;
+    }
+}
--- a/src/main/java/tansytrack/adapter/Boot.java
+++ b/src/main/java/tansytrack/settings/Pairs.java
@@ -1,4 +1,4 @@
-package tansytrack.adapter;
+package tansytrack.settings;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,24 +9,28 @@
 import tansytrack.api.Grade;
 import tansytrack.api.Settings;
 
-/** The settings of one instance, from the path=value pairs of its first message; unknown paths are skipped. */
-final class Boot {
+/** The start-up settings of one workload manager, from path=value pairs; unknown paths are skipped. */
+public final class Pairs {
 
     private final Map<String, String> pairs = new HashMap<>();
 
-    void put(String pair) {
+    public void put(String pair) {
         int cut = pair.indexOf('=');
         if (cut < 1) {
-            throw new Fields.Malformed("pair without '='");
+            throw new Unusable("pair without '='");
         }
         pairs.put(pair.substring(0, cut), pair.substring(cut + 1));
     }
 
-    List<String> columns() {
+    void put(String path, String value) {
+        pairs.put(path, value);
+    }
+
+    public List<String> columns() {
         return list("reporting.columns");
     }
 
-    Settings settings(long seed) {
+    public Settings settings(long seed) {
         List<Grade> grades = new ArrayList<>();
         List<String> threads = list("extra.threads_by_class");
         List<String> loads = list("extra.is_load");
@@ -95,7 +99,7 @@
         return value == null || value.isEmpty() || value.equals("-") ? otherwise : parse(value);
     }
 
-    private long time(String path) {
+    long time(String path) {
         return Math.round(number(path, 0) * 1e6);
     }
 
@@ -103,7 +107,7 @@
         try {
             return Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw new Fields.Malformed("setting '" + value + "' is not a number");
+            throw new Unusable("setting '" + value + "' is not a number");
         }
     }
 
--- /dev/null
+++ b/src/main/java/tansytrack/state/Counters.java
@@ -0,0 +1,26 @@
+package tansytrack.state;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/** What was taken in, sent and answered, by kind. */
+public final class Counters {
+
+    private final Map<String, Long> counts = new TreeMap<>();
+
+    public void add(String kind) {
+        add(kind, 1);
+    }
+
+    public void add(String kind, long more) {
+        counts.merge(kind, more, Long::sum);
+    }
+
+    public long of(String kind) {
+        return counts.getOrDefault(kind, 0L);
+    }
+
+    public Map<String, Long> all() {
+        return counts;
+    }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -0,0 +1,106 @@
+package tansytrack.state;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.IdentityHashMap;
+import java.util.Map;
+import tansytrack.wire.HttpLine;
+import tansytrack.wire.Sockets;
+
+/** The connections to one engine: they belong to its id, as an address can pass to another engine. */
+final class EngineLines implements HttpLine.Holder {
+
+    private static final byte[] NOTHING = new byte[0];
+
+    final String id;
+    private final Sockets sockets;
+    private final Timers timers;
+    private final Limits limits;
+    private final Counters counters;
+    private final ArrayDeque<Idle> idle = new ArrayDeque<>();       // the last used at the end
+    private final Map<HttpLine, Timers.Timer> coming = new IdentityHashMap<>();     // until up, or given up
+    private InetSocketAddress address;
+
+    /** What bounds connections: times in nanoseconds, and how many descriptors engines may take. */
+    record Limits(long connectTime, long idleTime, int most) { }
+
+    private record Idle(HttpLine line, long since) { }
+
+    EngineLines(String id, Sockets sockets, Timers timers, Limits limits, Counters counters) {
+        this.id = id;
+        this.sockets = sockets;
+        this.timers = timers;
+        this.limits = limits;
+        this.counters = counters;
+    }
+
+    /** Its address, as listed; connections to an old one are of no use. */
+    void address(InetSocketAddress at) {
+        if (!at.equals(address)) {
+            dropIdle();
+            address = at;
+        }
+    }
+
+    void dropIdle() {
+        while (!idle.isEmpty()) {
+            idle.poll().line.drop();
+        }
+    }
+
+    /** Closes what the engine would soon close itself: a call must not cross that. */
+    void trim() {
+        while (!idle.isEmpty() && timers.now() - idle.peek().since > limits.idleTime) {
+            idle.poll().line.drop();
+        }
+    }
+
+    /** Makes a call on a free connection or a new one; null where there are no descriptors left. */
+    HttpLine call(String method, String path, String fields, byte[] body, HttpLine.Caller by) {
+        trim();
+        HttpLine line = idle.isEmpty() ? null : idle.pollLast().line;
+        if (line == null) {
+            if (sockets.open() >= limits.most) {
+                counters.add("calls.no_descriptor");
+                return null;
+            }
+            line = new HttpLine(sockets, address, this);
+            counters.add("connections.to_engines");
+            HttpLine late = line;
+            coming.put(line, timers.at(timers.now() + limits.connectTime, () -> late(late, by)));
+        }
+        line.call(method, path, fields, body, by);
+        return line;
+    }
+
+    HttpLine call(String method, String path, HttpLine.Caller by) {
+        return call(method, path, "", NOTHING, by);
+    }
+
+    private void late(HttpLine line, HttpLine.Caller by) {
+        coming.remove(line);
+        if (!line.up()) {
+            line.drop();
+            by.failed(false);
+        }
+    }
+
+    @Override
+    public void free(HttpLine line) {
+        forget(line);
+        idle.add(new Idle(line, timers.now()));
+    }
+
+    @Override
+    public void lost(HttpLine line) {
+        forget(line);
+        idle.removeIf(one -> one.line == line);
+    }
+
+    private void forget(HttpLine line) {
+        Timers.Timer timer = coming.remove(line);
+        if (timer != null) {
+            timer.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -0,0 +1,421 @@
+package tansytrack.state;
+
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiFunction;
+import org.tinylog.Logger;
+import tansytrack.api.Actions;
+import tansytrack.api.Decisions;
+import tansytrack.api.EngineEntry;
+import tansytrack.api.Grade;
+import tansytrack.api.LoadReport;
+import tansytrack.api.Outcome;
+import tansytrack.api.Settings;
+import tansytrack.api.TaskOffer;
+import tansytrack.settings.Config;
+import tansytrack.wire.Connection;
+import tansytrack.wire.Http;
+import tansytrack.wire.HttpLine;
+import tansytrack.wire.Junk;
+import tansytrack.wire.PgSession;
+import tansytrack.wire.Sockets;
+import tansytrack.wire.Statement;
+
+/** What a running workload manager holds, between the module on one side and the sockets on the other. */
+public final class Manager implements Actions, PgSession.Front {
+
+    /** For calls whose answer changes nothing. */
+    static final HttpLine.Caller NOBODY = new HttpLine.Caller() {
+        @Override
+        public void answered(Http.Answer answer) { }
+
+        @Override
+        public void failed(boolean wasUp) { }
+    };
+
+    private static final long MS = 1_000_000L;
+    private static final int SPARE_DESCRIPTORS = 64;        // files of the program itself, its listener and channel
+    private static final String[] COLUMNS = {"c1", "c2", "c3"};
+
+    private final Config config;
+    private final Timers timers;
+    private final Sockets sockets;
+    private final Counters counters = new Counters();
+    private final Decisions module;
+    private final EngineLines.Limits limits;
+    private final SecureRandom secrets = new SecureRandom();
+    private final Map<String, Grade> grades = new HashMap<>();
+    private final Map<String, Settings.Tenant> tenants = new HashMap<>();
+    private final Map<String, OpenTask> tasks = new HashMap<>();
+    private final Map<String, EngineLines> engines = new LinkedHashMap<>();
+    private final Map<Integer, PgSession> sessions = new HashMap<>();
+    private final ArrayDeque<Runnable> later = new ArrayDeque<>();
+    private int sessionNumber;
+    private boolean told;                                   // the module has heard something and not yet decided
+
+    public Manager(Config config, Timers timers, Sockets sockets, BiFunction<Settings, Actions, Decisions> start) {
+        this.config = config;
+        this.timers = timers;
+        this.sockets = sockets;
+        limits = new EngineLines.Limits(config.connectTime(), config.idleTime() / 2,
+                config.mostDescriptors() - SPARE_DESCRIPTORS);
+        for (Grade grade : config.settings().grades()) {
+            grades.put(grade.name(), grade);
+        }
+        for (Settings.Tenant tenant : config.settings().tenants()) {
+            tenants.put(tenant.name(), tenant);
+        }
+        module = start.apply(config.settings(), this);
+    }
+
+    // ---- The loop's side ----
+
+    void later(Runnable what) {
+        later.add(what);
+    }
+
+    /** Lets the module decide on all that it has heard, until nothing is left to be told. */
+    public void turn() {
+        while (told || !later.isEmpty()) {
+            for (int i = later.size(); i > 0; i--) {
+                later.poll().run();
+            }
+            if (told) {
+                told = false;
+                module.decide(timers.now());
+            }
+        }
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+
+    public int openTasks() {
+        return tasks.size();
+    }
+
+    // ---- The command channel's side ----
+
+    public void engines(boolean complete, List<EngineEntry> entries, Map<String, InetSocketAddress> addresses) {
+        for (EngineEntry entry : entries) {
+            InetSocketAddress address = addresses.get(entry.id());
+            EngineLines lines = engines.computeIfAbsent(entry.id(),
+                    id -> new EngineLines(id, sockets, timers, limits, counters));
+            if (address != null) {
+                lines.address(address);
+            }
+            if (entry.state() == EngineEntry.State.GONE) {
+                lines.dropIdle();
+            }
+        }
+        told = true;
+        module.engines(timers.now(), complete, entries);
+    }
+
+    // ---- The clients' side ----
+
+    public void accepted(Connection connection) {
+        counters.add("clients.connections");
+        int number = ++sessionNumber;
+        sessions.put(number, new PgSession(connection, this, number, secrets.nextInt()));
+    }
+
+    @Override
+    public void query(PgSession session, byte[] text, long at) {
+        counters.add("clients.queries");
+        Statement statement;
+        TaskOffer offer;
+        try {
+            statement = Statement.read(text);
+            offer = offer(statement, at);
+        } catch (Junk e) {
+            counters.add("clients.unusable");
+            session.error("22023", e.getMessage());
+            return;
+        }
+        OpenTask task = new OpenTask(offer.id(), offer.grade(), statement.body(), offer.cutOffAt(), session);
+        session.open(task);
+        tasks.put(task.id, task);
+        counters.add("tasks.taken");
+        told = true;
+        module.task(timers.now(), offer);
+    }
+
+    private TaskOffer offer(Statement statement, long at) throws Junk {
+        String id = needed(statement, "id");
+        hex("id", id);
+        if (tasks.containsKey(id)) {
+            throw new Junk("field id: a task with this id is open");
+        }
+        String grade = needed(statement, "class");
+        if (!grades.containsKey(grade)) {
+            throw new Junk("field class: no such class");
+        }
+        String tenant = statement.field("tenant");
+        if (tenant != null && !tenants.containsKey(tenant)) {
+            throw new Junk("field tenant: no such tenant");
+        }
+        String key = statement.field("key");
+        double wait = amount("wait", needed(statement, "wait"));
+        double cost = amount("cost", statement.field("cost"));
+        double memory = amount("mb", statement.field("mb"));
+        return new TaskOffer(id, grade, tenant == null ? "" : tenant, key == null ? null : hex("key", key),
+                at + Math.round(wait * MS), Math.round(cost * MS), memory, statement.group());
+    }
+
+    private static String needed(Statement statement, String field) throws Junk {
+        String value = statement.field(field);
+        if (value == null || value.isEmpty()) {
+            throw new Junk("field " + field + ": missing");
+        }
+        return value;
+    }
+
+    private static long hex(String field, String value) throws Junk {
+        long bits = 0;
+        for (int i = 0; i < value.length(); i++) {
+            int digit = Character.digit(value.charAt(i), 16);
+            if (digit < 0 || value.length() > 16) {
+                throw new Junk("field " + field + ": not 16 hex digits");
+            }
+            bits = bits << 4 | digit;
+        }
+        if (value.length() != 16) {
+            throw new Junk("field " + field + ": not 16 hex digits");
+        }
+        return bits;
+    }
+
+    private static double amount(String field, String value) throws Junk {
+        if (value == null) {
+            return 0;
+        }
+        try {
+            double amount = Double.parseDouble(value);
+            if (amount >= 0 && amount < 1e9) {
+                return amount;
+            }
+        } catch (NumberFormatException e) {
+            // said below
+        }
+        throw new Junk("field " + field + ": not a number in range");
+    }
+
+    @Override
+    public void cancel(int number, int secret) {
+        PgSession session = sessions.get(number);
+        if (session != null && session.fits(secret) && session.open() instanceof OpenTask task) {
+            counters.add("clients.cancels");
+            abandon(task);
+            session.error("57014", "canceling statement due to user request");
+        }
+    }
+
+    @Override
+    public void gone(PgSession session) {
+        if (sessions.remove(session.number()) != null && session.open() instanceof OpenTask task) {
+            counters.add("clients.left");
+            abandon(task);
+        }
+    }
+
+    private void abandon(OpenTask task) {
+        if (!task.answered()) {
+            counters.add("tasks.abandoned");
+            over(task);
+            told = true;
+            module.abandoned(timers.now(), task.id);
+        }
+    }
+
+    // ---- What has become of a forward ----
+
+    void ended(OpenForward forward, Outcome outcome, long cost, double memory, LoadReport report, List<byte[]> pages) {
+        OpenTask task = forward.task;
+        task.out--;
+        counters.add("forwards.ended." + outcome);
+        if (outcome == Outcome.OK && !task.answered()) {
+            counters.add("tasks.handled");
+            PgSession session = task.session;
+            over(task);
+            session.rows(COLUMNS, pages);
+        }
+        boolean over = task.answered();
+        forget(task);
+        told = true;
+        module.outcome(timers.now(), task.id, forward.index, forward.engine.id, outcome, timers.now() - forward.at,
+                over, cost, memory, report);
+    }
+
+    /** The one place where a task stops being owed an answer. */
+    private void over(OpenTask task) {
+        task.session.open(null);
+        task.session = null;
+        forget(task);
+    }
+
+    private void forget(OpenTask task) {
+        if (task.answered() && task.out == 0) {
+            tasks.remove(task.id, task);
+        }
+    }
+
+    LoadReport report(String told) throws Junk {
+        double[] figures = new double[config.columns().size()];
+        java.util.Arrays.fill(figures, Double.NaN);
+        for (int from = 0; from < told.length();) {
+            int end = told.indexOf(';', from);
+            end = end < 0 ? told.length() : end;
+            int colon = told.indexOf(':', from);
+            if (colon < 0 || colon > end) {
+                throw new Junk("a load report without a figure");
+            }
+            int column = config.column(told.substring(from, colon).strip());
+            if (column >= 0) {
+                figures[column] = amount("load", told.substring(colon + 1, end).strip());
+            }
+            from = end + 1;
+        }
+        return config.report(figures);
+    }
+
+    void junk(String engine, Junk junk) {
+        counters.add("engines.junk");
+        Logger.warn("engine {}: {}", engine, junk.getMessage());
+    }
+
+    // ---- Actions ----
+
+    @Override
+    public void forward(String id, String engine, long timeOut) {
+        OpenTask task = tasks.get(id);
+        counters.add("forwards.sent");
+        OpenForward forward = new OpenForward(this, timers, task, task.forwards.size(), engines.get(engine));
+        task.forwards.add(forward);
+        task.out++;
+        forward.start(timeOut > 0 ? Math.min(timers.now() + timeOut, task.cutOffAt) : task.cutOffAt);
+    }
+
+    @Override
+    public void bounce(String id, long pause) {
+        OpenTask task = tasks.get(id);
+        if (task != null && !task.answered()) {
+            counters.add("tasks.bounced");
+            PgSession session = task.session;
+            over(task);
+            session.error("53300", pause > 0 ? "no room at present, after=" + (pause + MS - 1) / MS
+                    : "no room at present");
+        }
+    }
+
+    @Override
+    public void abort(String id) {
+        OpenTask task = tasks.get(id);
+        if (task != null && !task.answered()) {
+            counters.add("tasks.aborted");
+            PgSession session = task.session;
+            over(task);
+            session.error("58000", "the statement failed; it may have run");
+        }
+    }
+
+    @Override
+    public void provide(String id, long memoryMb, int priority) {
+        OpenTask task = tasks.get(id);
+        boolean changed = task.priority != priority;
+        task.memoryMb = memoryMb;
+        task.priority = priority;
+        if (changed && task.out > 0) {
+            task.forwards.forEach(forward -> forward.priority(priority));
+        }
+    }
+
+    @Override
+    public void probe(String id) {
+        counters.add("probes.sent");
+        EngineLines engine = engines.get(id);
+        Probe probe = new Probe(engine);
+        probe.line = engine.call("GET", "/stats", probe);
+        if (probe.line == null) {
+            later(() -> probe.end(Outcome.NEVER_SENT, null));
+        } else {
+            probe.timer = timers.at(timers.now() + config.connectTime(), probe::late);
+        }
+    }
+
+    /** A question for an engine's load. */
+    private final class Probe implements HttpLine.Caller {
+        final EngineLines engine;
+        HttpLine line;
+        Timers.Timer timer;
+        boolean over;
+
+        Probe(EngineLines engine) {
+            this.engine = engine;
+        }
+
+        @Override
+        public void answered(Http.Answer answer) {
+            LoadReport report = null;
+            try {
+                report = answer.field("x-load") == null ? null : report(answer.field("x-load"));
+            } catch (Junk e) {
+                junk(engine.id, e);
+            }
+            end(answer.status() == 200 ? Outcome.OK : answer.status() == 503 ? Outcome.FULL : Outcome.ERROR, report);
+        }
+
+        @Override
+        public void failed(boolean wasUp) {
+            end(wasUp ? Outcome.RESET : Outcome.UNREACHED, null);
+        }
+
+        void late() {
+            if (!over) {
+                line.drop();
+                end(Outcome.TIME_OUT, null);
+            }
+        }
+
+        void end(Outcome outcome, LoadReport report) {
+            if (over) {
+                return;
+            }
+            over = true;
+            if (timer != null) {
+                timer.cancel();
+            }
+            counters.add("probes.ended." + outcome);
+            told = true;
+            module.probed(timers.now(), engine.id, outcome, report);
+        }
+    }
+
+    @Override
+    public void cancel(String id, int index) {
+        OpenTask task = tasks.get(id);
+        if (task != null && index < task.forwards.size()) {
+            counters.add("forwards.cancelled");
+            task.forwards.get(index).cancel();
+        }
+    }
+
+    @Override
+    public void wake(long in, String token) {
+        timers.at(timers.now() + in, () -> {
+            told = true;
+            module.woken(timers.now(), token);
+        });
+    }
+
+    @Override
+    public void log(String text) {
+        Logger.info(text);
+    }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -0,0 +1,197 @@
+package tansytrack.state;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import tansytrack.api.LoadReport;
+import tansytrack.api.Outcome;
+import tansytrack.wire.Http;
+import tansytrack.wire.HttpLine;
+import tansytrack.wire.Junk;
+import tansytrack.wire.PgSession;
+
+/**
+ * One forward: the call that starts it, the questions after it, the pages of its result. All pages are gathered before
+ * the first row goes to the client, as a page that is lost with its engine could not be made good afterwards.
+ */
+final class OpenForward implements HttpLine.Caller {
+
+    static final int COLUMNS = 3;
+    private static final int MOST_PAGES = 64;               // a result is 48,000 bytes, a page 6,000 at most
+    private static final int MOST_BYTES = 1 << 16;
+
+    final OpenTask task;
+    final int index;
+    final EngineLines engine;
+    final long at;
+    private final Manager manager;
+    private final Timers timers;
+    private final String path;
+    private final List<byte[]> pages = new ArrayList<>();
+    private Timers.Timer timer;
+    private HttpLine line;                                  // with the open call
+    private int bytes;
+    private int pageCount;
+    private boolean started;                                // the engine has answered for it
+    private boolean asked;                                  // the question is open that follows a broken connection
+    private boolean over;
+    private double cost;
+    private double memory;
+    private LoadReport report;
+
+    OpenForward(Manager manager, Timers timers, OpenTask task, int index, EngineLines engine) {
+        this.manager = manager;
+        this.timers = timers;
+        this.task = task;
+        this.index = index;
+        this.engine = engine;
+        at = timers.now();
+        path = "/o/" + task.id;
+    }
+
+    boolean over() {
+        return over;
+    }
+
+    /** Sends it; its end comes later, never within this call. */
+    void start(long until) {
+        timer = timers.at(until, this::timeOut);
+        long left = Math.max(1, (until - at) / 1_000_000);
+        String fields = "X-Req: " + task.id + "\r\nX-Class: " + task.grade + "\r\nX-Wait-Ms: " + left + "\r\n"
+                + (task.memoryMb > 0 ? "Grant-Mb: " + task.memoryMb + "\r\n" : "") + "Rank: " + task.priority + "\r\n";
+        line = engine.call("POST", "/o", fields, task.statement, this);
+        if (line == null) {
+            manager.later(() -> end(Outcome.NEVER_SENT));
+        }
+    }
+
+    private void ask(String what) {
+        line = engine.call("GET", path + what, this);
+        if (line == null) {
+            manager.later(() -> end(Outcome.RESET));
+        }
+    }
+
+    @Override
+    public void answered(Http.Answer answer) {
+        line = null;
+        if (over) {
+            return;
+        }
+        try {
+            boolean notRun = answer.field("x-not-run") != null && answer.field("x-not-run").equals("1");
+            if (answer.field("x-load") != null) {
+                report = manager.report(answer.field("x-load"));
+            }
+            asked = false;
+            switch (answer.status()) {
+                case 200 -> page(answer);
+                case 202 -> {
+                    started = true;
+                    ask("/0");
+                }
+                case 503 -> end(notRun ? Outcome.FULL : Outcome.ERROR);
+                case 504 -> end(notRun ? Outcome.NEVER_SENT : Outcome.ERROR);
+                default -> end(Outcome.ERROR);
+            }
+        } catch (Junk e) {
+            manager.junk(engine.id, e);
+            end(Outcome.ERROR);
+        }
+    }
+
+    private void page(Http.Answer answer) throws Junk {
+        started = true;
+        if (pages.isEmpty()) {
+            pageCount = (int) answer.number("page-count", 1);
+            cost = answer.number("work-ms", 0);
+            memory = answer.number("peak-mb", 0);
+            if (pageCount < 1 || pageCount > MOST_PAGES) {
+                throw new Junk("a result of " + pageCount + " pages");
+            }
+        } else if (answer.number("page-no", -1) != pages.size()) {
+            throw new Junk("another page than asked for");
+        }
+        bytes += answer.body().length;
+        if (bytes > MOST_BYTES || !PgSession.holdsRows(answer.body(), COLUMNS)) {
+            throw new Junk("a page that does not hold whole rows, or too large a result");
+        }
+        pages.add(answer.body());
+        if (pages.size() < pageCount) {
+            ask("/" + pages.size());
+        } else {
+            end(Outcome.OK);
+        }
+    }
+
+    @Override
+    public void failed(boolean wasUp) {
+        line = null;
+        if (over) {
+            return;
+        }
+        if (!wasUp && !started && !asked) {
+            end(Outcome.UNREACHED);             // the call itself never left: nothing ran
+        } else if (!asked) {
+            // The query belongs to no connection: asked again on another one it may still be found.
+            asked = true;
+            ask("/" + pages.size());
+        } else {
+            end(Outcome.RESET);
+        }
+    }
+
+    private void timeOut() {
+        if (!over) {
+            release();
+            end(Outcome.TIME_OUT);
+        }
+    }
+
+    /** Gives it up at its engine: its end comes once the call for it has gone out whole. */
+    void cancel() {
+        if (!over) {
+            release();
+            HttpLine sent = engine.call("DELETE", path, new HttpLine.Caller() {
+                @Override
+                public void answered(Http.Answer answer) {
+                    end(Outcome.CANCELLED);
+                }
+
+                @Override
+                public void failed(boolean wasUp) {
+                    end(Outcome.CANCELLED);
+                }
+            });
+            if (sent == null) {
+                manager.later(() -> end(Outcome.CANCELLED));
+            }
+        }
+    }
+
+    /** Tells the engine, for what it is worth, that nobody waits any more. */
+    private void release() {
+        if (line != null) {
+            line.drop();
+            line = null;
+        }
+    }
+
+    void priority(int priority) {
+        if (!over) {
+            engine.call("PUT", path, "", Integer.toString(priority).getBytes(StandardCharsets.US_ASCII), Manager.NOBODY);
+        }
+    }
+
+    private void end(Outcome outcome) {
+        if (over) {
+            return;
+        }
+        over = true;
+        timer.cancel();
+        if (outcome == Outcome.TIME_OUT || outcome == Outcome.ERROR && started) {
+            engine.call("DELETE", path, Manager.NOBODY);
+        }
+        manager.ended(this, outcome, Math.round(cost * 1e6), memory, report, outcome == Outcome.OK ? pages : null);
+    }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/wire/Connection.java
@@ -0,0 +1,147 @@
+package tansytrack.wire;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.session.IoSession;
+
+/**
+ * One TCP connection: a ring a direction, and the owner that is called back. Only the loop's thread calls it; what
+ * the sockets see comes as notes. It gives back all that it holds in one place, {@link #over}.
+ */
+public final class Connection {
+
+    /** Whose connection it is. */
+    public interface Owner {
+        /** More bytes are in the ring; the last ones came at that time. */
+        void heard(long at) throws Junk;
+
+        /** All that was to be written has been handed to the system. */
+        default void written() { }
+
+        /** It is over, or never came up; said once, and not when the owner itself closed it. */
+        void closed(boolean wasUp);
+    }
+
+    private static final int CHUNK = 1 << 15;       // handed to the system at once: bounds what lies there
+    static final int MOST_UNREAD = 1 << 17;         // handed over and not yet read: then reading stops for a while
+
+    final AtomicInteger unread = new AtomicInteger();
+    public final Ring in;
+    public final Ring out;
+    private final Sockets sockets;
+    private Owner owner;
+    private IoSession session;                      // null until it is up
+    private ConnectFuture coming;
+    private boolean writing;
+    private boolean closing;
+    private boolean over;
+
+    Connection(Sockets sockets, int mostIn, int mostOut) {
+        this.sockets = sockets;
+        in = new Ring(mostIn);
+        out = new Ring(mostOut);
+    }
+
+    public void own(Owner by) {
+        owner = by;
+    }
+
+    public boolean open() {
+        return !over && !closing;
+    }
+
+    public boolean up() {
+        return session != null;
+    }
+
+    public InetSocketAddress peer() {
+        return session == null ? null : (InetSocketAddress) session.getRemoteAddress();
+    }
+
+    void coming(ConnectFuture future) {
+        coming = future;
+    }
+
+    void came(IoSession with) {
+        if (over) {
+            with.closeNow();
+            return;
+        }
+        session = with;
+        flush();
+    }
+
+    void heard(IoBuffer bytes, long at) {
+        int count = bytes.remaining();
+        if (unread.getAndAdd(-count) > MOST_UNREAD && unread.get() <= MOST_UNREAD && session != null) {
+            session.resumeRead();
+        }
+        if (!open()) {
+            return;
+        }
+        try {
+            if (!in.put(bytes.buf())) {
+                throw new Junk("more bytes than the ring holds");
+            }
+            owner.heard(at);
+        } catch (Junk e) {
+            sockets.junk(this, e);
+            drop();
+        }
+    }
+
+    void sent() {
+        writing = false;
+        flush();
+        if (!over && !writing && out.size() == 0) {
+            owner.written();
+        }
+    }
+
+    /** Hands the next bytes to the system; the rest follows as those have gone. */
+    public void flush() {
+        if (over || session == null || writing) {
+            return;
+        }
+        if (out.size() > 0) {
+            writing = true;
+            session.write(IoBuffer.wrap(out.take(Math.min(CHUNK, out.size()))));
+        } else if (closing) {
+            close();
+        }
+    }
+
+    /** Closes it once all is written. */
+    public void finish() {
+        closing = true;
+        flush();
+    }
+
+    /** Closes it now; the owner is not told. */
+    public void close() {
+        if (!over) {
+            over();
+        }
+    }
+
+    /** As if the peer had closed it. */
+    void drop() {
+        if (!over) {
+            boolean wasUp = session != null;
+            over();
+            owner.closed(wasUp);
+        }
+    }
+
+    private void over() {
+        over = true;
+        if (session != null) {
+            session.closeNow();
+        } else if (coming != null) {
+            coming.cancel();
+        }
+        sockets.gone(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/wire/HttpLine.java
@@ -0,0 +1,93 @@
+package tansytrack.wire;
+
+import java.net.InetSocketAddress;
+
+/** A connection that carries HTTP calls, one at a time. */
+public final class HttpLine implements Connection.Owner {
+
+    /** Who made the call; one of answered and failed comes, once, unless the call was dropped. */
+    public interface Caller {
+        void answered(Http.Answer answer);
+
+        /** No answer will come; wasUp is false where the connection never was, so that nothing was written. */
+        void failed(boolean wasUp);
+
+        /** The call has gone out whole. */
+        default void written() { }
+    }
+
+    /** Who owns the line: told when it is free for the next call, or of no more use. */
+    public interface Holder {
+        void free(HttpLine line);
+
+        void lost(HttpLine line);
+    }
+
+    private final Connection connection;
+    private final String host;
+    private final Holder holder;
+    private Caller caller;
+
+    public HttpLine(Sockets sockets, InetSocketAddress to, Holder holder) {
+        this.holder = holder;
+        host = to.getHostString() + ':' + to.getPort();
+        connection = sockets.connect(to, this);
+    }
+
+    public boolean up() {
+        return connection.up();
+    }
+
+    public void call(String method, String path, String fields, byte[] body, Caller by) {
+        caller = by;
+        Http.call(connection.out, method, path, host, fields, body);
+        connection.flush();
+    }
+
+    @Override
+    public void heard(long at) throws Junk {
+        if (caller == null) {
+            throw new Junk("an answer that nobody asked for");
+        }
+        Http.Answer answer = Http.answer(connection.in);
+        if (answer == null) {
+            return;
+        }
+        if (connection.in.size() > 0) {
+            throw new Junk("more than one answer");
+        }
+        Caller to = caller;
+        caller = null;
+        if (answer.lasts()) {
+            holder.free(this);
+        } else {
+            connection.close();
+            holder.lost(this);
+        }
+        to.answered(answer);
+    }
+
+    @Override
+    public void written() {
+        if (caller != null) {
+            caller.written();
+        }
+    }
+
+    @Override
+    public void closed(boolean wasUp) {
+        Caller to = caller;
+        caller = null;
+        holder.lost(this);
+        if (to != null) {
+            to.failed(wasUp);
+        }
+    }
+
+    /** Closes it; who made the open call is not told. */
+    public void drop() {
+        caller = null;
+        connection.close();
+        holder.lost(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/wire/PgSession.java
@@ -0,0 +1,280 @@
+package tansytrack.wire;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** One client's session in the PostgreSQL protocol 3.0: simple queries, one after the other. */
+public final class PgSession implements Connection.Owner {
+
+    /** What sessions are for; one query is open at a time. */
+    public interface Front {
+        /** A statement has come whole at that time; it is owed one answer. */
+        void query(PgSession session, byte[] statement, long at);
+
+        /** Somebody wants the query of the session with this key given up. */
+        void cancel(int number, int secret);
+
+        /** The session has ended; a query may have been open. */
+        void gone(PgSession session);
+    }
+
+    private static final int PROTOCOL = 3 << 16;
+    private static final int CANCEL = 80877102;
+    private static final int TLS = 80877103;
+    private static final int GSS = 80877104;
+    private static final int LONGEST = 1 << 15;         // a message; statements here are far shorter
+    private static final int SHORTEST_START = 8;
+    private static final String[] STATUS = {"server_version", "15.0", "server_encoding", "UTF8", "client_encoding",
+        "UTF8", "DateStyle", "ISO, MDY", "integer_datetimes", "on", "standard_conforming_strings", "on"};
+    private static final int TEXT = 25;                 // the type of every column
+
+    private final Connection connection;
+    private final Front front;
+    private final int number;
+    private final int secret;
+    private boolean started;
+    private boolean querying;
+    private boolean skipping;                           // to the next Sync, after a message of the extended protocol
+    private long heardAt;                               // when the last bytes came
+    private Object open;                                // what the owner of the query keeps with it
+
+    public PgSession(Connection connection, Front front, int number, int secret) {
+        this.connection = connection;
+        this.front = front;
+        this.number = number;
+        this.secret = secret;
+        connection.own(this);
+    }
+
+    public int number() {
+        return number;
+    }
+
+    public boolean fits(int secret) {
+        return this.secret == secret;
+    }
+
+    public Object open() {
+        return open;
+    }
+
+    public void open(Object query) {
+        open = query;
+    }
+
+    /** Is an answer owed, or still being read by the client? */
+    public boolean busy() {
+        return querying || connection.out.size() > 0;
+    }
+
+    @Override
+    public void heard(long at) {
+        heardAt = at;
+        Ring in = connection.in;
+        while (connection.open() && !querying && in.size() >= 4) {
+            int first = started ? 1 : 0;
+            if (in.size() < first + 4) {
+                return;
+            }
+            int length = in.intAt(first);
+            if (length < (started ? 4 : SHORTEST_START) || length > LONGEST) {
+                fatal("08P01", "invalid message length");
+                return;
+            }
+            if (in.size() < first + length) {
+                return;
+            }
+            byte[] message = in.take(first + length);
+            if (started) {
+                message(message, at);
+            } else {
+                start(ByteBuffer.wrap(message, 4, length - 4));
+            }
+        }
+        connection.flush();
+    }
+
+    private void start(ByteBuffer message) {
+        int code = message.getInt();
+        if (code == TLS || code == GSS) {
+            connection.out.put(new byte[] {'N'});
+        } else if (code == CANCEL) {
+            if (message.remaining() == 8) {
+                front.cancel(message.getInt(), message.getInt());
+            }
+            connection.finish();
+        } else if (code != PROTOCOL) {
+            fatal("0A000", "unsupported frontend protocol " + (code >>> 16) + "." + (code & 0xffff));
+        } else {
+            started = true;
+            message('R', ByteBuffer.allocate(4).putInt(0).array());
+            for (int i = 0; i < STATUS.length; i += 2) {
+                message('S', (STATUS[i] + '\0' + STATUS[i + 1] + '\0').getBytes(StandardCharsets.UTF_8));
+            }
+            message('K', ByteBuffer.allocate(8).putInt(number).putInt(secret).array());
+            ready();
+        }
+    }
+
+    private void message(byte[] message, long at) {
+        switch (message[0]) {
+            case 'Q' -> query(message, at);
+            case 'X' -> end();
+            case 'S' -> {
+                skipping = false;
+                ready();
+            }
+            case 'P', 'B', 'D', 'E', 'C', 'H', 'F' -> {
+                if (!skipping) {
+                    error("ERROR", "0A000", "only simple queries are served");
+                }
+                skipping = message[0] != 'F';
+                if (!skipping) {
+                    ready();
+                }
+            }
+            case 'd', 'c', 'f' -> { }               // the rest of a copy that was refused
+            default -> fatal("08P01", "invalid frontend message type " + (message[0] & 255));
+        }
+    }
+
+    private void query(byte[] message, long at) {
+        if (skipping) {
+            return;
+        }
+        int end = message.length - 1;
+        if (end < 5 || message[end] != 0) {
+            fatal("08P01", "invalid string in message");
+            return;
+        }
+        boolean empty = true;
+        for (int i = 5; i < end; i++) {
+            empty &= message[i] == ' ' || message[i] == ';' || message[i] == '\n' || message[i] == '\r'
+                    || message[i] == '\t';
+        }
+        if (empty) {
+            message('I', new byte[0]);
+            ready();
+        } else {
+            querying = true;
+            front.query(this, java.util.Arrays.copyOfRange(message, 5, end), at);
+        }
+    }
+
+    // ---- Answers to the open query; each ends it ----
+
+    /** Rows as text, a tab between columns and a line feed after each row. */
+    public void rows(String[] columns, List<byte[]> pages) {
+        int bytes = 2;
+        for (String column : columns) {
+            bytes += column.length() + 19;
+        }
+        ByteBuffer names = ByteBuffer.allocate(bytes).putShort((short) columns.length);
+        for (String column : columns) {
+            names.put(column.getBytes(StandardCharsets.US_ASCII)).put((byte) 0).putInt(0).putShort((short) 0);
+            names.putInt(TEXT).putShort((short) -1).putInt(-1).putShort((short) 0);
+        }
+        message('T', names.array());
+        int count = 0;
+        for (byte[] page : pages) {
+            int from = 0;
+            for (int i = 0; i < page.length; i++) {
+                if (page[i] == '\n') {
+                    row(page, from, i);
+                    count++;
+                    from = i + 1;
+                }
+            }
+        }
+        message('C', ("SELECT " + count + '\0').getBytes(StandardCharsets.US_ASCII));
+        done();
+    }
+
+    /** Does every row of the page hold so many columns, and does it end with a row? */
+    public static boolean holdsRows(byte[] page, int columns) {
+        int tabs = 0;
+        for (byte b : page) {
+            tabs += b == '\t' ? 1 : 0;
+            if (b == '\n') {
+                if (tabs != columns - 1) {
+                    return false;
+                }
+                tabs = 0;
+            }
+        }
+        return page.length == 0 || page[page.length - 1] == '\n';
+    }
+
+    private void row(byte[] page, int from, int to) {
+        int columns = 1;
+        for (int i = from; i < to; i++) {
+            columns += page[i] == '\t' ? 1 : 0;
+        }
+        ByteBuffer row = ByteBuffer.allocate(2 + 4 * columns + to - from - columns + 1).putShort((short) columns);
+        int start = from;
+        for (int i = from; i <= to; i++) {
+            if (i == to || page[i] == '\t') {
+                row.putInt(i - start).put(page, start, i - start);
+                start = i + 1;
+            }
+        }
+        message('D', row.array());
+    }
+
+    /** An error ends the query, not the session. */
+    public void error(String code, String text) {
+        error("ERROR", code, text);
+        done();
+    }
+
+    private void done() {
+        ready();
+        querying = false;
+        open = null;
+        connection.flush();
+        // What came behind the query has waited in the ring.
+        if (connection.in.size() > 0) {
+            heard(heardAt);
+        }
+    }
+
+    // ---- What is written ----
+
+    private void ready() {
+        message('Z', new byte[] {'I'});
+    }
+
+    private void error(String severity, String code, String text) {
+        message('E', ("S" + severity + "\0V" + severity + "\0C" + code + "\0M" + text + "\0\0")
+                .getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void fatal(String code, String text) {
+        error("FATAL", code, text);
+        end();
+    }
+
+    private void message(char type, byte[] body) {
+        ByteBuffer head = ByteBuffer.allocate(5).put((byte) type).putInt(body.length + 4).flip();
+        connection.out.put(head);
+        connection.out.put(body);
+    }
+
+    /** Closes the session once all is written; an open query is given up. */
+    public void end() {
+        connection.finish();
+        closed(true);
+    }
+
+    /** Closes it at once. */
+    public void cut() {
+        connection.close();
+        closed(true);
+    }
+
+    @Override
+    public void closed(boolean wasUp) {
+        front.gone(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/wire/Sockets.java
@@ -0,0 +1,173 @@
+package tansytrack.wire;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.spi.SelectorProvider;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.core.session.AttributeKey;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import org.tinylog.Logger;
+
+/** All sockets, on Apache MINA: its threads only hand notes over to the loop, which alone touches connections. */
+public final class Sockets {
+
+    private static final AttributeKey CONNECTION = new AttributeKey(Sockets.class, "connection");
+    private static final int BACKLOG = 1024;             // as many as there can be descriptors
+    private static final int READ_FIRST = 1 << 11;       // bytes of a first read, and bounds to what MINA adapts it
+    private static final int READ_MOST = 1 << 14;
+    private static final int FRONT_IN = 1 << 16;         // the longest message of a client
+    private static final int FRONT_OUT = 1 << 18;        // a result of 48,000 bytes in the shortest rows
+    private static final int CALL_IN = 1 << 16;          // a page or a list, with its header
+    private static final int CALL_OUT = 1 << 17;         // a statement, with its header
+
+    private final Consumer<Runnable> hand;
+    private final LongSupplier clock;
+    private final ExecutorService threads = Executors.newCachedThreadPool(run -> {
+        Thread thread = new Thread(run, "sockets");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final SimpleIoProcessorPool<NioSession> processors =
+            new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, SelectorProvider.provider());
+    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(threads, processors);
+    private final NioSocketConnector connector = new NioSocketConnector(threads, processors);
+    private Consumer<Connection> accepted;
+    private int open;
+
+    public Sockets(Consumer<Runnable> hand, LongSupplier clock) {
+        this.hand = hand;
+        this.clock = clock;
+        configure(acceptor.getSessionConfig());
+        configure(connector.getSessionConfig());
+        acceptor.setReuseAddress(true);
+        acceptor.setBacklog(BACKLOG);
+        acceptor.setHandler(new Handler());
+        connector.setHandler(new Handler());
+    }
+
+    private static void configure(SocketSessionConfig config) {
+        config.setTcpNoDelay(true);
+        config.setReadBufferSize(READ_FIRST);
+        config.setMinReadBufferSize(READ_FIRST);
+        config.setMaxReadBufferSize(READ_MOST);
+    }
+
+    /** Listens there; each connection comes as a note, and is to get its owner at once. */
+    public InetSocketAddress listen(InetSocketAddress at, Consumer<Connection> to) throws IOException {
+        accepted = to;
+        acceptor.bind(at);
+        return acceptor.getLocalAddress();
+    }
+
+    public void stopListening() {
+        acceptor.unbind();
+    }
+
+    /** A connection that is on its way; what is written meanwhile goes out once it is up. */
+    public Connection connect(InetSocketAddress to, Connection.Owner owner) {
+        Connection connection = new Connection(this, CALL_IN, CALL_OUT);
+        connection.own(owner);
+        open++;
+        ConnectFuture coming =
+                connector.connect(to, (session, future) -> session.setAttribute(CONNECTION, connection));
+        connection.coming(coming);
+        coming.addListener(done -> {
+            if (!coming.isConnected()) {
+                hand.accept(connection::drop);
+            }
+        });
+        return connection;
+    }
+
+    /** Connections open or on their way. */
+    public int open() {
+        return open;
+    }
+
+    void gone(Connection connection) {
+        open--;
+    }
+
+    void junk(Connection connection, Junk junk) {
+        Logger.warn("connection with {} closed: {}", connection.peer(), junk.getMessage());
+    }
+
+    public void close() {
+        acceptor.dispose(false);
+        connector.dispose(false);
+        threads.shutdown();
+        try {
+            threads.awaitTermination(1, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Runs on MINA's threads: nothing here but handing over. */
+    private final class Handler extends IoHandlerAdapter {
+
+        @Override
+        public void sessionOpened(IoSession session) {
+            Connection known = (Connection) session.getAttribute(CONNECTION);
+            if (known != null) {
+                hand.accept(() -> known.came(session));
+                return;
+            }
+            Connection fresh = new Connection(Sockets.this, FRONT_IN, FRONT_OUT);
+            session.setAttribute(CONNECTION, fresh);
+            hand.accept(() -> {
+                open++;
+                accepted.accept(fresh);
+                fresh.came(session);
+            });
+        }
+
+        @Override
+        public void messageReceived(IoSession session, Object message) {
+            long at = clock.getAsLong();
+            Connection connection = (Connection) session.getAttribute(CONNECTION);
+            IoBuffer bytes = (IoBuffer) message;
+            if (connection.unread.addAndGet(bytes.remaining()) > Connection.MOST_UNREAD) {
+                session.suspendRead();
+            }
+            hand.accept(() -> connection.heard(bytes, at));
+        }
+
+        @Override
+        public void messageSent(IoSession session, Object message) {
+            Connection connection = (Connection) session.getAttribute(CONNECTION);
+            hand.accept(connection::sent);
+        }
+
+        @Override
+        public void sessionClosed(IoSession session) {
+            Connection connection = (Connection) session.getAttribute(CONNECTION);
+            if (connection != null) {
+                hand.accept(connection::drop);
+            }
+        }
+
+        @Override
+        public void inputClosed(IoSession session) {
+            session.closeNow();
+        }
+
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            session.closeNow();
+        }
+    }
+}
--- a/src/test/java/tansytrack/Manager.java
+++ b/src/test/java/tansytrack/Manager.java
@@ -75,7 +75,7 @@
     /** Takes a task: "id grade tenant", and then any of key=, cost=, left= (milliseconds), mb=, set=. */
     Manager take(String words) {
         String[] word = words.split(" ");
-        long key = -1;
+        Long key = null;
         long cost = 100;
         long left = 20_000;
         double mb = 10;
