--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -74,7 +74,7 @@
     private final SplittableRandom chance;
     private final Loop loop = new Loop();
     private final Map<String, Engine> engines = new TreeMap<>();
-    private final Map<String, Task> tasks = new HashMap<>();
+    private final Map<String, Task> tasks = new LinkedHashMap<>();
     private final Map<String, Row> rows = new TreeMap<>();
     private final Map<String, Market> markets = new TreeMap<>();
     private final Map<String, Tenant> tenants = new TreeMap<>();
@@ -151,8 +151,7 @@
             if (told) { forward.engine.put(() -> forward.engine.paced(task, Math.log(run / task.alone()))); }
             boolean hopeless = what == Progress.WAITS || told && run - age > HOPELESS * task.usualRun();
             if (levers.cancel() && hopeless) {
-                // Stuck behind a load, for memory or in a jam: it may run elsewhere. Where a first forward
-                // cannot be taken back, a second one would only feed the crowd.
+                // Stuck behind a load, for memory or in a jam. Where it cannot be taken back, leave the crowd.
                 gate.put(() -> gate.rescue(forward));
             }
         }
@@ -175,6 +174,11 @@
         if (task != null) { gate.put(() -> gate.finish(task)); }
     }
 
+    public void stopping(long at, long until) {
+        now = at;
+        gate.put(() -> gate.stopAt = until - ANSWER_MARGIN);
+    }
+
     private Forward find(String engine, String task, int index) {
         Engine at = engines.get(engine);
         return at == null ? null : at.out.stream().filter(forward -> forward.index == index
@@ -227,10 +231,7 @@
         }
     }
 
-    /**
-     * Engines that grades are bound to, what work there is worth while tasks wait, and the room of them all:
-     * a floor of one task an engine and manager is, with many managers, far more than the engines hold.
-     */
+    /** Engines that grades are bound to, the price of work there, and the room of them all. */
     private final class Market extends Room {
         final Grade grade;                    // one of those
         double able;                          // cores, our part of them
@@ -242,8 +243,7 @@
         Market(Grade grade) { this.grade = grade; }
 
         private void survey() {
-            double before = able;
-            double parts = 0;
+            double before = able, parts = 0;
             able = memory = granted = threads = 0;
             for (Engine engine : engines.values()) {
                 if (engine.usable() && engine.allowed(grade)) {
@@ -331,6 +331,9 @@
             return waited > PATIENCE ? Math.min(1, waited / (double) (waitUntil - wantedSince)) : 0;
         }
 
+        /** Nothing can come of it: its cut-off is too near, or it would outlast a manager that ends. */
+        boolean outOfTime() { return cutOffAt - now <= ANSWER_MARGIN || usualRun() > gate.stopAt - now; }
+
         boolean harmless() { return grade.repeat() == Grade.Repeat.HARMLESS; }
 
         /** Rule 2: may it go to that engine, given what its earlier forwards may have done? */
@@ -376,6 +379,7 @@
         boolean reports;                      // has any engine ever told its load?
         boolean mostSuspect;                  // of the fleet: then no engine is kept out for it
         int waiting;
+        long stopAt = Long.MAX_VALUE;         // the manager ends: what is answered later is lost
         long lastGrant;
         long sweptAt = now;
         long lastTaken = now;
@@ -399,7 +403,7 @@
             lastTaken = now;
             worthMean = mean(worthMean, task.lnWorth, LEARN);
             task.row.worthMean = mean(task.row.worthMean, task.lnWorth, LEARN);
-            if (task.cutOffAt - now <= ANSWER_MARGIN) {
+            if (task.outOfTime()) {
                 answer(task);
                 return;
             }
@@ -519,8 +523,8 @@
 
         private void sent(Forward forward) {
             Task task = forward.task;
-            double since = Math.min(now - lastGrant, 1000 * MS);
-            spacing = waiting > 0 || now > task.wantedSince ? mean(spacing, since, LEARN) : spacing;
+            double wait = Math.min(now - lastGrant, 1000 * MS);
+            spacing = waiting > 0 || now > task.wantedSince ? mean(spacing, wait, LEARN) : spacing;
             lastGrant = now;
             if (task.forwards++ > 0) { further.add(now, 1); }
             task.out.add(forward);
@@ -602,7 +606,7 @@
 
         /** Its forwards all failed: wanted again where the rules leave a way, else answered at once. */
         private void again(Task task) {
-            boolean left = task.forwards < levers.mostForwards() && task.cutOffAt - now > ANSWER_MARGIN;
+            boolean left = task.forwards < levers.mostForwards() && !task.outOfTime();
             boolean may = left && (task.ran == null || task.grade.repeat() != Grade.Repeat.ONE_SHOT);
             if (may) { enqueue(task); } else { answer(task); }
         }
@@ -627,10 +631,7 @@
             return rule == null || further.count() + 1 <= rule.spare() + rule.share() * taken.count();
         }
 
-        /**
-         * Early refusal by worth: while tasks wait, work has a price. Guards against heavy tasks that take
-         * the room of many, in any jam. A wait for some engines must not shed what fits others.
-         */
+        /** Early refusal by worth: while tasks wait, work has a price, lest heavy ones take all room. */
         private void reprice() {
             double usual = Math.exp(worthMean);
             double fall = Math.pow(PRICE_FALL, (now - sweptAt) / (double) SWEEP);
@@ -661,6 +662,10 @@
                 }
                 release(line);
             }
+            if (stopAt < Long.MAX_VALUE) {
+                new ArrayList<>(tasks.values()).stream().filter(task -> !task.over && (now >= stopAt
+                        || task.out.isEmpty() && task.outOfTime())).forEach(this::answer);
+            }
         }
     }
 
@@ -758,10 +763,7 @@
             return rule.startCapacity() + (1 - rule.startCapacity()) * age;
         }
 
-        /**
-         * Rule 4: an even part, alike for all managers, of what a cold engine may get in the window. Where it
-         * holds no task, each draws once a window whether to send one, so rarely that the sum stays within.
-         */
+        /** Rule 4: an even part of what a cold engine may get; where that holds no task, a draw. */
         private boolean coldAllows(Task task) {
             if (warmth() >= 1) { return true; }
             coldSends.forget(now - set.cold().window());
--- a/src/main/java/tansytrack/Main.java
+++ b/src/main/java/tansytrack/Main.java
@@ -1,22 +1,113 @@
 package tansytrack;
 
 import java.io.IOException;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
 import tansytrack.adapter.Adapter;
 import tansytrack.service.Service;
 
-/** Picks the command. */
+/** The command line. */
 public final class Main {
 
+    private static final String PROGRAM = "java -jar tansytrack.jar ";
+    private static final int USAGE = 2;
+
+    @Argument(required = true, metaVar = "COMMAND", usage = "serve, adapter, check or version",
+            handler = SubCommandHandler.class)
+    @SubCommands({@SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "adapter", impl = Bench.class),
+        @SubCommand(name = "check", impl = Check.class), @SubCommand(name = "version", impl = Version.class)})
+    private Command command;
+
     private Main() { }
 
+    /** A sub-command, with its help. */
+    public abstract static class Command {
+        @Option(name = "--help", aliases = "-h", help = true, usage = "say what this command does")
+        private boolean help;
+
+        abstract String about();
+
+        abstract int run() throws IOException;
+    }
+
+    /** The workload manager. */
+    public static final class Serve extends Command {
+        @Override
+        String about() {
+            return "serve: runs one workload manager as the file that ROUTER_CONFIG names says, until SIGTERM.\n"
+                    + "Exit code 2: the configuration cannot be used; 3: a failure inside.";
+        }
+
+        @Override
+        int run() {
+            return Service.serve(System.getenv("ROUTER_CONFIG"));
+        }
+    }
+
+    /** The decisions on the simulator's wire. */
+    public static final class Bench extends Command {
+        @Override
+        String about() {
+            return "adapter: the same decisions on the simulator's wire, on standard input and output.";
+        }
+
+        @Override
+        int run() throws IOException {
+            return new Adapter(System.in, System.out, System.err).run();
+        }
+    }
+
+    /** Reads a configuration. */
+    public static final class Check extends Command {
+        @Argument(metaVar = "FILE", usage = "the configuration; absent: the one that ROUTER_CONFIG names")
+        private String file = System.getenv("ROUTER_CONFIG");
+
+        @Override
+        String about() {
+            return "check: reads a configuration and says what is wrong with it. Exit code 2: it cannot be used.";
+        }
+
+        @Override
+        int run() {
+            return Service.check(file, System.out);
+        }
+    }
+
+    /** Names the version. */
+    public static final class Version extends Command {
+        @Override
+        String about() {
+            return "version: names the program and its version.";
+        }
+
+        @Override
+        int run() {
+            String version = Main.class.getPackage().getImplementationVersion();
+            System.out.println("tansytrack " + (version == null ? "(not packaged)" : version));
+            return 0;
+        }
+    }
+
     public static void main(String[] args) throws IOException {
-        if (args.length == 1 && args[0].equals("adapter")) {
-            System.exit(new Adapter(System.in, System.out, System.err).run());
+        Main main = new Main();
+        CmdLineParser parser = new CmdLineParser(main);
+        try {
+            parser.parseArgument(args);
+        } catch (CmdLineException e) {
+            System.err.println("tansytrack: " + e.getMessage());
+            System.err.println("usage: " + PROGRAM + "serve | adapter | check [FILE] | version   (each with --help)");
+            System.exit(USAGE);
         }
-        if (args.length == 1 && args[0].equals("serve")) {
-            System.exit(Service.serve(System.getenv("ROUTER_CONFIG")));
+        if (main.command.help) {
+            System.out.println(main.command.about());
+            new CmdLineParser(main.command).printUsage(System.out);
+            System.exit(0);
         }
-        System.err.println("usage: java -jar tansytrack.jar adapter|serve");
-        System.exit(2);
+        System.exit(main.command.run());
     }
 }
--- a/src/main/java/tansytrack/api/Decisions.java
+++ b/src/main/java/tansytrack/api/Decisions.java
@@ -27,5 +27,8 @@
 
     void abandoned(long now, String task);
 
+    /** The manager is to end: an answer given after that time is lost. Tasks may still come. */
+    void stopping(long now, long until);
+
     void decide(long now);
 }
--- a/src/main/java/tansytrack/service/Channel.java
+++ b/src/main/java/tansytrack/service/Channel.java
@@ -68,7 +68,7 @@
                 case "gone" -> EngineEntry.State.GONE;
                 default -> throw new Junk("unknown phase");
             };
-            if (one.get("host_port") != null) {
+            if (state != EngineEntry.State.GONE) {
                 addresses.put(id, Service.address(Json.text(one.get("host_port"), "host_port")));
             }
             entries.add(new EngineEntry(id, amount(one, "size", 1), word(one, "locality"), word(one, "flavor"),
@@ -93,6 +93,13 @@
         line.call("GET", "/cmd/next?resume=" + cursor + "&block=" + BLOCK, "", new byte[0], this);
     }
 
+    void close() {
+        timer.cancel();
+        if (line != null) {
+            line.drop();
+        }
+    }
+
     private void silent() {
         line.drop();
         manager.counters().add("channel.silent");
--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -1,6 +1,7 @@
 package tansytrack.service;
 
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -10,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 import tansytrack.Decide;
+import tansytrack.api.Grade;
 import tansytrack.settings.Config;
 import tansytrack.settings.Unusable;
 import tansytrack.state.Manager;
@@ -22,26 +24,43 @@
 public final class Service {
 
     private static final long MS = 1_000_000L;
+    private static final int UNUSABLE = 2;
+    private static final int FAILED = 3;
     private static final long LONGEST_NAP = 1000 * MS;      // of the loop, with nothing due
     private static final int MOST_NOTES = 256;              // taken before timers and decisions have their turn
 
+    // After SIGTERM, by the platform: new connections for 0.4 s, requests on open ones for 0.2 s more; SIGKILL after
+    // the longest deadline, 3 s of it at most, and 0.7 s more.
+    private static final long COMING = 650 * MS;
+    private static final long LONGEST_TO_KILL = 3000 * MS;
+    private static final long KILL_MARGIN = 700 * MS;
+    private static final long POLL = 10 * MS;               // between looks whether all is answered
+
     private final LinkedBlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
     private final Clock clock = new Clock();
     private final Timers timers = new Timers();
     private final Sockets sockets = new Sockets(inbox::add, clock);
+    private final Config config;
     private final Manager manager;
+    private final Channel channel;
     private final CountDownLatch ended = new CountDownLatch(1);
     private boolean stopped;
 
-    private Service(Config config) throws IOException, Junk {
+    Service(Config config) throws Junk {
+        this.config = config;
         timers.now(clock.getAsLong());
         manager = new Manager(config, timers, sockets, Decide::new);
-        Channel channel = new Channel(sockets, timers, address(config.channel()), manager);
+        channel = new Channel(sockets, timers, address(config.channel()), manager);
         channel.take(config.known());
         manager.turn();
-        sockets.listen(address(config.listen()), manager::accepted);
+    }
+
+    /** From here on it can decide, so it may answer. */
+    InetSocketAddress listen() throws IOException, Junk {
+        InetSocketAddress at = sockets.listen(address(config.listen()), manager::accepted);
         channel.ask();
-        Logger.info("{} listens at {}", config.name(), config.listen());
+        Logger.info("{} listens at {}", config.name(), at);
+        return at;
     }
 
     /** Serves until SIGTERM: 0, 2 for a configuration that cannot be used, 3 after a failure inside. */
@@ -49,14 +68,44 @@
         Service service;
         try {
             service = new Service(config(path));
+            service.listen();
+        } catch (IOException | Junk | Unusable e) {
+            return unusable(e);
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(service::terminated, "stop"));
+        try {
+            service.run();
+        } catch (Throwable e) {
+            // Not swallowed, not waited out: what a half-told module would decide is worth nothing.
+            Logger.error(e, "a failure inside ends the workload manager");
+            Runtime.getRuntime().halt(FAILED);
+        }
+        service.ended.countDown();
+        return 0;
+    }
+
+    /** Starts as far as that goes without a socket: 0, or 2 for a configuration that cannot be used. */
+    public static int check(String path, PrintStream out) {
+        try {
+            Config config = config(path);
+            Service service = new Service(config);
+            address(config.listen());
+            service.sockets.close();
+            out.println(config.name() + ": " + config.settings().grades().size() + " service grades, "
+                    + config.settings().tenants().size() + " tenants, " + service.manager.engineCount() + " engines");
+            return 0;
         } catch (IOException | Junk | Unusable e) {
-            System.err.println("tansytrack: " + e.getMessage());
-            return 2;
+            return unusable(e);
         }
-        return service.run();
     }
 
-    public static Config config(String path) throws IOException, Junk {
+    private static int unusable(Exception why) {
+        boolean file = why instanceof IOException;
+        System.err.println("tansytrack: " + (file ? why.toString() : why.getMessage()));
+        return UNUSABLE;
+    }
+
+    private static Config config(String path) throws IOException, Junk {
         if (path == null) {
             throw new Unusable("ROUTER_CONFIG names no configuration");
         }
@@ -67,8 +116,11 @@
         int colon = text.lastIndexOf(':');
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
-            if (colon > 0 && port > 0 && port < 65536) {
-                return new InetSocketAddress(text.substring(0, colon), port);
+            if (colon > 0 && port >= 0 && port < 65536) {
+                InetSocketAddress address = new InetSocketAddress(text.substring(0, colon), port);
+                if (!address.isUnresolved()) {
+                    return address;
+                }
             }
         } catch (NumberFormatException e) {
             // said below
@@ -76,20 +128,17 @@
         throw new Junk("'" + text + "' is not an address with a port");
     }
 
-    private int run() {
-        Thread hook = new Thread(this::terminated, "stop");
-        Runtime.getRuntime().addShutdownHook(hook);
-        try {
-            while (!stopped) {
-                turn();
-            }
-        } catch (RuntimeException | InterruptedException e) {
-            Logger.error(e, "a failure inside ends the workload manager");
-            Runtime.getRuntime().halt(3);
+    /** The loop; it ends some time after it was told to, with all given back. */
+    void run() throws InterruptedException {
+        while (!stopped) {
+            turn();
         }
+        sockets.close();
         report();
-        ended.countDown();
-        return 0;
+    }
+
+    int descriptors() {
+        return sockets.open();
     }
 
     private void turn() throws InterruptedException {
@@ -108,9 +157,13 @@
         manager.turn();
     }
 
+    void terminate() {
+        inbox.add(this::stop);
+    }
+
     /** Runs on the thread that the machine starts for SIGTERM: the program ends when it returns. */
     private void terminated() {
-        inbox.add(this::stop);
+        terminate();
         try {
             ended.await();
         } catch (InterruptedException e) {
@@ -118,17 +171,27 @@
         }
     }
 
+    /** SIGTERM: tasks come for a while yet, and are served or given back as the module decides. */
     private void stop() {
-        long from = timers.now();
-        timers.at(from + 700 * MS, () -> stopWhenIdle(from));
+        long longest = config.settings().grades().stream().mapToLong(Grade::cutOff).max().orElse(0);
+        long until = timers.now() + Math.min(longest, LONGEST_TO_KILL) + KILL_MARGIN;
+        Logger.info("told to end; answers count for {} ms more", (until - timers.now()) / MS);
+        manager.stopping(until);
+        timers.at(timers.now() + COMING, () -> {
+            sockets.stopListening();
+            endWhenIdle(until);
+        });
     }
 
-    private void stopWhenIdle(long from) {
-        if (manager.openTasks() == 0 || timers.now() - from > 3600 * MS) {
-            stopped = true;
-        } else {
-            timers.at(timers.now() + 20 * MS, () -> stopWhenIdle(from));
+    private void endWhenIdle(long until) {
+        boolean late = timers.now() > until;
+        if (late || manager.idle()) {
+            // What tells engines that nobody waits any more still goes out.
+            channel.close();
+            manager.close();
+            stopped = sockets.open() == 0 || timers.now() > until + KILL_MARGIN;
         }
+        timers.at(timers.now() + POLL, () -> endWhenIdle(until));
     }
 
     private void report() {
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -4,6 +4,8 @@
 import java.util.ArrayDeque;
 import java.util.IdentityHashMap;
 import java.util.Map;
+import java.util.function.Consumer;
+import tansytrack.wire.Http;
 import tansytrack.wire.HttpLine;
 import tansytrack.wire.Sockets;
 
@@ -20,6 +22,7 @@
     private final ArrayDeque<Idle> idle = new ArrayDeque<>();       // the last used at the end
     private final Map<HttpLine, Timers.Timer> coming = new IdentityHashMap<>();     // until up, or given up
     private InetSocketAddress address;
+    private boolean retired;                // gone from the list: what is out ends, nothing is kept
 
     /** What bounds connections: times in nanoseconds, and how many descriptors engines may take. */
     record Limits(long connectTime, long idleTime, int most) { }
@@ -42,7 +45,12 @@
         }
     }
 
-    void dropIdle() {
+    void retire() {
+        retired = true;
+        dropIdle();
+    }
+
+    private void dropIdle() {
         while (!idle.isEmpty()) {
             idle.poll().line.drop();
         }
@@ -77,6 +85,51 @@
         return call(method, path, "", NOTHING, by);
     }
 
+    /**
+     * A call that nobody has to wait for: whatever becomes of it is said once, as whether it has gone out whole. A
+     * silent connection is closed after the time that one may take to come up.
+     */
+    void aside(String method, String path, byte[] body, Consumer<Boolean> done) {
+        Aside aside = new Aside(done);
+        aside.line = call(method, path, "", body, aside);
+        aside.timer = timers.at(timers.now() + (aside.line == null ? 0 : limits.connectTime), aside::late);
+    }
+
+    private static final class Aside implements HttpLine.Caller {
+        private final Consumer<Boolean> done;
+        private HttpLine line;
+        private Timers.Timer timer;
+        private boolean written;
+
+        Aside(Consumer<Boolean> done) {
+            this.done = done;
+        }
+
+        @Override
+        public void answered(Http.Answer answer) {
+            timer.cancel();
+            done.accept(true);
+        }
+
+        @Override
+        public void written() {
+            written = true;
+        }
+
+        @Override
+        public void failed(boolean wasUp) {
+            timer.cancel();
+            done.accept(written);
+        }
+
+        void late() {
+            if (line != null) {
+                line.drop();
+            }
+            done.accept(written);
+        }
+    }
+
     private void late(HttpLine line, HttpLine.Caller by) {
         coming.remove(line);
         if (!line.up()) {
@@ -88,7 +141,11 @@
     @Override
     public void free(HttpLine line) {
         forget(line);
-        idle.add(new Idle(line, timers.now()));
+        if (retired || !line.to().equals(address)) {
+            line.drop();
+        } else {
+            idle.add(new Idle(line, timers.now()));
+        }
     }
 
     @Override
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -1,8 +1,10 @@
 package tansytrack.state;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -29,18 +31,12 @@
 /** What a running workload manager holds, between the module on one side and the sockets on the other. */
 public final class Manager implements Actions, PgSession.Front {
 
-    /** For calls whose answer changes nothing. */
-    static final HttpLine.Caller NOBODY = new HttpLine.Caller() {
-        @Override
-        public void answered(Http.Answer answer) { }
-
-        @Override
-        public void failed(boolean wasUp) { }
-    };
-
     private static final long MS = 1_000_000L;
-    private static final int SPARE_DESCRIPTORS = 64;        // files of the program itself, its listener and channel
+    private static final int SPARE_DESCRIPTORS = 64;        // files of the program itself, its listener and channel,
+                                                            // and clients that come while all others are in use
+    private static final long ROUND = 1000 * MS;            // between rounds over sessions and idle connections
     private static final String[] COLUMNS = {"c1", "c2", "c3"};
+    private static final String[] STATS = {"counter", "count"};
 
     private final Config config;
     private final Timers timers;
@@ -55,7 +51,9 @@
     private final Map<String, EngineLines> engines = new LinkedHashMap<>();
     private final Map<Integer, PgSession> sessions = new HashMap<>();
     private final ArrayDeque<Runnable> later = new ArrayDeque<>();
+    private final int mostSessions;
     private int sessionNumber;
+    private int owed;                                       // answers
     private boolean told;                                   // the module has heard something and not yet decided
 
     public Manager(Config config, Timers timers, Sockets sockets, BiFunction<Settings, Actions, Decisions> start) {
@@ -64,6 +62,7 @@
         this.sockets = sockets;
         limits = new EngineLines.Limits(config.connectTime(), config.idleTime() / 2,
                 config.mostDescriptors() - SPARE_DESCRIPTORS);
+        mostSessions = config.mostDescriptors() / 2;
         for (Grade grade : config.settings().grades()) {
             grades.put(grade.name(), grade);
         }
@@ -71,11 +70,13 @@
             tenants.put(tenant.name(), tenant);
         }
         module = start.apply(config.settings(), this);
+        timers.at(timers.now() + ROUND, this::round);
     }
 
     // ---- The loop's side ----
 
-    void later(Runnable what) {
+    @Override
+    public void later(Runnable what) {
         later.add(what);
     }
 
@@ -96,22 +97,54 @@
         return counters;
     }
 
-    public int openTasks() {
-        return tasks.size();
+    public int engineCount() {
+        return engines.size();
+    }
+
+    /** The manager is to end, and no answer given after that time will count. */
+    public void stopping(long until) {
+        told = true;
+        module.stopping(timers.now(), until);
+    }
+
+    /** Is no answer owed, and none still being read? */
+    public boolean idle() {
+        return owed == 0 && sessions.values().stream().noneMatch(PgSession::busy);
+    }
+
+    /** Ends all sessions, and each connection to an engine once its call has ended. */
+    public void close() {
+        engines.values().forEach(EngineLines::retire);
+        new ArrayList<>(sessions.values()).forEach(PgSession::end);
+    }
+
+    private void round() {
+        sessions.values().removeIf(PgSession::ended);
+        new ArrayList<>(sessions.values()).forEach(PgSession::round);
+        engines.values().forEach(EngineLines::trim);
+        timers.at(timers.now() + ROUND, this::round);
     }
 
     // ---- The command channel's side ----
 
+    /** Engines as listed, and where those are that have not gone. */
     public void engines(boolean complete, List<EngineEntry> entries, Map<String, InetSocketAddress> addresses) {
+        counters.add("channel.lists");
+        if (complete) {
+            engines.values().removeIf(engine -> {
+                boolean gone = !addresses.containsKey(engine.id);
+                if (gone) {
+                    engine.retire();
+                }
+                return gone;
+            });
+        }
         for (EngineEntry entry : entries) {
-            InetSocketAddress address = addresses.get(entry.id());
-            EngineLines lines = engines.computeIfAbsent(entry.id(),
-                    id -> new EngineLines(id, sockets, timers, limits, counters));
-            if (address != null) {
-                lines.address(address);
-            }
-            if (entry.state() == EngineEntry.State.GONE) {
-                lines.dropIdle();
+            if (entry.state() != EngineEntry.State.GONE) {
+                engines.computeIfAbsent(entry.id(), id -> new EngineLines(id, sockets, timers, limits, counters))
+                        .address(addresses.get(entry.id()));
+            } else if (engines.containsKey(entry.id())) {
+                engines.remove(entry.id()).retire();
             }
         }
         told = true;
@@ -123,7 +156,12 @@
     public void accepted(Connection connection) {
         counters.add("clients.connections");
         int number = ++sessionNumber;
-        sessions.put(number, new PgSession(connection, this, number, secrets.nextInt()));
+        PgSession session = new PgSession(connection, this, number, secrets.nextInt());
+        sessions.put(number, session);
+        if (sessions.size() > mostSessions) {
+            counters.add("clients.too_many");
+            session.refuse();
+        }
     }
 
     @Override
@@ -133,6 +171,10 @@
         TaskOffer offer;
         try {
             statement = Statement.read(text);
+            if (new String(statement.body(), StandardCharsets.UTF_8).strip().equalsIgnoreCase("show stats")) {
+                session.rows(STATS, List.of(stats()));
+                return;
+            }
             offer = offer(statement, at);
         } catch (Junk e) {
             counters.add("clients.unusable");
@@ -141,12 +183,19 @@
         }
         OpenTask task = new OpenTask(offer.id(), offer.grade(), statement.body(), offer.cutOffAt(), session);
         session.open(task);
+        owed++;
         tasks.put(task.id, task);
         counters.add("tasks.taken");
         told = true;
         module.task(timers.now(), offer);
     }
 
+    private byte[] stats() {
+        StringBuilder rows = new StringBuilder();
+        counters.all().forEach((kind, count) -> rows.append(kind).append('\t').append(count).append('\n'));
+        return rows.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
     private TaskOffer offer(Statement statement, long at) throws Junk {
         String id = needed(statement, "id");
         hex("id", id);
@@ -219,10 +268,13 @@
 
     @Override
     public void gone(PgSession session) {
-        if (sessions.remove(session.number()) != null && session.open() instanceof OpenTask task) {
+        if (session.open() instanceof OpenTask task) {
             counters.add("clients.left");
             abandon(task);
         }
+        if (session.ended()) {
+            sessions.remove(session.number());
+        }
     }
 
     private void abandon(OpenTask task) {
@@ -255,6 +307,7 @@
 
     /** The one place where a task stops being owed an answer. */
     private void over(OpenTask task) {
+        owed--;
         task.session.open(null);
         task.session = null;
         forget(task);
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -19,6 +19,8 @@
     static final int COLUMNS = 3;
     private static final int MOST_PAGES = 64;               // a result is 48,000 bytes, a page 6,000 at most
     private static final int MOST_BYTES = 1 << 16;
+    private static final long UNASKED = 2_000_000_000L;     // after which an engine drops a query, by the protocol
+    private static final byte[] NOTHING = new byte[0];
 
     final OpenTask task;
     final int index;
@@ -34,7 +36,9 @@
     private int pageCount;
     private boolean started;                                // the engine has answered for it
     private boolean asked;                                  // the question is open that follows a broken connection
+    private boolean cancelled;
     private boolean over;
+    private long askedAt;
     private double cost;
     private double memory;
     private LoadReport report;
@@ -46,6 +50,7 @@
         this.index = index;
         this.engine = engine;
         at = timers.now();
+        askedAt = at;
         path = "/o/" + task.id;
     }
 
@@ -66,6 +71,7 @@
     }
 
     private void ask(String what) {
+        askedAt = timers.now();
         line = engine.call("GET", path + what, this);
         if (line == null) {
             manager.later(() -> end(Outcome.RESET));
@@ -148,28 +154,25 @@
         }
     }
 
-    /** Gives it up at its engine: its end comes once the call for it has gone out whole. */
+    /**
+     * Gives it up at its engine: its end comes once the call for that has gone out whole. Guards against a second
+     * forward beside this one: where the call cannot leave, as on a machine that vanished, the forward stays out until
+     * its engine must have dropped it for not being asked.
+     */
     void cancel() {
-        if (!over) {
+        if (!over && !cancelled) {
+            cancelled = true;
             release();
-            HttpLine sent = engine.call("DELETE", path, new HttpLine.Caller() {
-                @Override
-                public void answered(Http.Answer answer) {
-                    end(Outcome.CANCELLED);
-                }
-
-                @Override
-                public void failed(boolean wasUp) {
+            engine.aside("DELETE", path, NOTHING, gone -> {
+                if (gone) {
                     end(Outcome.CANCELLED);
+                } else {
+                    timers.at(askedAt + UNASKED, () -> end(Outcome.CANCELLED));
                 }
             });
-            if (sent == null) {
-                manager.later(() -> end(Outcome.CANCELLED));
-            }
         }
     }
 
-    /** Tells the engine, for what it is worth, that nobody waits any more. */
     private void release() {
         if (line != null) {
             line.drop();
@@ -178,8 +181,8 @@
     }
 
     void priority(int priority) {
-        if (!over) {
-            engine.call("PUT", path, "", Integer.toString(priority).getBytes(StandardCharsets.US_ASCII), Manager.NOBODY);
+        if (!over && !cancelled) {
+            engine.aside("PUT", path, Integer.toString(priority).getBytes(StandardCharsets.US_ASCII), gone -> { });
         }
     }
 
@@ -189,8 +192,8 @@
         }
         over = true;
         timer.cancel();
-        if (outcome == Outcome.TIME_OUT || outcome == Outcome.ERROR && started) {
-            engine.call("DELETE", path, Manager.NOBODY);
+        if (outcome == Outcome.TIME_OUT && !cancelled) {
+            engine.aside("DELETE", path, NOTHING, gone -> { });
         }
         manager.ended(this, outcome, Math.round(cost * 1e6), memory, report, outcome == Outcome.OK ? pages : null);
     }
--- a/src/main/java/tansytrack/wire/Connection.java
+++ b/src/main/java/tansytrack/wire/Connection.java
@@ -52,6 +52,11 @@
         return !over && !closing;
     }
 
+    /** It has given back all that it held. */
+    public boolean ended() {
+        return over;
+    }
+
     public boolean up() {
         return session != null;
     }
--- a/src/main/java/tansytrack/wire/HttpLine.java
+++ b/src/main/java/tansytrack/wire/HttpLine.java
@@ -24,16 +24,22 @@
     }
 
     private final Connection connection;
+    private final InetSocketAddress to;
     private final String host;
     private final Holder holder;
     private Caller caller;
 
     public HttpLine(Sockets sockets, InetSocketAddress to, Holder holder) {
         this.holder = holder;
+        this.to = to;
         host = to.getHostString() + ':' + to.getPort();
         connection = sockets.connect(to, this);
     }
 
+    public InetSocketAddress to() {
+        return to;
+    }
+
     public boolean up() {
         return connection.up();
     }
--- a/src/main/java/tansytrack/wire/PgSession.java
+++ b/src/main/java/tansytrack/wire/PgSession.java
@@ -15,8 +15,11 @@
         /** Somebody wants the query of the session with this key given up. */
         void cancel(int number, int secret);
 
-        /** The session has ended; a query may have been open. */
+        /** The session ends; a query may have been open. */
         void gone(PgSession session);
+
+        /** To be done when the present news has been dealt with. */
+        void later(Runnable what);
     }
 
     private static final int PROTOCOL = 3 << 16;
@@ -25,6 +28,8 @@
     private static final int GSS = 80877104;
     private static final int LONGEST = 1 << 15;         // a message; statements here are far shorter
     private static final int SHORTEST_START = 8;
+    private static final int STUCK = 5;                 // rounds without a byte read by a client that is owed some
+    private static final int UNUSED = 60;               // rounds without a word: no client here is idle so long
     private static final String[] STATUS = {"server_version", "15.0", "server_encoding", "UTF8", "client_encoding",
         "UTF8", "DateStyle", "ISO, MDY", "integer_datetimes", "on", "standard_conforming_strings", "on"};
     private static final int TEXT = 25;                 // the type of every column
@@ -37,6 +42,7 @@
     private boolean querying;
     private boolean skipping;                           // to the next Sync, after a message of the extended protocol
     private long heardAt;                               // when the last bytes came
+    private int quiet;                                  // rounds since anything was heard or written
     private Object open;                                // what the owner of the query keeps with it
 
     public PgSession(Connection connection, Front front, int number, int secret) {
@@ -63,14 +69,39 @@
         open = query;
     }
 
+    /** Has the connection given back what it held? */
+    public boolean ended() {
+        return connection.ended();
+    }
+
     /** Is an answer owed, or still being read by the client? */
     public boolean busy() {
         return querying || connection.out.size() > 0;
     }
 
+    /** One round, some time after the last: a client that stopped reading or speaking must not hold anything. */
+    public void round() {
+        quiet++;
+        boolean stuck = connection.out.size() > 0 || !connection.open();
+        if (!ended() && (stuck ? quiet > STUCK : !querying && quiet > UNUSED)) {
+            cut();
+        }
+    }
+
+    /** For a session that there is no room for. */
+    public void refuse() {
+        fatal("53300", "too many connections");
+    }
+
+    @Override
+    public void written() {
+        quiet = 0;
+    }
+
     @Override
     public void heard(long at) {
         heardAt = at;
+        quiet = 0;
         Ring in = connection.in;
         while (connection.open() && !querying && in.size() >= 4) {
             int first = started ? 1 : 0;
@@ -235,7 +266,7 @@
         connection.flush();
         // What came behind the query has waited in the ring.
         if (connection.in.size() > 0) {
-            heard(heardAt);
+            front.later(() -> heard(heardAt));
         }
     }
 
@@ -257,6 +288,10 @@
 
     private void message(char type, byte[] body) {
         ByteBuffer head = ByteBuffer.allocate(5).put((byte) type).putInt(body.length + 4).flip();
+        if (connection.out.space() < body.length + 5) {
+            front.later(this::cut);         // asks on, but does not read what it is answered
+            return;
+        }
         connection.out.put(head);
         connection.out.put(body);
     }
@@ -264,13 +299,12 @@
     /** Closes the session once all is written; an open query is given up. */
     public void end() {
         connection.finish();
-        closed(true);
+        front.gone(this);
     }
 
-    /** Closes it at once. */
-    public void cut() {
+    private void cut() {
         connection.close();
-        closed(true);
+        front.gone(this);
     }
 
     @Override
--- a/src/main/java/tansytrack/wire/Ring.java
+++ b/src/main/java/tansytrack/wire/Ring.java
@@ -7,6 +7,8 @@
 
     private static final int FIRST = 1 << 11;      // most messages are shorter
 
+    private static final int KEPT = 1 << 13;       // by an empty ring: hundreds of sessions must not keep their largest
+
     private final int most;
     private byte[] bytes = new byte[FIRST];
     private int head;
@@ -78,6 +80,10 @@
         }
         head = head + count & bytes.length - 1;
         size -= count;
+        if (size == 0 && bytes.length > KEPT) {
+            bytes = new byte[FIRST];
+            head = 0;
+        }
     }
 
     /** Takes the first bytes out. */
--- a/src/main/java/tansytrack/wire/Sockets.java
+++ b/src/main/java/tansytrack/wire/Sockets.java
@@ -29,7 +29,7 @@
     private static final int READ_FIRST = 1 << 11;       // bytes of a first read, and bounds to what MINA adapts it
     private static final int READ_MOST = 1 << 14;
     private static final int FRONT_IN = 1 << 16;         // the longest message of a client
-    private static final int FRONT_OUT = 1 << 18;        // a result of 48,000 bytes in the shortest rows
+    private static final int FRONT_OUT = 1 << 19;        // a result of the most bytes, in the shortest rows
     private static final int CALL_IN = 1 << 16;          // a page or a list, with its header
     private static final int CALL_OUT = 1 << 17;         // a statement, with its header
 
@@ -53,6 +53,7 @@
         configure(acceptor.getSessionConfig());
         configure(connector.getSessionConfig());
         acceptor.setReuseAddress(true);
+        acceptor.setCloseOnDeactivation(false);          // or the end of listening would end all sessions
         acceptor.setBacklog(BACKLOG);
         acceptor.setHandler(new Handler());
         connector.setHandler(new Handler());
@@ -108,6 +109,7 @@
     public void close() {
         acceptor.dispose(false);
         connector.dispose(false);
+        processors.dispose();
         threads.shutdown();
         try {
             threads.awaitTermination(1, TimeUnit.SECONDS);
@@ -142,6 +144,9 @@
             IoBuffer bytes = (IoBuffer) message;
             if (connection.unread.addAndGet(bytes.remaining()) > Connection.MOST_UNREAD) {
                 session.suspendRead();
+                if (connection.unread.get() <= Connection.MOST_UNREAD) {
+                    session.resumeRead();       // the loop has taken it meanwhile, and saw nothing to resume
+                }
             }
             hand.accept(() -> connection.heard(bytes, at));
         }
--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -308,4 +308,29 @@
         }
         assertThat(manager.provided).contains("w1 13 3", "t 125 0", "l 13 2");
     }
+
+    /** Guards against answers that SIGKILL cuts off: all are given before, and what cannot end by then goes at once. */
+    @ParameterizedTest(name = "{0} costing {1} ms, after {2} ms of 3000: {3}")
+    @CsvSource({"short, 10, 1, ''", "short, 10, 2900, ''", "short, 10, 2995, bounce t", "short, 9000, 1, ''",
+        "once, 10, 2900, ''", "once, 10, 2995, abort t", "stamp, 10, 2995, bounce t", "cell, 10, 2995, abort t"})
+    void whatIsOutWhenItEndsIsAnsweredBefore(String grade, long cost, long after, String answer) {
+        Manager manager = new Manager().list(true, small("e")).take("t " + grade + " a cost=" + cost).decide();
+        manager.stop(3000).pass(after);
+        assertThat(manager.did.stream().filter(line -> !line.startsWith("forward") && !line.startsWith("cancel"))
+                .toList()).isEqualTo(answer.isEmpty() ? List.of() : List.of(answer));
+    }
+
+    @ParameterizedTest(name = "costing {0} ms: {1}")
+    @CsvSource({"10, forward t e", "9000, bounce t"})
+    void whatComesWhileItEndsIsServedIfItCanEndInTime(long cost, String then) {
+        Manager manager = new Manager().list(true, small("e")).stop(3000).take("t short a cost=" + cost).decide();
+        assertThat(manager.did).containsExactly(then);
+    }
+
+    @ParameterizedTest(name = "costing {0} ms: {1}")
+    @CsvSource({"10, 0", "9000, 1"})
+    void whatWaitsWhenItEndsGoesAtOnceIfItCannotEndInTime(long cost, int bounced) {
+        Manager manager = full().take("t short a left=15000 cost=" + cost).decide().stop(3000).pass(60);
+        assertThat(manager.did("bounce t")).hasSize(bounced);
+    }
 }
--- a/src/test/java/tansytrack/Manager.java
+++ b/src/test/java/tansytrack/Manager.java
@@ -135,6 +135,12 @@
         return decide();
     }
 
+    /** It is told to end; answers count for so many milliseconds more. */
+    Manager stop(long ms) {
+        module().stopping(now, now + ms * MS);
+        return decide();
+    }
+
     Manager leave(String task) {
         module().abandoned(now, task);
         return decide();
--- /dev/null
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -0,0 +1,502 @@
+package tansytrack.service;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import tansytrack.settings.Config;
+import tansytrack.settings.Unusable;
+import tansytrack.wire.Json;
+import tansytrack.wire.Junk;
+
+/** The whole workload manager on loopback sockets, between stand-ins for clients, an engine and the command channel. */
+class ServiceTest {
+
+    private static final int MINUTE = 60_000;        // a verdict never waits for it, unless something is broken
+
+    @TempDir
+    Path folder;
+    private final Engine engine = new Engine();
+    private Service service;
+    private Thread loop;
+    private InetSocketAddress at;
+    private Throwable failure;
+
+    /** An HTTP server that does as the statement says; the command channel too. */
+    private static final class Engine implements AutoCloseable {
+        final ServerSocket socket;
+        final List<String> calls = new CopyOnWriteArrayList<>();
+        final List<Socket> open = new CopyOnWriteArrayList<>();
+        final CountDownLatch deleted = new CountDownLatch(1);
+        final CountDownLatch posted = new CountDownLatch(1);
+        volatile String statement = "";
+        volatile String list = "";
+        volatile int asked;
+
+        Engine() {
+            try {
+                socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+            new Thread(this::accept).start();
+        }
+
+        String address() {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket one = socket.accept();
+                    open.add(one);
+                    new Thread(() -> serve(one)).start();
+                }
+            } catch (IOException e) {
+                // closed
+            }
+        }
+
+        private void serve(Socket one) {
+            try (one) {
+                DataInputStream in = new DataInputStream(one.getInputStream());
+                while (true) {
+                    StringBuilder head = new StringBuilder();
+                    while (head.indexOf("\r\n\r\n") < 0) {
+                        head.append((char) in.readUnsignedByte());
+                    }
+                    int at = head.indexOf("Content-Length: ");
+                    byte[] body = new byte[at < 0 ? 0
+                            : Integer.parseInt(head.substring(at + 16, head.indexOf("\r\n", at)))];
+                    in.readFully(body);
+                    String call = head.substring(0, head.indexOf(" HTTP"));
+                    if (call.startsWith("POST")) {
+                        statement = new String(body, StandardCharsets.UTF_8);
+                    }
+                    calls.add(call.startsWith("POST") ? call + ' ' + statement + '\n' + head : call);
+                    String answer = answer(call);
+                    if (answer.equals("cut")) {
+                        return;
+                    }
+                    if (!answer.equals("silent")) {
+                        one.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+                    }
+                    (call.startsWith("POST") ? posted : new CountDownLatch(1)).countDown();
+                }
+            } catch (IOException e) {
+                // gone
+            }
+        }
+
+        private static String say(String status, String fields, String body) {
+            return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+        }
+
+        private String answer(String call) {
+            if (call.startsWith("GET /cmd")) {
+                String told = list;
+                list = "";
+                return told.isEmpty() ? "silent" : say("200 OK", "", told);
+            }
+            if (call.startsWith("DELETE")) {
+                deleted.countDown();
+                return say("204 No Content", "", "");
+            }
+            boolean news = call.startsWith("POST") || call.endsWith("/0");
+            asked += news ? 1 : 0;
+            String done = "Page-Count: 1\r\nWork-Ms: 5.5\r\nPeak-Mb: 2\r\n";
+            return switch (statement) {
+                case "ok" -> say("200 OK", done, "a\tb\tc\n\t\t\n");
+                case "late" -> asked < 4 ? say("202 Accepted", "", "") : say("200 OK", done, "1\t2\t3\n");
+                case "pages" -> news ? say("200 OK", "Page-Count: 3\r\n", "a\tb\tc\n")
+                        : say("200 OK", "Page-No: " + call.charAt(call.length() - 1) + "\r\n", "d\te\tf\n");
+                case "full" -> say("503 Full", "X-Not-Run: 1\r\n", "");
+                case "fullonce" -> asked < 2 ? say("503 Full", "X-Not-Run: 1\r\n", "") : say("200 OK", done, "");
+                case "past" -> say("504 Over", "X-Not-Run: 1\r\n", "");
+                case "error" -> say("500 No", "", "");
+                case "found" -> asked < 2 ? "cut" : say("200 OK", done, "f\tf\tf\n");
+                case "cutlate" -> asked == 1 ? say("202 Accepted", "", "") : asked == 2 ? "cut"
+                        : say("200 OK", done, "g\tg\tg\n");
+                case "cutpage" -> news ? say("200 OK", "Page-Count: 2\r\n", "a\tb\tc\n") : "cut";
+                case "lostpage" -> news ? say("200 OK", "Page-Count: 2\r\n", "a\tb\tc\n") : say("500 No", "", "");
+                case "cut" -> "cut";
+                case "junk" -> "HTTP/9 whatever\r\n\r\n";
+                case "twocolumns" -> say("200 OK", done, "a\tb\n");
+                case "halfrow" -> say("200 OK", done, "a\tb\tc");
+                case "manypages" -> say("200 OK", "Page-Count: 1000000\r\n", "a\tb\tc\n");
+                case "badnumber" -> say("200 OK", "Page-Count: x\r\n", "a\tb\tc\n");
+                default -> "silent";
+            };
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+            for (Socket one : open) {
+                one.close();
+            }
+        }
+    }
+
+    /** A client's session. */
+    private static final class Client implements AutoCloseable {
+        final Socket socket = new Socket();
+        final DataInputStream in;
+        int number;
+        int secret;
+
+        Client(InetSocketAddress to) throws IOException {
+            socket.connect(to);
+            socket.setSoTimeout(MINUTE);
+            in = new DataInputStream(socket.getInputStream());
+        }
+
+        void send(byte[] bytes) throws IOException {
+            socket.getOutputStream().write(bytes);
+        }
+
+        static byte[] start(int code, int... more) {
+            ByteBuffer bytes = ByteBuffer.allocate(8 + 4 * more.length).putInt(8 + 4 * more.length).putInt(code);
+            for (int one : more) {
+                bytes.putInt(one);
+            }
+            return bytes.array();
+        }
+
+        static byte[] message(char type, String body) {
+            byte[] text = (body + "\0").getBytes(StandardCharsets.UTF_8);
+            return ByteBuffer.allocate(5 + text.length).put((byte) type).putInt(4 + text.length).put(text).array();
+        }
+
+        static String task(String grade, String id, String statement) {
+            return "/* class=" + grade + ",id=" + id + ",wait=20000,tenant=a,cost=5.0,mb=1"
+                    + (grade.equals("once") ? ",key=ffffffffffffffff" : "") + " */ " + statement;
+        }
+
+        Client started() throws IOException {
+            send(start(3 << 16));
+            assertThat(answer()).isEqualTo("");
+            return this;
+        }
+
+        /** All up to the next ReadyForQuery, or the end: rows, the end of a result, errors. */
+        String answer() throws IOException {
+            StringBuilder said = new StringBuilder();
+            while (true) {
+                int type = in.read();
+                if (type < 0) {
+                    return said + "closed";
+                }
+                byte[] body = new byte[in.readInt() - 4];
+                in.readFully(body);
+                ByteBuffer bytes = ByteBuffer.wrap(body);
+                switch (type) {
+                    case 'Z' -> {
+                        return said.toString();
+                    }
+                    case 'K' -> {
+                        number = bytes.getInt();
+                        secret = bytes.getInt();
+                    }
+                    case 'D' -> {
+                        int columns = bytes.getShort();
+                        for (int i = 0; i < columns; i++) {
+                            byte[] column = new byte[bytes.getInt()];
+                            bytes.get(column);
+                            said.append(new String(column, StandardCharsets.UTF_8)).append(i < columns - 1 ? "," : ";");
+                        }
+                    }
+                    case 'C' -> said.append(new String(body, 0, body.length - 1, StandardCharsets.UTF_8));
+                    case 'E' -> {
+                        for (String field : new String(body, StandardCharsets.UTF_8).split("\0")) {
+                            said.append(field.startsWith("C") || field.startsWith("M") ? field.substring(1) + ' ' : "");
+                        }
+                    }
+                    case 'I' -> said.append("empty");
+                    default -> { }
+                }
+            }
+        }
+
+        String ask(String statement) throws IOException {
+            send(message('Q', statement));
+            return answer();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private String config() {
+        return "{'name':'m','listen':'127.0.0.1:0','seed':'8c1f30d27a5be964','limits':{'sockets':256},'channel':'"
+                + engine.address() + "','known':{'cursor':1,'cmds':[" + listed(1, "e", engine.address(), "ready")
+                + "]},'settings':{'siblings':1,'skus':['k'],'extra':{'cpu_of_kind':[4],'memory_by_kind_mb':[1000],"
+                + "'memory_heeded':true,'ranks_heeded':true},'grades':[{'name':'safe','repeat':'idempotent',"
+                + "'objective_ms':100,'deadline_ms':300,'worth':1},{'name':'once','repeat':'at_most_once',"
+                + "'objective_ms':100,'deadline_ms':300,'worth':1,'serial_by_key':true}],'tenants':[{'name':'a',"
+                + "'portion':1}],'policy_limits':{'cancel':true,'max_attempts':2,'connect_timeout_ms':5000,"
+                + "'conn_idle_ms':30000,'retry_after':true,'max_retry_after_ms':500},'rules':{'turn_gap_ms':10}}}";
+    }
+
+    private static String listed(int number, String id, String address, String phase) {
+        return "{'cursor':" + number + ",'nodes':{'revision':" + number + ",'complete':" + (number == 1)
+                + ",'members':[{'id':'" + id + "','host_port':'" + address + "','phase':'" + phase
+                + "','flavor':'k','up_since_ms':0}]}}";
+    }
+
+    private static Config read(String config) throws Junk {
+        return Config.of(Json.read(config.replace('\'', '"').getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @BeforeEach
+    void start() throws IOException, Junk {
+        service = new Service(read(config()));
+        at = service.listen();
+        loop = new Thread(() -> {
+            try {
+                service.run();
+            } catch (Throwable e) {
+                failure = e;
+            }
+        });
+        loop.start();
+    }
+
+    /** Whatever was done to it, it ends when told to, and has given back every connection. */
+    @AfterEach
+    void stop() throws IOException, InterruptedException {
+        service.terminate();
+        loop.join(MINUTE);
+        engine.close();
+        assertThat(failure).isNull();
+        assertThat(loop.isAlive()).isFalse();
+        assertThat(service.descriptors()).isZero();
+    }
+
+    @ParameterizedTest(name = "{0}, {1}")
+    @CsvSource(delimiter = '|', value = {
+        "safe | ok | a,b,c;,,;SELECT 2 | 1", "safe | late | 1,2,3;SELECT 1 | 1",
+        "safe | pages | a,b,c;d,e,f;d,e,f;SELECT 3 | 1", "safe | fullonce | SELECT 0 | 2",
+        "safe | found | f,f,f;SELECT 1 | 1", "safe | cutlate | g,g,g;SELECT 1 | 1", "once | found | f,f,f;SELECT 1 | 1",
+        "safe | full | 53300 no room at present, after= | 2", "once | full | 53300 no room at present, after= | 2",
+        "safe | past | 53300 no room at present, after= | 2", "safe | error | 53300 no room at present, after= | 2",
+        "once | error | 58000 the statement failed; it may have run | 1",
+        "once | lostpage | 58000 the statement failed; it may have run | 1",
+        "once | cutpage | 58000 the statement failed; it may have run | 1",
+        "once | cut | 58000 the statement failed; it may have run | 1",
+        "once | junk | 58000 the statement failed; it may have run | 1",
+        "once | twocolumns | 58000 the statement failed; it may have run | 1",
+        "once | halfrow | 58000 the statement failed; it may have run | 1",
+        "once | manypages | 58000 the statement failed; it may have run | 1",
+        "once | badnumber | 58000 the statement failed; it may have run | 1"})
+    void eachEndOfAForwardHasItsAnswer(String grade, String statement, String answer, int forwards)
+            throws IOException {
+        try (Client client = new Client(at).started()) {
+            assertThat(client.ask(Client.task(grade, "00000000000000a1", statement))).startsWith(answer);
+            assertThat(client.ask("")).isEqualTo("empty");
+        }
+        List<String> posts = engine.calls.stream().filter(call -> call.startsWith("POST")).toList();
+        assertThat(posts).hasSize(forwards).allSatisfy(post -> assertThat(post).startsWith("POST /o " + statement + "\n")
+                .contains("X-Req: 00000000000000a1\r\n", "X-Class: " + grade + "\r\n", "Grant-Mb: ", "X-Wait-Ms: "));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "SELECT 1 | field id: missing", "/* id=1,class=safe,wait=5 */ ok | field id: not 16 hex digits",
+        "/* id=00000000000000a1,class=none,wait=5 */ ok | field class: no such class",
+        "/* id=00000000000000a1,wait=5 */ ok | field class: missing",
+        "/* id=00000000000000a1,class=safe */ ok | field wait: missing",
+        "/* id=00000000000000a1,class=safe,wait=NaN */ ok | field wait: not a number in range",
+        "/* id=00000000000000a1,class=safe,wait=5,tenant=z */ ok | field tenant: no such tenant",
+        "/* id=00000000000000a1,class=safe,wait=5,key=xyz */ ok | field key: not 16 hex digits",
+        "/* id=00000000000000a1,class=safe,wait=5,cost=-1 */ ok | field cost: not a number in range",
+        "/* id=00000000000000a1 | comment without an end"})
+    void anUnusableQueryIsNamedAndTheSessionGoesOn(String query, String why) throws IOException {
+        try (Client client = new Client(at).started()) {
+            assertThat(client.ask(query)).isEqualTo("22023 " + why + " ");
+            assertThat(client.ask(Client.task("safe", "00000000000000a1", "ok"))).endsWith("SELECT 2");
+        }
+        assertThat(engine.calls.stream().filter(call -> call.startsWith("POST"))).hasSize(1);
+    }
+
+    @Test
+    void messagesMayBeCutAtAnyByteAndFollowEachOther() throws IOException {
+        try (Client client = new Client(at)) {
+            for (int code : new int[] {80877103, 80877104}) {
+                client.send(Client.start(code));
+                assertThat(client.in.read()).isEqualTo('N');
+            }
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            all.writeBytes(Client.start(3 << 16));
+            all.writeBytes(Client.message('Q', Client.task("safe", "00000000000000b1", "ok")));
+            all.writeBytes(Client.message('Q', Client.task("safe", "00000000000000b2", "ok")));
+            all.writeBytes(Client.message('Q', " ; "));
+            client.socket.setTcpNoDelay(true);
+            for (byte one : all.toByteArray()) {
+                client.send(new byte[] {one});
+            }
+            assertThat(List.of(client.answer(), client.answer(), client.answer(), client.answer()))
+                    .containsExactly("", "a,b,c;,,;SELECT 2", "a,b,c;,,;SELECT 2", "empty");
+        }
+    }
+
+    @Test
+    void theExtendedProtocolIsRefusedUpToItsSync() throws IOException {
+        try (Client client = new Client(at).started()) {
+            client.send(Client.message('P', "\0SELECT 1\0"));
+            client.send(Client.message('B', ""));
+            client.send(ByteBuffer.allocate(5).put((byte) 'S').putInt(4).array());
+            assertThat(client.answer()).isEqualTo("0A000 only simple queries are served ");
+            assertThat(client.ask("SHOW STATS")).contains("clients.queries,1;", "clients.connections,1;");
+            client.send(ByteBuffer.allocate(5).put((byte) 'X').putInt(4).array());
+            assertThat(client.answer()).isEqualTo("closed");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"0000000800020000", "00000003", "7fffffff00030000", "00000008000300005100000002",
+        "00000008000300005110000000", "00000008000300005a00000004", "0000000800030000510000000541"})
+    void brokenFramingEndsTheSessionWithAnError(String hex) throws IOException {
+        byte[] bytes = new byte[hex.length() / 2];
+        for (int i = 0; i < bytes.length; i++) {
+            bytes[i] = (byte) Integer.parseInt(hex.substring(2 * i, 2 * i + 2), 16);
+        }
+        try (Client client = new Client(at)) {
+            client.send(bytes);
+            String said = client.answer();
+            assertThat(said.isEmpty() ? client.answer() : said).endsWith("closed").containsPattern("08P01|0A000");
+        }
+        try (Client other = new Client(at).started()) {
+            assertThat(other.ask("")).isEqualTo("empty");
+        }
+    }
+
+    @Test
+    void aCancelledTaskIsGivenUpAtItsEngine() throws IOException, InterruptedException {
+        try (Client client = new Client(at).started(); Client other = new Client(at)) {
+            client.send(Client.message('Q', Client.task("safe", "00000000000000c1", "silent")));
+            engine.posted.await();
+            try (Client stranger = new Client(at)) {
+                stranger.send(Client.start(80877102, client.number, client.secret + 1));
+                assertThat(stranger.answer()).isEqualTo("closed");
+            }
+            other.send(Client.start(80877102, client.number, client.secret));
+            assertThat(other.answer()).isEqualTo("closed");
+            assertThat(client.answer()).startsWith("57014");
+            assertThat(engine.deleted.await(MINUTE, TimeUnit.MILLISECONDS)).isTrue();
+            assertThat(client.ask("")).isEqualTo("empty");
+        }
+        assertThat(engine.calls).contains("DELETE /o/00000000000000c1");
+    }
+
+    @Test
+    void aClientThatLeavesGivesItsTaskUp() throws IOException, InterruptedException {
+        try (Client client = new Client(at).started()) {
+            client.send(Client.message('Q', Client.task("once", "00000000000000c2", "silent")));
+            engine.posted.await();
+        }
+        assertThat(engine.deleted.await(MINUTE, TimeUnit.MILLISECONDS)).isTrue();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"safe, 53300", "once, 58000"})
+    void whatIsOpenAtItsEndIsAnsweredBeforeTheKill(String grade, String code)
+            throws IOException, InterruptedException {
+        try (Client client = new Client(at).started()) {
+            client.send(Client.message('Q', Client.task(grade, "00000000000000d1", "silent")));
+            engine.posted.await();
+            long from = System.nanoTime();
+            service.terminate();
+            assertThat(client.answer()).startsWith(code);
+            // The longest deadline and 0.7 s more.
+            assertThat(System.nanoTime() - from).isLessThan(1_000_000_000L);
+        }
+    }
+
+    @Test
+    void tasksThatComeWhileItEndsAreStillServed() throws IOException {
+        try (Client client = new Client(at).started()) {
+            service.terminate();
+            assertThat(client.ask(Client.task("safe", "00000000000000d2", "ok"))).endsWith("SELECT 2");
+            try (Client late = new Client(at).started()) {
+                assertThat(late.ask(Client.task("safe", "00000000000000d3", "ok"))).endsWith("SELECT 2");
+            }
+            assertThat(client.answer()).isEqualTo("closed");
+        }
+    }
+
+    @Test
+    void theCommandChannelMovesAnEngine() throws IOException, InterruptedException {
+        try (Engine second = new Engine(); Client client = new Client(at).started()) {
+            assertThat(client.ask(Client.task("safe", "00000000000000e1", "ok"))).endsWith("SELECT 2");
+            // An engine goes, and a new one appears: the poll that is open is cut, the next one tells.
+            engine.list = ("{'cursor':3,'cmds':[" + listed(2, "e", engine.address(), "gone") + ','
+                    + listed(3, "f", second.address(), "ready") + "]}").replace('\'', '"');
+            for (Socket one : engine.open) {
+                one.close();
+            }
+            String id = "00000000000000f";
+            for (int i = 0; second.posted.getCount() > 0; i++) {
+                client.ask(Client.task("safe", id + Integer.toHexString(i % 16), "ok"));
+            }
+            assertThat(engine.calls).anyMatch(call -> call.startsWith("GET /cmd/next?resume=1&block="));
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"'seed':'8c1f30d27a5be964' | 'seed':'xyz'", "'sockets':256 | 'sockets':'many'",
+        "'deadline_ms':300 | 'deadline_ms':'soon'", "'name':'m', | ''"})
+    void anUnusableConfigurationIsSaidPlainly(String good, String bad) throws IOException {
+        assertThatThrownBy(() -> read(config().replace(good, bad == null ? "" : bad))).isInstanceOf(Unusable.class);
+        Path file = folder.resolve("config.json");
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        PrintStream to = new PrintStream(out, true, StandardCharsets.UTF_8);
+        Files.writeString(file, config().replace(good, bad == null ? "" : bad).replace('\'', '"'));
+        assertThat(Service.check(file.toString(), to)).isEqualTo(2);
+        Files.writeString(file, config().replace('\'', '"'));
+        assertThat(Service.check(file.toString(), to)).isZero();
+        assertThat(out.toString(StandardCharsets.UTF_8)).isEqualTo("m: 2 service grades, 1 tenants, 1 engines\n");
+        assertThat(Service.check(folder.resolve("none").toString(), to)).isEqualTo(2);
+    }
+
+    @Test
+    void aClientThatDoesNotReadHoldsUpNobody() throws IOException {
+        List<Client> deaf = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            deaf.add(new Client(at).started());
+            deaf.get(i).send(Client.message('Q', Client.task("safe", "00000000000001" + (10 + i), "ok")));
+        }
+        try (Client client = new Client(at).started()) {
+            assertThat(client.ask(Client.task("safe", "00000000000000a9", "ok"))).endsWith("SELECT 2");
+        }
+        for (Client one : deaf) {
+            one.close();
+        }
+    }
+}
