--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -9,9 +9,13 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import org.tinylog.Logger;
 import tansytrack.Decide;
+import tansytrack.api.Actions;
+import tansytrack.api.Decisions;
 import tansytrack.api.Grade;
+import tansytrack.api.Settings;
 import tansytrack.settings.Config;
 import tansytrack.settings.Unusable;
 import tansytrack.state.Manager;
@@ -47,9 +51,13 @@
     private boolean stopped;
 
     Service(Config config) throws Junk {
+        this(config, Decide::new);
+    }
+
+    Service(Config config, BiFunction<Settings, Actions, Decisions> start) throws Junk {
         this.config = config;
         timers.now(clock.getAsLong());
-        manager = new Manager(config, timers, sockets, Decide::new);
+        manager = new Manager(config, timers, sockets, start);
         channel = new Channel(sockets, timers, address(config.channel()), manager);
         channel.take(config.known());
         manager.turn();
@@ -59,7 +67,7 @@
     InetSocketAddress listen() throws IOException, Junk {
         InetSocketAddress at = sockets.listen(address(config.listen()), manager::accepted);
         channel.ask();
-        Logger.info("{} listens at {}", config.name(), at);
+        Logger.info("{} listens at {}:{}", config.name(), at.getHostString(), at.getPort());
         return at;
     }
 
@@ -130,11 +138,14 @@
 
     /** The loop; it ends some time after it was told to, with all given back. */
     void run() throws InterruptedException {
-        while (!stopped) {
-            turn();
+        try {
+            while (!stopped) {
+                turn();
+            }
+        } finally {
+            sockets.close();
+            report();
         }
-        sockets.close();
-        report();
     }
 
     int descriptors() {
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -1,10 +1,13 @@
 package tansytrack.state;
 
+import static java.util.stream.Collectors.toSet;
+
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -22,7 +25,6 @@
 import tansytrack.settings.Config;
 import tansytrack.wire.Connection;
 import tansytrack.wire.Http;
-import tansytrack.wire.HttpLine;
 import tansytrack.wire.Junk;
 import tansytrack.wire.PgSession;
 import tansytrack.wire.Sockets;
@@ -45,8 +47,7 @@
     private final Decisions module;
     private final EngineLines.Limits limits;
     private final SecureRandom secrets = new SecureRandom();
-    private final Map<String, Grade> grades = new HashMap<>();
-    private final Map<String, Settings.Tenant> tenants = new HashMap<>();
+    private final Intake intake;
     private final Map<String, OpenTask> tasks = new HashMap<>();
     private final Map<String, EngineLines> engines = new LinkedHashMap<>();
     private final Map<Integer, PgSession> sessions = new HashMap<>();
@@ -63,12 +64,8 @@
         limits = new EngineLines.Limits(config.connectTime(), config.idleTime() / 2,
                 config.mostDescriptors() - SPARE_DESCRIPTORS);
         mostSessions = config.mostDescriptors() / 2;
-        for (Grade grade : config.settings().grades()) {
-            grades.put(grade.name(), grade);
-        }
-        for (Settings.Tenant tenant : config.settings().tenants()) {
-            tenants.put(tenant.name(), tenant);
-        }
+        intake = new Intake(config.settings().grades().stream().map(Grade::name).collect(toSet()),
+                config.settings().tenants().stream().map(Settings.Tenant::name).collect(toSet()));
         module = start.apply(config.settings(), this);
         timers.at(timers.now() + ROUND, this::round);
     }
@@ -175,7 +172,10 @@
                 session.rows(STATS, List.of(stats()));
                 return;
             }
-            offer = offer(statement, at);
+            offer = intake.offer(statement, at);
+            if (tasks.containsKey(offer.id())) {
+                throw new Junk("field id: a task with this id is open");
+            }
         } catch (Junk e) {
             counters.add("clients.unusable");
             session.error("22023", e.getMessage());
@@ -196,66 +196,6 @@
         return rows.toString().getBytes(StandardCharsets.UTF_8);
     }
 
-    private TaskOffer offer(Statement statement, long at) throws Junk {
-        String id = needed(statement, "id");
-        hex("id", id);
-        if (tasks.containsKey(id)) {
-            throw new Junk("field id: a task with this id is open");
-        }
-        String grade = needed(statement, "class");
-        if (!grades.containsKey(grade)) {
-            throw new Junk("field class: no such class");
-        }
-        String tenant = statement.field("tenant");
-        if (tenant != null && !tenants.containsKey(tenant)) {
-            throw new Junk("field tenant: no such tenant");
-        }
-        String key = statement.field("key");
-        double wait = amount("wait", needed(statement, "wait"));
-        double cost = amount("cost", statement.field("cost"));
-        double memory = amount("mb", statement.field("mb"));
-        return new TaskOffer(id, grade, tenant == null ? "" : tenant, key == null ? null : hex("key", key),
-                at + Math.round(wait * MS), Math.round(cost * MS), memory, statement.group());
-    }
-
-    private static String needed(Statement statement, String field) throws Junk {
-        String value = statement.field(field);
-        if (value == null || value.isEmpty()) {
-            throw new Junk("field " + field + ": missing");
-        }
-        return value;
-    }
-
-    private static long hex(String field, String value) throws Junk {
-        long bits = 0;
-        for (int i = 0; i < value.length(); i++) {
-            int digit = Character.digit(value.charAt(i), 16);
-            if (digit < 0 || value.length() > 16) {
-                throw new Junk("field " + field + ": not 16 hex digits");
-            }
-            bits = bits << 4 | digit;
-        }
-        if (value.length() != 16) {
-            throw new Junk("field " + field + ": not 16 hex digits");
-        }
-        return bits;
-    }
-
-    private static double amount(String field, String value) throws Junk {
-        if (value == null) {
-            return 0;
-        }
-        try {
-            double amount = Double.parseDouble(value);
-            if (amount >= 0 && amount < 1e9) {
-                return amount;
-            }
-        } catch (NumberFormatException e) {
-            // said below
-        }
-        throw new Junk("field " + field + ": not a number in range");
-    }
-
     @Override
     public void cancel(int number, int secret) {
         PgSession session = sessions.get(number);
@@ -319,9 +259,22 @@
         }
     }
 
-    LoadReport report(String told) throws Junk {
+    /** What has come of a probe. */
+    void probed(EngineLines engine, Outcome outcome, LoadReport report) {
+        counters.add("probes.ended." + outcome);
+        told = true;
+        module.probed(timers.now(), engine.id, outcome, report);
+    }
+
+    /** The load that an answer told, or null. */
+    LoadReport report(Http.Answer answer) throws Junk {
+        String load = answer.field("x-load");
+        return load == null ? null : config.report(figures(load));
+    }
+
+    private double[] figures(String told) throws Junk {
         double[] figures = new double[config.columns().size()];
-        java.util.Arrays.fill(figures, Double.NaN);
+        Arrays.fill(figures, Double.NaN);
         for (int from = 0; from < told.length();) {
             int end = told.indexOf(';', from);
             end = end < 0 ? told.length() : end;
@@ -331,11 +284,11 @@
             }
             int column = config.column(told.substring(from, colon).strip());
             if (column >= 0) {
-                figures[column] = amount("load", told.substring(colon + 1, end).strip());
+                figures[column] = Intake.amount("load", told.substring(colon + 1, end).strip());
             }
             from = end + 1;
         }
-        return config.report(figures);
+        return figures;
     }
 
     void junk(String engine, Junk junk) {
@@ -392,62 +345,7 @@
     @Override
     public void probe(String id) {
         counters.add("probes.sent");
-        EngineLines engine = engines.get(id);
-        Probe probe = new Probe(engine);
-        probe.line = engine.call("GET", "/stats", probe);
-        if (probe.line == null) {
-            later(() -> probe.end(Outcome.NEVER_SENT, null));
-        } else {
-            probe.timer = timers.at(timers.now() + config.connectTime(), probe::late);
-        }
-    }
-
-    /** A question for an engine's load. */
-    private final class Probe implements HttpLine.Caller {
-        final EngineLines engine;
-        HttpLine line;
-        Timers.Timer timer;
-        boolean over;
-
-        Probe(EngineLines engine) {
-            this.engine = engine;
-        }
-
-        @Override
-        public void answered(Http.Answer answer) {
-            LoadReport report = null;
-            try {
-                report = answer.field("x-load") == null ? null : report(answer.field("x-load"));
-            } catch (Junk e) {
-                junk(engine.id, e);
-            }
-            end(answer.status() == 200 ? Outcome.OK : answer.status() == 503 ? Outcome.FULL : Outcome.ERROR, report);
-        }
-
-        @Override
-        public void failed(boolean wasUp) {
-            end(wasUp ? Outcome.RESET : Outcome.UNREACHED, null);
-        }
-
-        void late() {
-            if (!over) {
-                line.drop();
-                end(Outcome.TIME_OUT, null);
-            }
-        }
-
-        void end(Outcome outcome, LoadReport report) {
-            if (over) {
-                return;
-            }
-            over = true;
-            if (timer != null) {
-                timer.cancel();
-            }
-            counters.add("probes.ended." + outcome);
-            told = true;
-            module.probed(timers.now(), engine.id, outcome, report);
-        }
+        new Probe(this, engines.get(id)).start(timers, config.connectTime());
     }
 
     @Override
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -86,9 +86,8 @@
         }
         try {
             boolean notRun = answer.field("x-not-run") != null && answer.field("x-not-run").equals("1");
-            if (answer.field("x-load") != null) {
-                report = manager.report(answer.field("x-load"));
-            }
+            LoadReport told = manager.report(answer);
+            report = told == null ? report : told;
             asked = false;
             switch (answer.status()) {
                 case 200 -> page(answer);
--- /dev/null
+++ b/src/main/java/tansytrack/state/Probe.java
@@ -0,0 +1,62 @@
+package tansytrack.state;
+
+import tansytrack.api.LoadReport;
+import tansytrack.api.Outcome;
+import tansytrack.wire.Http;
+import tansytrack.wire.HttpLine;
+import tansytrack.wire.Junk;
+
+/** A question for an engine's load. */
+final class Probe implements HttpLine.Caller {
+
+    private final Manager manager;
+    private final EngineLines engine;
+    private HttpLine line;
+    private Timers.Timer timer;
+    private boolean over;
+
+    Probe(Manager manager, EngineLines engine) {
+        this.manager = manager;
+        this.engine = engine;
+    }
+
+    /** Asks; its end comes later, never within this call. */
+    void start(Timers timers, long within) {
+        line = engine.call("GET", "/stats", this);
+        timer = timers.at(timers.now() + within, this::late);
+        if (line == null) {
+            manager.later(() -> end(Outcome.NEVER_SENT, null));
+        }
+    }
+
+    @Override
+    public void answered(Http.Answer answer) {
+        try {
+            LoadReport report = manager.report(answer);
+            end(answer.status() == 200 ? Outcome.OK : answer.status() == 503 ? Outcome.FULL : Outcome.ERROR, report);
+        } catch (Junk e) {
+            manager.junk(engine.id, e);
+            end(Outcome.ERROR, null);
+        }
+    }
+
+    @Override
+    public void failed(boolean wasUp) {
+        end(wasUp ? Outcome.RESET : Outcome.UNREACHED, null);
+    }
+
+    private void late() {
+        if (!over) {
+            line.drop();
+            end(Outcome.TIME_OUT, null);
+        }
+    }
+
+    private void end(Outcome outcome, LoadReport report) {
+        if (!over) {
+            over = true;
+            timer.cancel();
+            manager.probed(engine, outcome, report);
+        }
+    }
+}
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -7,6 +7,7 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -27,6 +28,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import tansytrack.api.Decisions;
 import tansytrack.settings.Config;
 import tansytrack.settings.Unusable;
 import tansytrack.wire.Json;
@@ -276,7 +278,11 @@
 
     @BeforeEach
     void start() throws IOException, Junk {
-        service = new Service(read(config()));
+        start(config());
+    }
+
+    private void start(String config) throws IOException, Junk {
+        service = new Service(read(config));
         at = service.listen();
         loop = new Thread(() -> {
             try {
@@ -291,9 +297,13 @@
     /** Whatever was done to it, it ends when told to, and has given back every connection. */
     @AfterEach
     void stop() throws IOException, InterruptedException {
+        end();
+        engine.close();
+    }
+
+    private void end() throws InterruptedException {
         service.terminate();
         loop.join(MINUTE);
-        engine.close();
         assertThat(failure).isNull();
         assertThat(loop.isAlive()).isFalse();
         assertThat(service.descriptors()).isZero();
@@ -451,6 +461,51 @@
         }
     }
 
+    /** Guards against tasks lost when descriptors run out: 65, of which 64 are spared and one is the channel's. */
+    @ParameterizedTest
+    @CsvSource({"65, safe", "65, once"})
+    void withoutADescriptorATaskIsBounced(int descriptors, String grade) throws Exception {
+        end();
+        start(config().replace("'sockets':256", "'sockets':" + descriptors));
+        try (Client client = new Client(at).started()) {
+            assertThat(client.ask(Client.task(grade, "00000000000000d4", "ok"))).startsWith("53300");
+            assertThat(client.ask("SHOW STATS")).contains("forwards.ended.NEVER_SENT,2;");
+        }
+    }
+
+    @Test
+    void aClientTooManyIsToldSo() throws Exception {
+        end();
+        start(config().replace("'sockets':256", "'sockets':8"));
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            clients.add(new Client(at).started());
+        }
+        try (Client more = new Client(at)) {
+            assertThat(more.answer()).isEqualTo("53300 too many connections closed");
+        }
+        for (Client one : clients) {
+            assertThat(one.ask("")).isEqualTo("empty");
+            one.close();
+        }
+    }
+
+    @Test
+    void aFailureInsideTheDecisionsEndsItWithItsCause() throws Exception {
+        Service failing = new Service(read(config()), (settings, actions) -> (Decisions) Proxy.newProxyInstance(
+                getClass().getClassLoader(), new Class<?>[] {Decisions.class}, (proxy, method, arguments) -> {
+                    if (method.getName().equals("task")) {
+                        throw new IllegalStateException("no idea");
+                    }
+                    return null;
+                }));
+        try (Client client = new Client(failing.listen())) {
+            client.send(Client.start(3 << 16));
+            client.send(Client.message('Q', Client.task("safe", "00000000000000d5", "ok")));
+            assertThatThrownBy(failing::run).isInstanceOf(IllegalStateException.class).hasMessage("no idea");
+        }
+    }
+
     @Test
     void theCommandChannelMovesAnEngine() throws IOException, InterruptedException {
         try (Engine second = new Engine(); Client client = new Client(at).started()) {
