Two crashes and a lost engine: news that cross within one turn of the loop

A client of no tenant that left in the turn in which its query came: Manager.forget dropped the task, Decide still sent it, NullPointerException in Manager.provide. An engine that left in the turn of its probe: Manager.engines dropped its connections, NullPointerException in Probe.start. Both now stay until the module has decided; a send for such a task is told as never sent.

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -669,8 +669,6 @@
         }
     }
 
-    // ---- The weighted draw ----
-
     /** Draws among the engines that fit, weighted against their load; an unheard one counts as average. */
     private Engine draw(Task task) {
         double average = engines.values().stream().filter(engine -> engine.ready && engine.heard())
@@ -728,6 +726,7 @@
             ready = told != null && told.state() == EngineEntry.State.READY;
             gone = told == null || told.state() == EngineEntry.State.GONE;
             if (told == null) { return; }
+            engines.putIfAbsent(id, this);    // a sweep may have forgotten it since it was named at the door
             boolean fresh = entry == null || told.startedAt() > entry.startedAt();
             entry = told;
             Settings.Kind figures = set.kinds().get(told.kind());
--- a/src/main/java/tansytrack/settings/Config.java
+++ b/src/main/java/tansytrack/settings/Config.java
@@ -9,6 +9,7 @@
 public record Config(String name, String listen, String channel, Object known, Settings settings,
         List<String> columns, long connectTime, long idleTime, int mostDescriptors) {
 
+    private static final long CONNECT_TIME = 1_000_000_000L;    // where none is set: far more than a round trip
     private static final List<String> REPORTED = List.of("cpu_share", "busy_reqs", "pending", "x0", "x1");
     private static final Map<String, String> OTHER_NAMES = Map.of("util", "cpu_share", "inflight", "busy_reqs",
             "queue", "pending");
@@ -29,11 +30,12 @@
             throw new Unusable("limits.sockets is not a number");
         }
         Settings settings = pairs.settings(seed);
+        long connectTime = pairs.time("policy_limits.connect_timeout_ms");
         if (settings.grades().isEmpty()) {
             throw new Unusable("settings.grades is empty");
         }
         return new Config(text(all, "name"), text(all, "listen"), text(all, "channel"), all.get("known"), settings,
-                pairs.columns(), pairs.time("policy_limits.connect_timeout_ms"),
+                pairs.columns(), connectTime > 0 ? connectTime : CONNECT_TIME,
                 pairs.time("policy_limits.conn_idle_ms"), ((Number) sockets).intValue());
     }
 
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -23,6 +23,7 @@
     private final Map<HttpLine, Timers.Timer> coming = new IdentityHashMap<>();     // until up, or given up
     private InetSocketAddress address;
     private boolean retired;                // gone from the list: what is out ends, nothing is kept
+    private long retiredAt;
 
     /** What bounds connections: times in nanoseconds, and how many descriptors engines may take. */
     record Limits(long connectTime, long idleTime, int most) { }
@@ -39,6 +40,7 @@
 
     /** Its address, as listed; connections to an old one are of no use. */
     void address(InetSocketAddress at) {
+        retired = false;
         if (!at.equals(address)) {
             dropIdle();
             address = at;
@@ -46,10 +48,16 @@
     }
 
     void retire() {
+        retiredAt = retired ? retiredAt : timers.now();
         retired = true;
         dropIdle();
     }
 
+    /** It left the list so long ago that the module cannot have it in mind any more. */
+    boolean forgotten(long after) {
+        return retired && timers.now() - retiredAt > after;
+    }
+
     private void dropIdle() {
         while (!idle.isEmpty()) {
             idle.poll().line.drop();
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -51,6 +51,7 @@
     private final Map<String, OpenTask> tasks = new HashMap<>();
     private final Map<String, EngineLines> engines = new LinkedHashMap<>();
     private final Map<Integer, PgSession> sessions = new HashMap<>();
+    private final ArrayDeque<OpenTask> finished = new ArrayDeque<>();
     private final ArrayDeque<Runnable> later = new ArrayDeque<>();
     private final int mostSessions;
     private int sessionNumber;
@@ -86,6 +87,12 @@
             if (told) {
                 told = false;
                 module.decide(timers.now());
+                // Only now: the module may act on a task in the very turn in which it hears that it is over.
+                for (OpenTask task = finished.poll(); task != null; task = finished.poll()) {
+                    if (task.out == 0) {
+                        tasks.remove(task.id, task);
+                    }
+                }
             }
         }
     }
@@ -118,6 +125,8 @@
     private void round() {
         sessions.values().removeIf(PgSession::ended);
         new ArrayList<>(sessions.values()).forEach(PgSession::round);
+        // Not at once: the module may act on an engine in the very turn in which it hears that it has gone.
+        engines.values().removeIf(engine -> engine.forgotten(ROUND));
         engines.values().forEach(EngineLines::trim);
         timers.at(timers.now() + ROUND, this::round);
     }
@@ -128,20 +137,14 @@
     public void engines(boolean complete, List<EngineEntry> entries, Map<String, InetSocketAddress> addresses) {
         counters.add("channel.lists");
         if (complete) {
-            engines.values().removeIf(engine -> {
-                boolean gone = !addresses.containsKey(engine.id);
-                if (gone) {
-                    engine.retire();
-                }
-                return gone;
-            });
+            engines.values().stream().filter(engine -> !addresses.containsKey(engine.id)).forEach(EngineLines::retire);
         }
         for (EngineEntry entry : entries) {
             if (entry.state() != EngineEntry.State.GONE) {
                 engines.computeIfAbsent(entry.id(), id -> new EngineLines(id, sockets, timers, limits, counters))
                         .address(addresses.get(entry.id()));
             } else if (engines.containsKey(entry.id())) {
-                engines.remove(entry.id()).retire();
+                engines.get(entry.id()).retire();
             }
         }
         told = true;
@@ -255,7 +258,7 @@
 
     private void forget(OpenTask task) {
         if (task.answered() && task.out == 0) {
-            tasks.remove(task.id, task);
+            finished.add(task);
         }
     }
 
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -61,6 +61,10 @@
     /** Sends it; its end comes later, never within this call. */
     void start(long until) {
         timer = timers.at(until, this::timeOut);
+        if (task.answered()) {
+            manager.later(() -> end(Outcome.NEVER_SENT));
+            return;
+        }
         long left = Math.max(1, (until - at) / 1_000_000);
         String fields = "X-Req: " + task.id + "\r\nX-Class: " + task.grade + "\r\nX-Wait-Ms: " + left + "\r\n"
                 + (task.memoryMb > 0 ? "Grant-Mb: " + task.memoryMb + "\r\n" : "") + "Rank: " + task.priority + "\r\n";
--- a/src/test/java/tansytrack/wire/ParsersTest.java
+++ b/src/test/java/tansytrack/wire/ParsersTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -119,4 +120,32 @@
         assertThat(Statement.read(bytes("SELECT 1")).field("class")).isNull();
         assertThatThrownBy(() -> Statement.read(bytes("/* class=report"))).isInstanceOf(Junk.class);
     }
+
+    /** Guards against a peer whose bytes end the manager: whatever they are, they are read or are junk. */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nPage-Count: 2\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\n\r\n",
+        "{\"cursor\":3,\"cmds\":[{\"cursor\":1,\"nodes\":{\"x\":-1.5e3,\"y\":[true,null,\"\\u0041\"]}}]}",
+        "/* class=a,id=9b */ SELECT 'a''b', $x$ c $x$, E'\\' FROM \"s_1\".t /* /* */ */ , b_2.c -- e"})
+    void noBytesBreakAParser(String good) {
+        SplittableRandom chance = new SplittableRandom(good.length());
+        int junk = 0;
+        for (int i = 0; i < 20_000; i++) {
+            byte[] bytes = bytes(good);
+            for (int k = chance.nextInt(4); k >= 0; k--) {
+                int at = chance.nextInt(bytes.length);
+                bytes[at] = chance.nextBoolean() ? (byte) chance.nextInt(256) : bytes[chance.nextInt(bytes.length)];
+            }
+            byte[] cut = java.util.Arrays.copyOf(bytes, chance.nextInt(bytes.length + 1));
+            try {
+                Statement.read(cut).group();
+                Http.answer(ring(new String(cut, StandardCharsets.ISO_8859_1)));
+                Json.read(cut);
+            } catch (Junk e) {
+                junk++;
+            }
+        }
+        assertThat(junk).isBetween(10_000, 20_000);
+    }
 }
