--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -109,7 +109,6 @@
             EngineEntry entry = named.get(engine.id);
             if (entry != null || complete) { engine.put(() -> engine.listed(entry)); }
         }
-        gate.put(gate::survey);
     }
 
     public void task(long at, TaskOffer offer) {
@@ -723,6 +722,7 @@
         }
 
         private void listed(EngineEntry told) {
+            gate.put(gate::survey);           // behind each: one a list came ahead of engines with a note before
             ready = told != null && told.state() == EngineEntry.State.READY;
             gone = told == null || told.state() == EngineEntry.State.GONE;
             if (told == null) { return; }
