--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -150,7 +150,7 @@
             if (told) { forward.engine.put(() -> forward.engine.paced(task, Math.log(run / task.alone()))); }
             boolean hopeless = what == Progress.WAITS || told && run - age > HOPELESS * task.usualRun();
             if (levers.cancel() && hopeless) {
-                // Stuck behind a load, for memory or in a jam. Where it cannot be taken back, leave the crowd.
+                // Stuck behind a load, for memory or in a jam. Where it can't be taken back, leave the crowd.
                 gate.put(() -> gate.rescue(forward));
             }
         }
@@ -722,7 +722,7 @@
         }
 
         private void listed(EngineEntry told) {
-            gate.put(gate::survey);           // behind each: one a list came ahead of engines with a note before
+            gate.put(gate::survey);           // behind each: one a list would come ahead of some
             ready = told != null && told.state() == EngineEntry.State.READY;
             gone = told == null || told.state() == EngineEntry.State.GONE;
             if (told == null) { return; }
--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -333,4 +333,13 @@
         Manager manager = full().take("t short a left=15000 cost=" + cost).decide().stop(3000).pass(60);
         assertThat(manager.did("bounce t")).hasSize(bounced);
     }
+
+    /** Guards against a market that keeps the room of an engine's old listing until the next sweep. */
+    @Test
+    void theMarketKnowsAListingAtOnce() {
+        Manager manager = new Manager();
+        manager.siblings = 12;
+        manager.list(true, small("e")).take("x short a").decide().atOnce(big("e"), "t short a");
+        assertThat(manager.did("forward")).containsExactly("forward x e", "forward t e");
+    }
 }
--- a/src/test/java/tansytrack/Manager.java
+++ b/src/test/java/tansytrack/Manager.java
@@ -135,6 +135,14 @@
         return decide();
     }
 
+    /** In one batch: a sweep, the end of a probe, a listing and a task. */
+    Manager atOnce(EngineEntry entry, String task) {
+        module().woken(now, "sweep");
+        module().probed(now, entry.id(), Outcome.OK, null);
+        module().engines(now, false, List.of(entry));
+        return take(task).decide();
+    }
+
     /** It is told to end; answers count for so many milliseconds more. */
     Manager stop(long ms) {
         module().stopping(now, now + ms * MS);
