Second copies after a mass restart, and a long answer cut at its first bytes: both mended

Copies: none came at 46.4 s, where DELETE had gone out on an idle connection, so that path is ruled out; 47.95 is where the calls had no connection to leave by, and the forward was taken for dropped 2 s after the last question. The engine counts from the end of that question, held open up to 250 ms: OpenForward.UNASKED. The cut connection: no line in the log, so neither junk nor a full ring; left is PgSession.round, which counted the wait for the answer as the client's silence and cut a session whose answer, over one chunk of 32 KB, was half handed over at the moment of a round. Rounds now count from the answer, by bytes taken, and to 30.

--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -19,7 +19,9 @@
     static final int COLUMNS = 3;
     private static final int MOST_PAGES = 64;               // a result is 48,000 bytes, a page 6,000 at most
     private static final int MOST_BYTES = 1 << 16;
-    private static final long UNASKED = 2_000_000_000L;     // after which an engine drops a query, by the protocol
+    // An engine drops a query that was not asked for in 2 s, counted from the end of a question that it may hold open
+    // for 250 ms; the rest is for the way there and for clocks.
+    private static final long UNASKED = 2_000_000_000L + 250_000_000L + 150_000_000L;
     private static final byte[] NOTHING = new byte[0];
 
     final OpenTask task;
--- a/src/main/java/tansytrack/wire/Connection.java
+++ b/src/main/java/tansytrack/wire/Connection.java
@@ -57,6 +57,11 @@
         return over;
     }
 
+    /** Bytes that the system has taken so far. */
+    public long taken() {
+        return session == null ? 0 : session.getWrittenBytes();
+    }
+
     public boolean up() {
         return session != null;
     }
--- a/src/main/java/tansytrack/wire/PgSession.java
+++ b/src/main/java/tansytrack/wire/PgSession.java
@@ -28,7 +28,8 @@
     private static final int GSS = 80877104;
     private static final int LONGEST = 1 << 15;         // a message; statements here are far shorter
     private static final int SHORTEST_START = 8;
-    private static final int STUCK = 5;                 // rounds without a byte read by a client that is owed some
+    private static final int STUCK = 30;                // rounds without a byte read by a client that is owed some:
+                                                        // longer than any waits, as a cut before loses its answer
     private static final int UNUSED = 60;               // rounds without a word: no client here is idle so long
     private static final String[] STATUS = {"server_version", "15.0", "server_encoding", "UTF8", "client_encoding",
         "UTF8", "DateStyle", "ISO, MDY", "integer_datetimes", "on", "standard_conforming_strings", "on"};
@@ -42,6 +43,7 @@
     private boolean querying;
     private boolean skipping;                           // to the next Sync, after a message of the extended protocol
     private long heardAt;                               // when the last bytes came
+    private long taken;                                 // of what was written, by the last round
     private int quiet;                                  // rounds since anything was heard or written
     private Object open;                                // what the owner of the query keeps with it
 
@@ -81,7 +83,8 @@
 
     /** One round, some time after the last: a client that stopped reading or speaking must not hold anything. */
     public void round() {
-        quiet++;
+        quiet = connection.taken() == taken ? quiet + 1 : 1;
+        taken = connection.taken();
         boolean stuck = connection.out.size() > 0 || !connection.open();
         if (!ended() && (stuck ? quiet > STUCK : !querying && quiet > UNUSED)) {
             cut();
@@ -261,6 +264,7 @@
 
     private void done() {
         ready();
+        quiet = 0;                                      // the wait for the answer was not the client's
         querying = false;
         open = null;
         connection.flush();
--- a/src/test/java/tansytrack/state/ManagerTest.java
+++ b/src/test/java/tansytrack/state/ManagerTest.java
@@ -109,4 +109,19 @@
         assertThat(manager.counters().of("forwards.sent")).isEqualTo(1);
         assertThat(manager.engineCount()).isEqualTo(1);
     }
+
+    /** Guards against a second copy: what a silent machine was never told to drop stays out until it must have. */
+    @ParameterizedTest(name = "after {0} ms: {1} ended")
+    @CsvSource({"260, 0", "2010, 0", "2260, 0", "2400, 1"})
+    void whatCannotBeGivenUpStaysOutUntilItsEngineDropsIt(long after, long ended) {
+        ask();
+        manager.turn();
+        manager.cancel("00000000000000a1", 0);
+        long from = timers.now();
+        for (long at = 10; at <= after; at += 10) {
+            timers.now(from + at * MS);
+            timers.run();
+        }
+        assertThat(manager.counters().of("forwards.ended.CANCELLED")).isEqualTo(ended);
+    }
 }
