Read once more: dead pieces of the state package out, one empty body, one check of hex fields

Unused: OpenForward.over, Timers.size, Counters.add with an amount. OpenForward.lost had one outcome only. The empty body stood twice (EngineLines, OpenForward).

--- a/src/main/java/tansytrack/state/Counters.java
+++ b/src/main/java/tansytrack/state/Counters.java
@@ -9,11 +9,7 @@
     private final Map<String, Long> counts = new TreeMap<>();
 
     public void add(String kind) {
-        add(kind, 1);
-    }
-
-    public void add(String kind, long more) {
-        counts.merge(kind, more, Long::sum);
+        counts.merge(kind, 1L, Long::sum);
     }
 
     public long of(String kind) {
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -12,7 +12,7 @@
 /** The connections to one engine: they belong to its id, as an address can pass to another engine. */
 final class EngineLines implements HttpLine.Holder {
 
-    private static final byte[] NOTHING = new byte[0];
+    static final byte[] NOTHING = new byte[0];
 
     final String id;
     private final Sockets sockets;
--- a/src/main/java/tansytrack/state/Intake.java
+++ b/src/main/java/tansytrack/state/Intake.java
@@ -49,16 +49,13 @@
 
     private static long hex(String field, String value) throws Junk {
         long bits = 0;
-        for (int i = 0; i < value.length(); i++) {
-            int digit = Character.digit(value.charAt(i), 16);
-            if (digit < 0 || value.length() > 16) {
+        for (int i = 0; i < 16; i++) {
+            int digit = value.length() == 16 ? Character.digit(value.charAt(i), 16) : -1;
+            if (digit < 0) {
                 throw new Junk("field " + field + ": not 16 hex digits");
             }
             bits = bits << 4 | digit;
         }
-        if (value.length() != 16) {
-            throw new Junk("field " + field + ": not 16 hex digits");
-        }
         return bits;
     }
 
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -24,7 +24,6 @@
     private static final long HELD_OPEN = 250_000_000L;
     private static final long MARGIN = 150_000_000L;
     private static final long UNASKED = 2_000_000_000L + HELD_OPEN + MARGIN;
-    private static final byte[] NOTHING = new byte[0];
 
     final OpenTask task;
     final int index;
@@ -59,10 +58,6 @@
         path = "/o/" + task.id;
     }
 
-    boolean over() {
-        return over;
-    }
-
     /** Sends it; its end comes later, never within this call. */
     void start(long until) {
         timer = timers.at(until, this::timeOut);
@@ -83,7 +78,7 @@
         askedAt = asked ? askedAt : timers.now();
         line = engine.call("GET", path + what, this);
         if (line == null) {
-            manager.later(() -> lost(Outcome.RESET));
+            manager.later(() -> lost());
         }
     }
 
@@ -100,7 +95,7 @@
             boolean broke = asked;
             asked = false;
             if (broke && answer.status() != 200 && answer.status() != 202) {
-                lost(Outcome.RESET);        // not an error: that would say it runs no more, and a key would not rest
+                lost();        // not an error: that would say it runs no more, and a key would not rest
                 return;
             }
             switch (answer.status()) {
@@ -160,7 +155,7 @@
             end(Outcome.RESET);                 // its process died just now, and what that ran with it
         } else {
             askedAt = why == HttpLine.Failure.BROKEN ? timers.now() : askedAt;
-            lost(Outcome.RESET);
+            lost();
         }
     }
 
@@ -185,15 +180,15 @@
      * held when it fell silent: DELETE may reach another process than the one that was sent to, so only the time
      * counts. Holds for any restart or cut between; it costs up to 2.4 s from the last question.
      */
-    private void lost(Outcome outcome) {
-        letGo(outcome, false);
+    private void lost() {
+        letGo(Outcome.RESET, false);
     }
 
     private void letGo(Outcome outcome, boolean trusted) {
         if (!over && !cancelled) {
             cancelled = true;
             release();
-            engine.aside("DELETE", path, NOTHING, gone -> {
+            engine.aside("DELETE", path, EngineLines.NOTHING, gone -> {
                 if (gone && trusted) {
                     end(outcome);
                 } else {
@@ -223,7 +218,7 @@
         over = true;
         timer.cancel();
         if (outcome == Outcome.TIME_OUT && !cancelled) {
-            engine.aside("DELETE", path, NOTHING, gone -> { });
+            engine.aside("DELETE", path, EngineLines.NOTHING, gone -> { });
         }
         manager.ended(this, outcome, Math.round(cost * 1e6), memory, report, outcome == Outcome.OK ? pages : null);
     }
--- a/src/main/java/tansytrack/state/Timers.java
+++ b/src/main/java/tansytrack/state/Timers.java
@@ -56,8 +56,4 @@
             waiting.pollFirst().what.run();
         }
     }
-
-    public int size() {
-        return waiting.size();
-    }
 }
