--- a/src/main/java/tansytrack/api/Settings.java
+++ b/src/main/java/tansytrack/api/Settings.java
@@ -7,6 +7,10 @@
 public record Settings(long seed, int siblings, String place, List<Grade> grades, List<Tenant> tenants,
         Map<String, Kind> kinds, Levers levers, long drainGrace, ColdRule cold, long keyRest, RationRule ration) {
 
+    public Settings withSeed(long other) {
+        return new Settings(other, siblings, place, grades, tenants, kinds, levers, drainGrace, cold, keyRest, ration);
+    }
+
     public record Tenant(String name, double share, double perSecond) { }
 
     public record Kind(int cores, double memoryMb) { }
--- a/src/main/java/tansytrack/service/Channel.java
+++ b/src/main/java/tansytrack/service/Channel.java
@@ -25,8 +25,8 @@
 
     private final Sockets sockets;
     private final Timers timers;
-    private final InetSocketAddress address;
     private final Manager manager;
+    private InetSocketAddress address;
     private HttpLine line;
     private Timers.Timer timer;
     private long cursor;
@@ -85,6 +85,30 @@
         return from.get(name) == null ? "" : Json.text(from.get(name), name);
     }
 
+    /**
+     * Asks there from now on, for what follows the last event that it has: the numbers go on, and what the old address
+     * was about to tell is told again by the new one.
+     */
+    void move(InetSocketAddress to, Object known) {
+        try {
+            follow(known);
+        } catch (Junk e) {
+            complain(e.getMessage());
+        }
+        address = to;
+        close();
+        ask();
+    }
+
+    /** Takes the events that a file holds and that follow on from the last one; behind a gap the channel tells all. */
+    private void follow(Object known) throws Junk {
+        for (Object event : Json.list(Json.map(known, "known").get("cmds"), "cmds")) {
+            if ((long) Json.number(Json.map(event, "an event").get("cursor"), "cursor") == cursor + 1) {
+                take(Map.of("cursor", cursor + 1, "cmds", List.of(event)));
+            }
+        }
+    }
+
     void ask() {
         if (line == null) {
             line = new HttpLine(sockets, address, this);
--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -44,10 +44,11 @@
     private final Clock clock = new Clock();
     private final Timers timers = new Timers();
     private final Sockets sockets = new Sockets(inbox::add, clock);
-    private final Config config;
     private final Manager manager;
     private final Channel channel;
     private final CountDownLatch ended = new CountDownLatch(1);
+    private Config config;                                  // as last read
+    private boolean stopping;
     private boolean stopped;
 
     Service(Config config) throws Junk {
@@ -76,6 +77,7 @@
         Service service;
         try {
             service = new Service(config(path));
+            HangUp.take(() -> service.reread(path));
             service.listen();
         } catch (IOException | Junk | Unusable e) {
             return unusable(e);
@@ -108,11 +110,39 @@
     }
 
     private static int unusable(Exception why) {
-        boolean file = why instanceof IOException;
-        System.err.println("tansytrack: " + (file ? why.toString() : why.getMessage()));
+        System.err.println("tansytrack: " + said(why));
         return UNUSABLE;
     }
 
+    private static String said(Exception why) {
+        return why instanceof IOException ? why.toString() : why.getMessage();
+    }
+
+    /** SIGHUP, on a thread of its own: the file is read here, the loop gets what was made of it, in the order read. */
+    synchronized void reread(String path) {
+        try {
+            Config next = config(path);
+            InetSocketAddress to = address(next.channel());
+            inbox.add(() -> reconfigure(next, to));
+        } catch (IOException | Junk | Unusable e) {
+            Logger.warn("the new configuration cannot be used, the old one stays: {}", said(e));
+        }
+    }
+
+    /** What can change while tasks are open does; for the rest a line says that it takes a restart. */
+    private void reconfigure(Config next, InetSocketAddress to) {
+        if (stopping) {
+            return;
+        }
+        manager.counters().add("configurations.read");
+        String rest = config.fixedDifference(next);
+        Logger.info("new configuration: command channel at {}{}", next.channel(),
+                rest.isEmpty() ? "" : "; takes a restart: " + rest);
+        config = next;
+        manager.descriptors(next.mostDescriptors());
+        channel.move(to, next.known());
+    }
+
     private static Config config(String path) throws IOException, Junk {
         if (path == null) {
             throw new Unusable("ROUTER_CONFIG names no configuration");
@@ -184,9 +214,13 @@
 
     /** SIGTERM: tasks come for a while yet, and are served or given back as the module decides. */
     private void stop() {
+        if (stopping) {
+            return;
+        }
         long longest = config.settings().grades().stream().mapToLong(Grade::cutOff).max().orElse(0);
         long until = timers.now() + Math.min(longest, LONGEST_TO_KILL) + KILL_MARGIN;
         Logger.info("told to end; answers count for {} ms more", (until - timers.now()) / MS);
+        stopping = true;
         manager.stopping(until);
         timers.at(timers.now() + COMING, () -> {
             sockets.stopListening();
--- a/src/main/java/tansytrack/settings/Config.java
+++ b/src/main/java/tansytrack/settings/Config.java
@@ -1,5 +1,6 @@
 package tansytrack.settings;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import tansytrack.api.LoadReport;
@@ -39,6 +40,20 @@
                 pairs.time("policy_limits.conn_idle_ms"), ((Number) sockets).intValue());
     }
 
+    /** What differs in another one that a running manager cannot take over, by name; empty: nothing. */
+    public String fixedDifference(Config other) {
+        List<String> differ = new ArrayList<>();
+        if (!listen.equals(other.listen)) {
+            differ.add("listen");
+        }
+        // The seed is new with each start, so it says nothing of the settings.
+        if (!settings.equals(other.settings.withSeed(settings.seed())) || connectTime != other.connectTime
+                || idleTime != other.idleTime || !columns.equals(other.columns)) {
+            differ.add("settings");
+        }
+        return String.join(", ", differ);
+    }
+
     private static Map<?, ?> map(Object value, String what) {
         if (value instanceof Map) {
             return (Map<?, ?>) value;
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -26,7 +26,16 @@
     private long retiredAt;
 
     /** What bounds connections: times in nanoseconds, and how many descriptors engines may take. */
-    record Limits(long connectTime, long idleTime, int most) { }
+    static final class Limits {
+        final long connectTime;
+        final long idleTime;
+        int most;                           // may change with a new configuration
+
+        Limits(long connectTime, long idleTime) {
+            this.connectTime = connectTime;
+            this.idleTime = idleTime;
+        }
+    }
 
     private record Idle(HttpLine line, long since) { }
 
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -46,6 +46,7 @@
     private final Counters counters = new Counters();
     private final Decisions module;
     private final EngineLines.Limits limits;
+    private int mostSessions;
     private final SecureRandom secrets = new SecureRandom();
     private final Intake intake;
     private final Map<String, OpenTask> tasks = new HashMap<>();
@@ -53,7 +54,6 @@
     private final Map<Integer, PgSession> sessions = new HashMap<>();
     private final ArrayDeque<OpenTask> finished = new ArrayDeque<>();
     private final ArrayDeque<Runnable> later = new ArrayDeque<>();
-    private final int mostSessions;
     private int sessionNumber;
     private int owed;                                       // answers
     private boolean told;                                   // the module has heard something and not yet decided
@@ -62,9 +62,8 @@
         this.config = config;
         this.timers = timers;
         this.sockets = sockets;
-        limits = new EngineLines.Limits(config.connectTime(), config.idleTime() / 2,
-                config.mostDescriptors() - SPARE_DESCRIPTORS);
-        mostSessions = config.mostDescriptors() / 2;
+        limits = new EngineLines.Limits(config.connectTime(), config.idleTime() / 2);
+        descriptors(config.mostDescriptors());
         intake = new Intake(config.settings().grades().stream().map(Grade::name).collect(toSet()),
                 config.settings().tenants().stream().map(Settings.Tenant::name).collect(toSet()));
         module = start.apply(config.settings(), this);
@@ -97,6 +96,12 @@
         }
     }
 
+    /** How many descriptors there are in all. */
+    public void descriptors(int most) {
+        limits.most = most - SPARE_DESCRIPTORS;
+        mostSessions = most / 2;
+    }
+
     public Counters counters() {
         return counters;
     }
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -536,6 +536,37 @@
         }
     }
 
+    /** Guards against a manager that ends on SIGHUP, or whose list stops there: the numbers go on at the new address. */
+    @Test
+    void aNewConfigurationMovesTheCommandChannelUnderOpenTasks() throws IOException, InterruptedException {
+        Path file = folder.resolve("new.json");
+        try (Engine second = new Engine(); Client client = new Client(at).started();
+                Client open = new Client(at).started()) {
+            HangUp.take(() -> service.reread(file.toString()));
+            open.send(Client.message('Q', Client.task("safe", "00000000000000e3", "late")));
+            second.list = ("{'cursor':3,'cmds':[" + listed(3, "e", engine.address(), "gone") + "]}").replace('\'', '"');
+            // Event 2 is in the file, event 3 comes from the new channel; 9 follows on from neither.
+            String known = "'known':{'cursor':9,'cmds':[" + listed(1, "e", engine.address(), "ready") + ','
+                    + listed(2, "f", second.address(), "ready") + ',' + listed(9, "f", second.address(), "gone") + "]}";
+            String next = config().replace("'channel':'" + engine.address(), "'channel':'" + second.address());
+            next = next.substring(0, next.indexOf("'known'")) + known + next.substring(next.indexOf(",'settings'"));
+            for (String text : List.of("{", next.replace("'channel'", "'chanel'"), next)) {
+                Files.writeString(file, text.replace('\'', '"'));
+                new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid())).start().waitFor();
+                Thread.sleep(200);              // the machine may fold signals that come at once into one
+                assertThat(client.ask("")).isEqualTo("empty");
+            }
+            String id = "00000000000000f";
+            for (int i = 0; second.posted.getCount() > 0; i++) {
+                client.ask(Client.task("safe", id + Integer.toHexString(i % 16), "ok"));
+            }
+            assertThat(open.answer()).isEqualTo("1,2,3;SELECT 1");
+            assertThat(client.ask("SHOW STATS")).contains("configurations.read,1;");
+            assertThat(second.calls).anyMatch(call -> call.startsWith("GET /cmd/next?resume=2&block="))
+                    .anyMatch(call -> call.startsWith("GET /cmd/next?resume=3&block="));
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {"'seed':'8c1f30d27a5be964' | 'seed':'xyz'", "'sockets':256 | 'sockets':'many'",
         "'deadline_ms':300 | 'deadline_ms':'soon'", "'name':'m', | ''"})
