--- a/src/main/java/tansytrack/service/Channel.java
+++ b/src/main/java/tansytrack/service/Channel.java
@@ -23,6 +23,8 @@
     private static final long SILENT = 500 * MS;        // over the block: then the connection is given up
     private static final long PAUSE = 50 * MS;          // before a new connection after one that failed
 
+    private static final int LONGEST = 1 << 20;         // twice a list of thousands of engines
+
     private final Sockets sockets;
     private final Timers timers;
     private final Manager manager;
@@ -30,6 +32,7 @@
     private HttpLine line;
     private Timers.Timer timer;
     private long cursor;
+    private int failures;                               // running
     private boolean complained;
 
     Channel(Sockets sockets, Timers timers, InetSocketAddress address, Manager manager) {
@@ -111,7 +114,7 @@
 
     void ask() {
         if (line == null) {
-            line = new HttpLine(sockets, address, this);
+            line = new HttpLine(sockets, address, LONGEST, this);
         }
         timer = timers.at(timers.now() + BLOCK * MS + SILENT, this::silent);
         line.call("GET", "/cmd/next?resume=" + cursor + "&block=" + BLOCK, "", new byte[0], this);
@@ -131,27 +134,25 @@
     }
 
     @Override
-    public void answered(Http.Answer answer) {
-        timer.cancel();
-        try {
-            if (answer.status() != 200) {
-                throw new Junk("status " + answer.status());
-            }
-            take(Json.read(answer.body()));
-            complained = false;
-            manager.counters().add("channel.answers");
-            ask();
-        } catch (Junk e) {
-            complain(e.getMessage());
-            timer = timers.at(timers.now() + PAUSE, this::ask);
+    public void answered(Http.Answer answer) throws Junk {
+        if (answer.status() != 200) {
+            throw new Junk("status " + answer.status());
         }
+        take(Json.read(answer.body()));
+        timer.cancel();
+        failures = 0;
+        complained = false;
+        manager.counters().add("channel.answers");
+        // Not within this call: the connection is free for the next one only behind it.
+        timer = timers.at(timers.now(), this::ask);
     }
 
+    /** Asked again at once, as what breaks counts as told soon; a failure right behind another waits a little. */
     @Override
     public void failed(HttpLine.Failure why) {
         timer.cancel();
-        complain("connection lost");
-        timer = timers.at(timers.now() + (why == HttpLine.Failure.BROKEN ? 0 : PAUSE), this::ask);
+        complain("connection lost, or an answer of no use");
+        timer = timers.at(timers.now() + (failures++ == 0 ? 0 : PAUSE), this::ask);
     }
 
     /** Once for each time that it goes wrong. */
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.IdentityHashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.function.Consumer;
 import tansytrack.wire.Http;
@@ -13,6 +14,10 @@
 final class EngineLines implements HttpLine.Holder {
 
     static final byte[] NOTHING = new byte[0];
+    private static final int LONGEST = 1 << 16;             // twice a page with its head, and what may come before it
+    private static final long REST = 10_000_000L;           // of a connection before its next call: what else belongs
+                                                            // to the last answer comes by then
+    private static final int TRIES = 4;                     // of a call that connections break under
 
     final String id;
     private final Sockets sockets;
@@ -80,16 +85,28 @@
         }
     }
 
+    /** The free connection that was used last, of those that have rested. */
+    private HttpLine rested() {
+        for (Iterator<Idle> last = idle.descendingIterator(); last.hasNext();) {
+            Idle one = last.next();
+            if (timers.now() - one.since >= REST || sockets.open() >= limits.most) {
+                last.remove();
+                return one.line;
+            }
+        }
+        return null;
+    }
+
     /** Makes a call on a free connection or a new one; null where there are no descriptors left. */
     HttpLine call(String method, String path, String fields, byte[] body, HttpLine.Caller by) {
         trim();
-        HttpLine line = idle.isEmpty() ? null : idle.pollLast().line;
+        HttpLine line = rested();
         if (line == null) {
             if (sockets.open() >= limits.most) {
                 counters.add("calls.no_descriptor");
                 return null;
             }
-            line = new HttpLine(sockets, address, this);
+            line = new HttpLine(sockets, address, LONGEST, this);
             counters.add("connections.to_engines");
             HttpLine late = line;
             coming.put(line, timers.at(timers.now() + limits.connectTime, () -> late(late, by)));
@@ -103,25 +120,38 @@
     }
 
     /**
-     * A call that nobody has to wait for: whatever becomes of it is said once, as whether it has gone out whole. A
-     * silent connection is closed after the time that one may take to come up.
+     * A call that nobody has to wait for: whatever becomes of it is said once, as whether it has come to the engine: it
+     * was answered, or has gone out whole and its connection stayed up. One that breaks is made again, as a connection
+     * may be reset before the call was read. A silent one is closed after the time that one may take to come up.
      */
     void aside(String method, String path, byte[] body, Consumer<Boolean> done) {
-        Aside aside = new Aside(done);
-        aside.line = call(method, path, "", body, aside);
-        aside.timer = timers.at(timers.now() + (aside.line == null ? 0 : limits.connectTime), aside::late);
+        new Aside(method, path, body, done).start();
     }
 
-    private static final class Aside implements HttpLine.Caller {
+    private final class Aside implements HttpLine.Caller {
+        private final String method;
+        private final String path;
+        private final byte[] body;
         private final Consumer<Boolean> done;
         private HttpLine line;
         private Timers.Timer timer;
         private boolean written;
+        private int tries;
 
-        Aside(Consumer<Boolean> done) {
+        Aside(String method, String path, byte[] body, Consumer<Boolean> done) {
+            this.method = method;
+            this.path = path;
+            this.body = body;
             this.done = done;
         }
 
+        void start() {
+            tries++;
+            written = false;
+            line = call(method, path, "", body, this);
+            timer = timers.at(timers.now() + (line == null ? 0 : limits.connectTime), this::late);
+        }
+
         @Override
         public void answered(Http.Answer answer) {
             timer.cancel();
@@ -136,7 +166,11 @@
         @Override
         public void failed(HttpLine.Failure why) {
             timer.cancel();
-            done.accept(written);
+            if (tries < TRIES && (why == HttpLine.Failure.BROKEN || why == HttpLine.Failure.UNSENT)) {
+                start();
+            } else {
+                done.accept(false);
+            }
         }
 
         void late() {
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -299,11 +299,6 @@
         return figures;
     }
 
-    void junk(String engine, Junk junk) {
-        counters.add("engines.junk");
-        Logger.warn("engine {}: {}", engine, junk.getMessage());
-    }
-
     // ---- Actions ----
 
     @Override
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -24,6 +24,9 @@
     private static final long HELD_OPEN = 250_000_000L;
     private static final long MARGIN = 150_000_000L;
     private static final long UNASKED = 2_000_000_000L + HELD_OPEN + MARGIN;
+    private static final long OVERDUE = HELD_OPEN + 2 * MARGIN;     // a call without its answer by then has lost it
+    private static final int MOST_BROKEN = 8;               // calls in a row: one in four spoilt makes this one in 65,000
+    private static final long PAUSE = 10_000_000L;          // before each further one, by how many came before
 
     final OpenTask task;
     final int index;
@@ -38,11 +41,16 @@
     private int bytes;
     private int pageCount;
     private boolean started;                                // the engine has answered for it
-    private boolean overdue;                                // its answer was, when the connection broke
-    private boolean asked;                                  // the question is open that follows a broken connection
+    private boolean left;                                   // a byte of the call that starts it was written
+    private boolean silent;                                 // an answer was overdue since the last whole one
+    private int broken;                                     // calls in a row that brought nothing whole
+    private Timers.Timer callTimer;
     private boolean cancelled;
     private boolean over;
-    private long askedAt;
+    private long calledAt;
+    private long askedAt;                                   // the last question that may have come to the engine
+    private String asking;                                  // what was asked last; null: the call that starts it
+    private long until;
     private double cost;
     private double memory;
     private LoadReport report;
@@ -59,103 +67,164 @@
     }
 
     /** Sends it; its end comes later, never within this call. */
-    void start(long until) {
+    void start(long by) {
+        until = by;
         timer = timers.at(until, this::timeOut);
         if (task.answered()) {
             manager.later(() -> end(Outcome.NEVER_SENT));
-            return;
+        } else {
+            post();
         }
-        long left = Math.max(1, (until - at) / 1_000_000);
-        String fields = "X-Req: " + task.id + "\r\nX-Class: " + task.grade + "\r\nX-Wait-Ms: " + left + "\r\n"
+    }
+
+    private void post() {
+        long wait = Math.max(1, (until - timers.now()) / 1_000_000);
+        String fields = "X-Req: " + task.id + "\r\nX-Class: " + task.grade + "\r\nX-Wait-Ms: " + wait + "\r\n"
                 + (task.memoryMb > 0 ? "Grant-Mb: " + task.memoryMb + "\r\n" : "") + "Rank: " + task.priority + "\r\n";
-        line = engine.call("POST", "/o", fields, task.statement, this);
-        if (line == null) {
-            manager.later(() -> end(Outcome.NEVER_SENT));
-        }
+        asking = null;
+        called(engine.call("POST", "/o", fields, task.statement, this));
     }
 
     private void ask(String what) {
-        askedAt = asked ? askedAt : timers.now();
-        line = engine.call("GET", path + what, this);
-        if (line == null) {
-            manager.later(() -> lost());
+        if (!over && !cancelled) {
+            asking = what;
+            called(engine.call("GET", path + what, this));
+        }
+    }
+
+    private void called(HttpLine by) {
+        line = by;
+        calledAt = timers.now();
+        if (line != null) {
+            callTimer = timers.at(calledAt + OVERDUE, this::overdue);
+        } else if (left) {
+            manager.later(this::lost);
+        } else {
+            manager.later(() -> end(Outcome.NEVER_SENT));
         }
     }
 
     @Override
-    public void answered(Http.Answer answer) {
-        line = null;
-        if (over) {
-            return;
+    public void answered(Http.Answer answer) throws Junk {
+        int status = answer.status();
+        if (status != 200 && status != 202 && status != 500 && status != 503 && status != 504) {
+            throw new Junk("status " + status);
         }
-        try {
-            boolean notRun = answer.field("x-not-run") != null && answer.field("x-not-run").equals("1");
-            LoadReport told = manager.report(answer);
-            report = told == null ? report : told;
-            boolean broke = asked;
-            asked = false;
-            if (broke && answer.status() != 200 && answer.status() != 202) {
-                lost();        // not an error: that would say it runs no more, and a key would not rest
-                return;
-            }
-            switch (answer.status()) {
-                case 200 -> page(answer);
-                case 202 -> {
-                    started = true;
-                    ask("/0");
-                }
-                case 503 -> end(notRun ? Outcome.FULL : Outcome.ERROR);
-                case 504 -> end(notRun ? Outcome.NEVER_SENT : Outcome.ERROR);
-                default -> end(Outcome.ERROR);
+        boolean notRun = "1".equals(answer.field("x-not-run"));
+        LoadReport told = manager.report(answer);
+        if (status == 200) {
+            page(answer);
+        }
+        quiet();
+        report = told == null ? report : told;
+        left = true;
+        askedAt = timers.now();
+        boolean again = broken > 0 || silent;
+        boolean wasSilent = silent;
+        broken = 0;
+        silent = false;
+        if (status == 200 || status == 202) {
+            started = true;
+            if (status == 200 && pages.size() == pageCount) {
+                end(Outcome.OK);
+            } else {
+                String next = "/" + pages.size();
+                // Not within this call: the connection that brought the answer is free only behind it.
+                manager.later(() -> ask(next));
             }
-        } catch (Junk e) {
-            manager.junk(engine.id, e);
-            end(Outcome.ERROR);
+        } else if (again && asking != null && (wasSilent || !notRun)) {
+            // Not known after a break. Not an error: that would say it runs no more, and a key would not rest.
+            letGo(Outcome.RESET, !wasSilent);
+        } else if (status == 503) {
+            end(notRun ? Outcome.FULL : Outcome.ERROR);
+        } else {
+            end(status == 504 && notRun ? Outcome.NEVER_SENT : Outcome.ERROR);
+        }
+    }
+
+    private void quiet() {
+        line = null;
+        if (callTimer != null) {
+            callTimer.cancel();
         }
     }
 
+    /** Takes a page that is whole and the one asked for; else it is junk and nothing has changed. */
     private void page(Http.Answer answer) throws Junk {
-        started = true;
+        int count = pageCount;
         if (pages.isEmpty()) {
-            pageCount = (int) answer.number("page-count", 1);
-            cost = answer.number("work-ms", 0);
-            memory = answer.number("peak-mb", 0);
-            if (pageCount < 1 || pageCount > MOST_PAGES) {
-                throw new Junk("a result of " + pageCount + " pages");
+            double told = answer.number("page-count", 0);
+            if (told < 1 || told > MOST_PAGES || told != Math.rint(told)) {
+                throw new Junk("a result of " + told + " pages");
             }
+            count = (int) told;
         } else if (answer.number("page-no", -1) != pages.size()) {
             throw new Junk("another page than asked for");
         }
-        bytes += answer.body().length;
-        if (bytes > MOST_BYTES || !PgSession.holdsRows(answer.body(), COLUMNS)) {
+        if (bytes + answer.body().length > MOST_BYTES || !PgSession.holdsRows(answer.body(), COLUMNS)) {
             throw new Junk("a page that does not hold whole rows, or too large a result");
         }
+        if (pages.isEmpty()) {
+            cost = answer.number("work-ms", 0);
+            memory = answer.number("peak-mb", 0);
+        }
+        pageCount = count;
+        bytes += answer.body().length;
         pages.add(answer.body());
-        if (pages.size() < pageCount) {
-            ask("/" + pages.size());
-        } else {
-            end(Outcome.OK);
+    }
+
+    /** No whole answer in time: the connection is given up, and the query, which belongs to none, asked for on another. */
+    private void overdue() {
+        if (!over && line != null) {
+            manager.counters().add("calls.overdue");
+            HttpLine open = line;
+            boolean up = open.up();             // then the call may have come to the engine
+            open.drop();
+            failed(up ? HttpLine.Failure.BROKEN : HttpLine.Failure.LATE);
         }
     }
 
+    /**
+     * Guards against spoilt answers, resets and silence, which cost a call and not the task: the query is asked for
+     * again while its engine must still have it. Only a refused connection right after prompt breaks is a process that
+     * died, and what that ran with it; a reset proves nothing.
+     */
     @Override
     public void failed(HttpLine.Failure why) {
-        line = null;
-        if (over) {
+        quiet();
+        if (over || cancelled) {
             return;
         }
-        if (why != HttpLine.Failure.BROKEN && !started && !asked) {
-            end(Outcome.UNREACHED);             // the call itself never left: nothing ran
-        } else if (!asked) {
-            // The query belongs to no connection: asked again on another one it may still be found.
-            asked = true;
-            overdue = timers.now() - askedAt > HELD_OPEN + MARGIN;
-            ask("/" + pages.size());
-        } else if (why == HttpLine.Failure.REFUSED && !overdue) {
-            end(Outcome.RESET);                 // its process died just now, and what that ran with it
-        } else {
-            askedAt = why == HttpLine.Failure.BROKEN ? timers.now() : askedAt;
+        manager.counters().add("calls." + why);
+        broken++;
+        if (why == HttpLine.Failure.BROKEN) {
+            left = true;
+            askedAt = calledAt;
+        }
+        boolean late = why == HttpLine.Failure.LATE || timers.now() - calledAt > HELD_OPEN + MARGIN;
+        silent |= late && left;
+        if (!left) {
+            if (why == HttpLine.Failure.UNSENT && broken < MOST_BROKEN) {
+                manager.later(this::postAgain);
+            } else {
+                end(Outcome.UNREACHED);         // the call itself never left: nothing ran
+            }
+        } else if (why == HttpLine.Failure.REFUSED && !silent) {
+            end(Outcome.RESET);
+        } else if (timers.now() - askedAt > UNASKED) {
+            end(Outcome.RESET);                 // its engine has dropped it by now
+        } else if (broken >= MOST_BROKEN && !silent) {
             lost();
+        } else {
+            String again = "/" + pages.size();
+            long pause = silent ? Math.max(PAUSE, calledAt + OVERDUE - timers.now()) : (broken - 1) * PAUSE;
+            callTimer = timers.at(timers.now() + pause, () -> ask(again));
+        }
+    }
+
+    private void postAgain() {
+        if (!over && !cancelled) {
+            post();
         }
     }
 
@@ -176,12 +245,13 @@
     }
 
     /**
-     * Its connection broke and it was not found again. Guards against a second copy beside one that a machine still
+     * Its connections broke and it was not found again. Guards against a second copy beside one that a machine still
      * held when it fell silent: DELETE may reach another process than the one that was sent to, so only the time
-     * counts. Holds for any restart or cut between; it costs up to 2.4 s from the last question.
+     * counts. Holds for any restart or cut between; it costs up to 2.4 s from the last question. Where all breaks were
+     * prompt it is the same process, and DELETE proves that nothing runs on.
      */
     private void lost() {
-        letGo(Outcome.RESET, false);
+        letGo(Outcome.RESET, !silent);
     }
 
     private void letGo(Outcome outcome, boolean trusted) {
@@ -200,9 +270,10 @@
 
     private void release() {
         if (line != null) {
+            askedAt = line.up() ? calledAt : askedAt;
             line.drop();
-            line = null;
         }
+        quiet();
     }
 
     void priority(int priority) {
@@ -217,6 +288,7 @@
         }
         over = true;
         timer.cancel();
+        quiet();
         if (outcome == Outcome.TIME_OUT && !cancelled) {
             engine.aside("DELETE", path, EngineLines.NOTHING, gone -> { });
         }
--- a/src/main/java/tansytrack/state/Probe.java
+++ b/src/main/java/tansytrack/state/Probe.java
@@ -9,11 +9,14 @@
 /** A question for an engine's load. */
 final class Probe implements HttpLine.Caller {
 
+    private static final int TRIES = 2;             // further ones
+
     private final Manager manager;
     private final EngineLines engine;
     private HttpLine line;
     private Timers.Timer timer;
     private boolean over;
+    private int tries;
 
     Probe(Manager manager, EngineLines engine) {
         this.manager = manager;
@@ -30,24 +33,26 @@
     }
 
     @Override
-    public void answered(Http.Answer answer) {
-        try {
-            LoadReport report = manager.report(answer);
-            end(answer.status() == 200 ? Outcome.OK : answer.status() == 503 ? Outcome.FULL : Outcome.ERROR, report);
-        } catch (Junk e) {
-            manager.junk(engine.id, e);
-            end(Outcome.ERROR, null);
-        }
+    public void answered(Http.Answer answer) throws Junk {
+        LoadReport report = manager.report(answer);
+        end(answer.status() == 200 ? Outcome.OK : answer.status() == 503 ? Outcome.FULL : Outcome.ERROR, report);
     }
 
+    /** One spoilt answer or reset connection says nothing of the engine: it is asked again, within the same time. */
     @Override
     public void failed(HttpLine.Failure why) {
-        end(why == HttpLine.Failure.BROKEN ? Outcome.RESET : Outcome.UNREACHED, null);
+        boolean again = why == HttpLine.Failure.BROKEN || why == HttpLine.Failure.UNSENT;
+        line = again && tries++ < TRIES ? engine.call("GET", "/stats", this) : null;
+        if (line == null) {
+            end(why == HttpLine.Failure.BROKEN ? Outcome.RESET : Outcome.UNREACHED, null);
+        }
     }
 
     private void late() {
         if (!over) {
-            line.drop();
+            if (line != null) {
+                line.drop();
+            }
             end(Outcome.TIME_OUT, null);
         }
     }
--- a/src/main/java/tansytrack/wire/Connection.java
+++ b/src/main/java/tansytrack/wire/Connection.java
@@ -37,6 +37,7 @@
     private boolean writing;
     private boolean closing;
     private boolean over;
+    private boolean refused;
 
     Connection(Sockets sockets, int mostIn, int mostOut) {
         this.sockets = sockets;
@@ -57,6 +58,11 @@
         return over;
     }
 
+    /** The machine it was to go to refused it: nothing listens there. */
+    public boolean refused() {
+        return refused;
+    }
+
     /** Bytes that the system has taken so far. */
     public long taken() {
         return session == null ? 0 : session.getWrittenBytes();
@@ -74,6 +80,14 @@
         coming = future;
     }
 
+    /** It did not come up. */
+    void failed(Throwable why) {
+        // A connection that is reset while it comes up is no other type than one that is refused.
+        refused = why instanceof java.net.ConnectException && why.getMessage() != null
+                && why.getMessage().contains("refused");
+        drop();
+    }
+
     void came(IoSession with) {
         if (over) {
             with.closeNow();
--- a/src/main/java/tansytrack/wire/Http.java
+++ b/src/main/java/tansytrack/wire/Http.java
@@ -8,7 +8,6 @@
 public final class Http {
 
     private static final int LONGEST_HEAD = 1 << 13;
-    private static final int LONGEST_BODY = 1 << 15;        // with its head under the bound of a ring
 
     /** An answer; the names of its fields in lower case. */
     public record Answer(int status, Map<String, String> fields, byte[] body, boolean lasts) {
@@ -34,18 +33,39 @@
         out.put(body);
     }
 
-    /** The next answer, taken out of the ring, or null while it is not whole. */
+    /**
+     * The next final answer, taken out of the ring, or null while it is not whole. What only says that one will come
+     * (1xx) is passed over. An answer with its head may take half of the ring.
+     */
     public static Answer answer(Ring in) throws Junk {
-        int end = headEnd(in);
-        if (end < 0) {
-            return null;
+        while (true) {
+            int end = headEnd(in);
+            if (end < 0) {
+                return null;
+            }
+            byte[] start = in.copy(0, Math.min(end, 10));
+            if (start.length < 10 || start[9] != '1') {
+                return finalAnswer(in, end);
+            }
+            statusLine(in.copy(0, end));
+            in.skip(end);
         }
-        byte[] head = in.copy(0, end);
+    }
+
+    /** Checks the first line of a head and gives its length. */
+    private static int statusLine(byte[] head) throws Junk {
         int line = lineEnd(head, 0);
         if (line < 12 || head[0] != 'H' || head[1] != 'T' || head[2] != 'T' || head[3] != 'P' || head[4] != '/'
-                || head[5] != '1' || head[6] != '.' || head[8] != ' ') {
+                || head[5] != '1' || head[6] != '.' || head[8] != ' ' || line > 12 && head[12] != ' ') {
             throw new Junk("not an HTTP/1 answer");
         }
+        return line;
+    }
+
+    private static Answer finalAnswer(Ring in, int end) throws Junk {
+        int longest = in.most() / 2;
+        byte[] head = in.copy(0, end);
+        int line = statusLine(head);
         int status = (int) whole(head, 9, 12);
         Map<String, String> fields = new TreeMap<>();
         for (int from = line + 2; from < head.length - 2;) {
@@ -57,8 +77,11 @@
             if (colon == to || colon == from) {
                 throw new Junk("a field without a name");
             }
-            fields.put(lower(head, from, colon),
-                    new String(head, colon + 1, to - colon - 1, StandardCharsets.UTF_8).strip());
+            String value = new String(head, colon + 1, to - colon - 1, StandardCharsets.UTF_8).strip();
+            String before = fields.put(lower(head, from, colon), value);
+            if (before != null && !before.equals(value)) {
+                throw new Junk("a field with two values");
+            }
             from = to + 2;
         }
         boolean lasts = head[7] == '1' && !"close".equalsIgnoreCase(fields.get("connection"));
@@ -79,8 +102,8 @@
         }
         byte[] digits = told.getBytes(StandardCharsets.US_ASCII);
         long length = whole(digits, 0, digits.length);
-        if (length > LONGEST_BODY) {
-            throw new Junk("an answer over " + LONGEST_BODY + " bytes");
+        if (length > longest) {
+            throw new Junk("an answer over " + longest + " bytes");
         }
         if (in.size() < end + length) {
             return null;
@@ -113,8 +136,8 @@
                 length = extension ? length : length * 16 + digit;
             }
             at += 2;
-            if (digits == 0 || body.size() + length > LONGEST_BODY) {
-                throw new Junk("a chunk without a length, or over " + LONGEST_BODY + " bytes in all");
+            if (digits == 0 || body.size() + length > in.most() / 2) {
+                throw new Junk("a chunk without a length, or too many bytes in all");
             }
             if (in.size() < at + length + 2) {
                 return null;
--- a/src/main/java/tansytrack/wire/HttpLine.java
+++ b/src/main/java/tansytrack/wire/HttpLine.java
@@ -5,12 +5,16 @@
 /** A connection that carries HTTP calls, one at a time. */
 public final class HttpLine implements Connection.Owner {
 
-    /** Why no answer will come: the connection was refused, did not come up in time, or broke. */
-    public enum Failure { REFUSED, LATE, BROKEN }
+    /**
+     * Why no answer will come: the machine refused the connection; it did not come up in time; it ended before a byte
+     * of the call was written; or it broke, or brought what cannot be read, after that.
+     */
+    public enum Failure { REFUSED, LATE, UNSENT, BROKEN }
 
     /** Who made the call; one of answered and failed comes, once, unless the call was dropped. */
     public interface Caller {
-        void answered(Http.Answer answer);
+        /** Junk: it cannot be used; the connection is closed, and the call counts as broken. */
+        void answered(Http.Answer answer) throws Junk;
 
         /** No answer will come; nothing was written unless the connection broke. */
         void failed(Failure why);
@@ -30,13 +34,19 @@
     private final InetSocketAddress to;
     private final String host;
     private final Holder holder;
+    private final Sockets sockets;
     private Caller caller;
+    private long calledAt;
+    private long takenBefore;                   // bytes of earlier calls
+    private boolean fresh;                      // no answer has ever begun for the open call
 
-    public HttpLine(Sockets sockets, InetSocketAddress to, Holder holder) {
+    /** Answers with their heads may take half of the given bytes. */
+    public HttpLine(Sockets sockets, InetSocketAddress to, int mostIn, Holder holder) {
+        this.sockets = sockets;
         this.holder = holder;
         this.to = to;
         host = to.getHostString() + ':' + to.getPort();
-        connection = sockets.connect(to, this);
+        connection = sockets.connect(to, mostIn, this);
     }
 
     public InetSocketAddress to() {
@@ -49,6 +59,9 @@
 
     public void call(String method, String path, String fields, byte[] body, Caller by) {
         caller = by;
+        calledAt = sockets.time();
+        takenBefore = connection.taken();
+        fresh = true;
         Http.call(connection.out, method, path, host, fields, body);
         connection.flush();
     }
@@ -58,22 +71,32 @@
         if (caller == null) {
             throw new Junk("an answer that nobody asked for");
         }
+        if (fresh && at < calledAt) {
+            throw new Junk("what came before the call");
+        }
+        fresh = false;
         Http.Answer answer = Http.answer(connection.in);
         if (answer == null) {
             return;
         }
-        if (connection.in.size() > 0) {
-            throw new Junk("more than one answer");
+        // More behind it belongs to no call. A second copy does no harm; anything else may be the rest of an answer whose
+        // length was wrong, so that this one is not whole.
+        boolean more = connection.in.size() > 0;
+        if (more && answer.status() == 200 && connection.in.at(0) != 'H') {
+            throw new Junk("more bytes than the length that was told");
         }
         Caller to = caller;
+        to.answered(answer);
         caller = null;
-        if (answer.lasts()) {
+        if (!connection.open()) {
+            return;
+        }
+        if (answer.lasts() && !more) {
             holder.free(this);
         } else {
             connection.close();
             holder.lost(this);
         }
-        to.answered(answer);
     }
 
     @Override
@@ -89,7 +112,8 @@
         caller = null;
         holder.lost(this);
         if (to != null) {
-            to.failed(wasUp ? Failure.BROKEN : Failure.REFUSED);
+            to.failed(connection.refused() ? Failure.REFUSED
+                    : connection.taken() == takenBefore ? Failure.UNSENT : Failure.BROKEN);
         }
     }
 
--- a/src/main/java/tansytrack/wire/Ring.java
+++ b/src/main/java/tansytrack/wire/Ring.java
@@ -26,6 +26,10 @@
         return size;
     }
 
+    public int most() {
+        return most;
+    }
+
     /** What more it could hold. */
     public int space() {
         return most - size;
--- a/src/main/java/tansytrack/wire/Sockets.java
+++ b/src/main/java/tansytrack/wire/Sockets.java
@@ -30,7 +30,6 @@
     private static final int READ_MOST = 1 << 14;
     private static final int FRONT_IN = 1 << 16;         // the longest message of a client
     private static final int FRONT_OUT = 1 << 19;        // a result of the most bytes, in the shortest rows
-    private static final int CALL_IN = 1 << 16;          // a page or a list, with its header
     private static final int CALL_OUT = 1 << 17;         // a statement, with its header
 
     private final Consumer<Runnable> hand;
@@ -78,8 +77,8 @@
     }
 
     /** A connection that is on its way; what is written meanwhile goes out once it is up. */
-    public Connection connect(InetSocketAddress to, Connection.Owner owner) {
-        Connection connection = new Connection(this, CALL_IN, CALL_OUT);
+    public Connection connect(InetSocketAddress to, int mostIn, Connection.Owner owner) {
+        Connection connection = new Connection(this, mostIn, CALL_OUT);
         connection.own(owner);
         open++;
         ConnectFuture coming =
@@ -87,12 +86,17 @@
         connection.coming(coming);
         coming.addListener(done -> {
             if (!coming.isConnected()) {
-                hand.accept(connection::drop);
+                hand.accept(() -> connection.failed(coming.getException()));
             }
         });
         return connection;
     }
 
+    /** The time now, by the clock that stamps what is heard. */
+    long time() {
+        return clock.getAsLong();
+    }
+
     /** Connections open or on their way. */
     public int open() {
         return open;
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -57,6 +57,7 @@
         volatile String statement = "";
         volatile String list = "";
         volatile int asked;
+        volatile int pagesAsked;
 
         Engine() {
             try {
@@ -130,7 +131,9 @@
             }
             boolean news = call.startsWith("POST") || call.endsWith("/0");
             asked += news ? 1 : 0;
+            pagesAsked += news ? 0 : 1;
             String done = "Page-Count: 1\r\nWork-Ms: 5.5\r\nPeak-Mb: 2\r\n";
+            String good = say("200 OK", done, "a\tb\tc\n");
             return switch (statement) {
                 case "ok" -> say("200 OK", done, "a\tb\tc\n\t\t\n");
                 case "late" -> asked < 4 ? say("202 Accepted", "", "") : say("200 OK", done, "1\t2\t3\n");
@@ -144,6 +147,15 @@
                 case "cutlate" -> asked == 1 ? say("202 Accepted", "", "") : asked == 2 ? "cut"
                         : say("200 OK", done, "g\tg\tg\n");
                 case "restarted" -> asked < 2 ? "cut" : asked == 2 ? say("500 No", "", "") : say("200 OK", done, "");
+                case "noise" -> asked < 4 ? "x".repeat(9000 * asked) : good;
+                case "endless" -> asked < 2 ? "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx" : good;
+                case "short" -> asked < 2 ? "HTTP/1.1 200 OK\r\nPage-Count: 1\r\nContent-Length: 60\r\n\r\na" : good;
+                case "wronglength" -> asked < 2 ? good.replace("Length: 6", "Length: 0") : good;
+                case "hints" -> "HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 100 Go\r\n\r\n" + good;
+                case "twice" -> good + good;
+                case "never" -> asked < 3 ? "silent" : good;
+                case "spoiltpage" -> news ? say("200 OK", "Page-Count: 2\r\n", "a\tb\tc\n") : pagesAsked == 1 ? "cut"
+                        : pagesAsked == 2 ? good : say("200 OK", "Page-No: 1\r\n", "d\te\tf\n");
                 case "cutpage" -> news ? say("200 OK", "Page-Count: 2\r\n", "a\tb\tc\n") : "cut";
                 case "lostpage" -> news ? say("200 OK", "Page-Count: 2\r\n", "a\tb\tc\n") : say("500 No", "", "");
                 case "cut" -> "cut";
@@ -315,7 +327,10 @@
         "safe | ok | a,b,c;,,;SELECT 2 | 1", "safe | late | 1,2,3;SELECT 1 | 1",
         "safe | pages | a,b,c;d,e,f;d,e,f;SELECT 3 | 1", "safe | fullonce | SELECT 0 | 2",
         "safe | found | f,f,f;SELECT 1 | 1", "safe | cutlate | g,g,g;SELECT 1 | 1", "once | found | f,f,f;SELECT 1 | 1",
-        "safe | full | 53300 no room at present, after= | 2", "once | full | 53300 no room at present, after= | 2",
+        "once | noise | a,b,c;SELECT 1 | 1", "once | endless | a,b,c;SELECT 1 | 1", "once | short | a,b,c;SELECT 1 | 1",
+        "once | wronglength | a,b,c;SELECT 1 | 1", "once | hints | a,b,c;SELECT 1 | 1",
+        "once | twice | a,b,c;SELECT 1 | 1", "once | never | a,b,c;SELECT 1 | 1",
+        "once | spoiltpage | a,b,c;d,e,f;SELECT 2 | 1", "safe | full | 53300 no room at present, after= | 2", "once | full | 53300 no room at present, after= | 2",
         "safe | past | 53300 no room at present, after= | 2", "safe | error | 53300 no room at present, after= | 2",
         "once | error | 58000 the statement failed; it may have run | 1",
         "once | lostpage | 58000 the statement failed; it may have run | 1",
--- a/src/test/java/tansytrack/state/ManagerTest.java
+++ b/src/test/java/tansytrack/state/ManagerTest.java
@@ -39,7 +39,7 @@
         timers.now(1000 * MS);
         manager = new Manager(Config.of(Json.read(CONFIG.replace('\'', '"').getBytes(StandardCharsets.UTF_8))), timers,
                 sockets, Decide::new);
-        Connection connection = sockets.connect(NOBODY, new Connection.Owner() {
+        Connection connection = sockets.connect(NOBODY, 1 << 16, new Connection.Owner() {
             @Override
             public void heard(long at) { }
 
