--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -90,9 +90,7 @@
             String bounds = new TreeSet<>(grade.places()) + "/" + new TreeSet<>(grade.kinds());
             rows.put(grade.name(), new Row(grade, markets.computeIfAbsent(bounds, key -> new Market(grade))));
         }
-        for (Settings.Tenant tenant : settings.tenants()) {
-            tenants.put(tenant.name(), new Tenant(Math.max(tenant.share(), 0.001)));
-        }
+        settings.tenants().forEach(one -> tenants.put(one.name(), new Tenant(Math.max(one.share(), 0.001))));
         actions.wake(SWEEP, "sweep");
     }
 
@@ -296,6 +294,7 @@
         long waitUntil;                       // end of the budget in the queue
         int forwards;                         // sent so far
         final List<Forward> out = new ArrayList<>(2);
+        final List<Engine> failedOn = new ArrayList<>(2);     // held against them once it is handled
         Forward ran;                          // the first that may have run
         long cancelled;                       // a bit a forward
 
@@ -402,10 +401,7 @@
             lastTaken = now;
             worthMean = mean(worthMean, task.lnWorth, LEARN);
             task.row.worthMean = mean(task.row.worthMean, task.lnWorth, LEARN);
-            if (task.outOfTime()) {
-                answer(task);
-                return;
-            }
+            if (task.outOfTime()) { answer(task); return; }
             if (task.key != null) {
                 // Looked up only now: one named at the door may have been dropped before its task got here.
                 task.line = lines.computeIfAbsent(task.key, KeyLine::new);
@@ -591,7 +587,7 @@
             if (task.line != null) {
                 task.line.out--;
                 if (outcome == Outcome.TIME_OUT || outcome == Outcome.RESET || outcome == Outcome.CANCELLED) {
-                    task.line.restsUntil = now + set.keyRest();
+                    task.line.restsUntil = now + set.keyRest() + LONGEST_SWEEP;  // news of its end crosses
                 }
             }
             if (!task.over && (over || outcome == Outcome.OK)) {
@@ -656,7 +652,7 @@
                     .filter(task -> now >= task.waitUntil).toList().forEach(this::refuse);
             for (KeyLine<Task> line : new ArrayList<>(lines.values())) {
                 for (Task task : new ArrayList<>(line.line)) {
-                    double needed = Math.max(ANSWER_MARGIN, task.alone());
+                    double needed = Math.max(ANSWER_MARGIN, task.usualRun());
                     if (task.keyed && task.cutOffAt - now <= needed) { answer(task); }
                 }
                 release(line);
@@ -796,9 +792,7 @@
 
         /** Rules, health and room together. */
         boolean fits(Task task) {
-            if (!rulesAllow(task) || !task.out.isEmpty() && task.out.get(0).engine == this) {
-                return false;
-            }
+            if (!rulesAllow(task) || !task.out.isEmpty() && task.out.get(0).engine == this) { return false; }
             return !usable() ? now >= trialAt && task.harmless() : threadsFit(task) && memoryFits(task);
         }
 
@@ -886,13 +880,14 @@
                 failing = mean(failing, 0, 4 * LEARN);
                 sign();
                 handled(forward, cost, memoryMb);
+                forward.task.failedOn.forEach(engine -> engine.put(engine::failed));
+            } else if (outcome == Outcome.ERROR && forward.task.harmless()) {
+                forward.task.failedOn.add(this);      // a bad task fails anywhere: no news of this engine yet
             } else if (outcome == Outcome.ERROR || outcome == Outcome.UNREACHED || outcome == Outcome.RESET) {
-                // An engine that fails fast looks idle, and would draw ever more tasks.
-                failing = mean(failing, 1, 4 * LEARN);
                 unreached |= outcome == Outcome.UNREACHED;
                 unreachedAt = outcome == Outcome.UNREACHED ? now : unreachedAt;
                 if (unreached) { suspect("unreached"); }
-                if (!suspect && failing > failingLimit()) { suspect("its answers fail"); }
+                failed();
             } else if (outcome == Outcome.FULL || outcome == Outcome.TIME_OUT) {
                 room.refused();
                 forward.task.row.market.refused();
@@ -900,6 +895,12 @@
             gate.put(() -> gate.ended(forward, outcome, over));
         }
 
+        /** An engine that fails fast looks idle, and would draw ever more tasks. */
+        private void failed() {
+            failing = mean(failing, 1, 4 * LEARN);
+            if (!suspect && failing > failingLimit()) { suspect("its answers fail"); }
+        }
+
         private void handled(Forward forward, long toldCost, double toldMemory) {
             Task task = forward.task;
             Row row = task.row;
--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -276,6 +276,33 @@
         assertThat(manager.sentTo("e") - before).isBetween(1L, 4L);
     }
 
+    /** Guards against engines left because of tasks that fail wherever they run. */
+    @ParameterizedTest(name = "handled in the end: {0}")
+    @CsvSource({"false", "true"})
+    void errorsCountAgainstAnEngineOnceTheTaskIsHandledElsewhere(boolean handled) {
+        Manager manager = answering(false);
+        manager.list(true, small("e"));
+        for (int i = 0; i < 6; i++) {
+            manager.take("t" + i + " short a").decide().end("t" + i, 0, Outcome.ERROR).end("t" + i, 1, Outcome.ERROR)
+                    .end("t" + i, 2, handled && i > 3 ? Outcome.OK : Outcome.ERROR);
+        }
+        assertThat(manager.logs.stream().anyMatch(line -> line.contains("its answers fail"))).isEqualTo(handled);
+    }
+
+    /** Guards against a key whose turns all go to tasks that cannot end in time any more. */
+    @ParameterizedTest(name = "{0} ms left, where a usual run takes 1800: bounced {1}")
+    @CsvSource({"3000, false", "2500, true"})
+    void aTaskBehindAKeyGoesBackWhenAUsualRunPassesItsCutOff(long left, boolean bounced) {
+        Manager manager = new Manager().list(true, small("e"));
+        for (int i = 0; i < 100; i++) {
+            manager.take("p" + i + " once a key=" + i).decide().pass(150).end("p" + i, 0, Outcome.OK);
+        }
+        manager.take("t once a key=7").take("u once a key=7 cost=1200 left=" + left).decide().pass(1000)
+                .end("t", 0, Outcome.OK);
+        assertThat(manager.did("forward u").isEmpty()).isEqualTo(bounced);
+        assertThat(manager.did("bounce u")).hasSize(bounced ? 1 : 0);
+    }
+
     @Test
     void anEngineNotReachedIsColdWhenItIsBack() {
         // Guards against the flood that fells an engine which restarted before any list told; and against sending to
