--- a/src/main/java/tansytrack/state/Intake.java
+++ b/src/main/java/tansytrack/state/Intake.java
@@ -11,6 +11,8 @@
     private static final double MS = 1e6;
     private static final double MOST = 1e9;             // of any amount: keeps sums of times in range
 
+    private static final int LONGEST_AMOUNT = 24;       // digits of a double, and some
+
     private final Set<String> grades;
     private final Set<String> tenants;
 
@@ -50,7 +52,9 @@
     private static long hex(String field, String value) throws Junk {
         long bits = 0;
         for (int i = 0; i < 16; i++) {
-            int digit = value.length() == 16 ? Character.digit(value.charAt(i), 16) : -1;
+            char c = value.length() == 16 ? value.charAt(i) : 0;
+            int digit = c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10
+                    : c >= 'A' && c <= 'F' ? c - 'A' + 10 : -1;
             if (digit < 0) {
                 throw new Junk("field " + field + ": not 16 hex digits");
             }
@@ -59,18 +63,22 @@
         return bits;
     }
 
+    /** A plain decimal from 0 on: what Java's own reader takes besides (1d, 0x1p3, 1e3) no engine would. */
     static double amount(String field, String value) throws Junk {
         if (value == null) {
             return 0;
         }
-        try {
-            double amount = Double.parseDouble(value);
-            if (amount >= 0 && amount < MOST) {
-                return amount;
-            }
-        } catch (NumberFormatException e) {
-            // said below
+        boolean plain = !value.isEmpty() && value.length() <= LONGEST_AMOUNT;
+        int points = 0;
+        for (int i = 0; i < value.length(); i++) {
+            char c = value.charAt(i);
+            points += c == '.' ? 1 : 0;
+            plain &= c >= '0' && c <= '9' || c == '.' && i > 0 && i < value.length() - 1;
+        }
+        double amount = plain && points <= 1 ? Double.parseDouble(value) : MOST;
+        if (amount >= MOST) {
+            throw new Junk("field " + field + ": not a number in range");
         }
-        throw new Junk("field " + field + ": not a number in range");
+        return amount;
     }
 }
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -36,8 +36,10 @@
     private static final long MS = 1_000_000L;
     private static final int SPARE_DESCRIPTORS = 64;        // files of the program itself, its listener and channel,
                                                             // and clients that come while all others are in use
-    private static final long ROUND = 1000 * MS;            // between rounds over sessions and idle connections
+    private static final int LAST_DESCRIPTORS = 24;         // of those: with no more left no client is taken in
+    private static final long ROUND = 500 * MS;             // between rounds over sessions and idle connections
     private static final String[] COLUMNS = {"c1", "c2", "c3"};
+    private static final String SHOW_STATS = "show stats";
     private static final String[] STATS = {"counter", "count"};
 
     private final Config config;
@@ -51,7 +53,7 @@
     private final Intake intake;
     private final Map<String, OpenTask> tasks = new HashMap<>();
     private final Map<String, EngineLines> engines = new LinkedHashMap<>();
-    private final Map<Integer, PgSession> sessions = new HashMap<>();
+    private final Map<Integer, PgSession> sessions = new LinkedHashMap<>();     // the oldest first
     private final ArrayDeque<OpenTask> finished = new ArrayDeque<>();
     private final ArrayDeque<Runnable> later = new ArrayDeque<>();
     private int sessionNumber;
@@ -128,10 +130,9 @@
     }
 
     private void round() {
-        sessions.values().removeIf(PgSession::ended);
         new ArrayList<>(sessions.values()).forEach(PgSession::round);
         // Not at once: the module may act on an engine in the very turn in which it hears that it has gone.
-        engines.values().removeIf(engine -> engine.forgotten(ROUND));
+        engines.values().removeIf(engine -> engine.forgotten(2 * ROUND));
         engines.values().forEach(EngineLines::trim);
         timers.at(timers.now() + ROUND, this::round);
     }
@@ -162,11 +163,23 @@
         counters.add("clients.connections");
         int number = ++sessionNumber;
         PgSession session = new PgSession(connection, this, number, secrets.nextInt());
-        sessions.put(number, session);
-        if (sessions.size() > mostSessions) {
+        if (sessions.size() >= mostSessions || sockets.open() > limits.most + SPARE_DESCRIPTORS - LAST_DESCRIPTORS) {
             counters.add("clients.too_many");
-            session.refuse();
+            PgSession given = leastNeeded();
+            (given == null ? session : given).refuse();
+        }
+        sessions.put(number, session);
+    }
+
+    /** Guards against crowds that connect and say nothing: they make room for each other, and for the usual clients. */
+    private PgSession leastNeeded() {
+        PgSession least = null;
+        for (PgSession one : sessions.values()) {
+            if (one.dispensable() > (least == null ? -1 : least.dispensable())) {
+                least = one;
+            }
         }
+        return least;
     }
 
     @Override
@@ -176,7 +189,7 @@
         TaskOffer offer;
         try {
             statement = Statement.read(text);
-            if (new String(statement.body(), StandardCharsets.UTF_8).strip().equalsIgnoreCase("show stats")) {
+            if (statement.is(SHOW_STATS)) {
                 session.rows(STATS, List.of(stats()));
                 return;
             }
@@ -186,7 +199,7 @@
             }
         } catch (Junk e) {
             counters.add("clients.unusable");
-            session.error("22023", e.getMessage());
+            session.unusable(e.getMessage());
             return;
         }
         OpenTask task = new OpenTask(offer.id(), offer.grade(), statement.body(), offer.cutOffAt(), session);
@@ -220,9 +233,11 @@
             counters.add("clients.left");
             abandon(task);
         }
-        if (session.ended()) {
-            sessions.remove(session.number());
-        }
+    }
+
+    @Override
+    public void over(PgSession session) {
+        sessions.remove(session.number());
     }
 
     private void abandon(OpenTask task) {
@@ -292,7 +307,7 @@
             }
             int column = config.column(told.substring(from, colon).strip());
             if (column >= 0) {
-                figures[column] = Intake.amount("load", told.substring(colon + 1, end).strip());
+                figures[column] = Http.amount(told.substring(colon + 1, end).strip());
             }
             from = end + 1;
         }
--- a/src/main/java/tansytrack/wire/Connection.java
+++ b/src/main/java/tansytrack/wire/Connection.java
@@ -22,10 +22,13 @@
 
         /** It is over, or never came up; said once, and not when the owner itself closed it. */
         void closed(boolean wasUp);
+
+        /** It has given back what it held, whoever closed it; said once. */
+        default void over() { }
     }
 
     private static final int CHUNK = 1 << 15;       // handed to the system at once: bounds what lies there
-    static final int MOST_UNREAD = 1 << 17;         // handed over and not yet read: then reading stops for a while
+    static final int MOST_UNREAD = 1 << 15;         // handed over and not yet read: then reading stops for a while
 
     final AtomicInteger unread = new AtomicInteger();
     public final Ring in;
@@ -167,5 +170,6 @@
             coming.cancel();
         }
         sockets.gone(this);
+        owner.over();
     }
 }
--- a/src/main/java/tansytrack/wire/Http.java
+++ b/src/main/java/tansytrack/wire/Http.java
@@ -200,7 +200,7 @@
     }
 
     /** A finite number from 0 on. */
-    static double amount(String text) throws Junk {
+    public static double amount(String text) throws Junk {
         try {
             double value = Double.parseDouble(text);
             if (value >= 0 && value < Double.POSITIVE_INFINITY) {
--- a/src/main/java/tansytrack/wire/PgSession.java
+++ b/src/main/java/tansytrack/wire/PgSession.java
@@ -18,6 +18,9 @@
         /** The session ends; a query may have been open. */
         void gone(PgSession session);
 
+        /** Its connection has given back what it held. */
+        void over(PgSession session);
+
         /** To be done when the present news has been dealt with. */
         void later(Runnable what);
     }
@@ -28,9 +31,12 @@
     private static final int GSS = 80877104;
     private static final int LONGEST = 1 << 15;         // a message; statements here are far shorter
     private static final int SHORTEST_START = 8;
-    private static final int STUCK = 30;                // rounds without a byte read by a client that is owed some:
+    private static final int STUCK = 60;                // rounds without a byte read by a client that is owed some:
                                                         // longer than any waits, as a cut before loses its answer
-    private static final int UNUSED = 60;               // rounds without a word: no client here is idle so long
+    private static final int UNUSED = 120;              // rounds without a word, for one that never asked anything
+    private static final int UNREADY = 4;               // rounds without a whole message since its first byte, or since
+                                                        // the connection came: far more than a round trip
+    private static final int MOST_VAIN = 50;            // messages in a round that ask for nothing or cannot be used
     private static final String[] STATUS = {"server_version", "15.0", "server_encoding", "UTF8", "client_encoding",
         "UTF8", "DateStyle", "ISO, MDY", "integer_datetimes", "on", "standard_conforming_strings", "on"};
     private static final int TEXT = 25;                 // the type of every column
@@ -45,6 +51,9 @@
     private long heardAt;                               // when the last bytes came
     private long taken;                                 // of what was written, by the last round
     private int quiet;                                  // rounds since anything was heard or written
+    private boolean asked;                              // something that could be used
+    private int unready;                                // rounds since a message was due that is not whole
+    private int vain;                                   // messages in this round that asked for nothing
     private Object open;                                // what the owner of the query keeps with it
 
     public PgSession(Connection connection, Front front, int number, int secret) {
@@ -69,6 +78,7 @@
 
     public void open(Object query) {
         open = query;
+        asked |= query != null;
     }
 
     /** Has the connection given back what it held? */
@@ -81,12 +91,29 @@
         return querying || connection.out.size() > 0;
     }
 
-    /** One round, some time after the last: a client that stopped reading or speaking must not hold anything. */
+    /**
+     * How soon it is closed for a new one when there is no room: one that has not started first, then one that never
+     * asked, then an idle one; -1: not at all, as it is owed an answer.
+     */
+    public int dispensable() {
+        return busy() || !connection.open() ? -1 : !started ? 2 : !asked ? 1 : 0;
+    }
+
+    /**
+     * One round, some time after the last: a client that stopped reading or speaking must not hold anything, nor one
+     * that never comes to the end of a message.
+     */
     public void round() {
+        vain = 0;
+        unready = !querying && connection.open() && (!started || connection.in.size() > 0) ? unready + 1 : 0;
+        if (unready > UNREADY) {
+            fatal("08P01", "no whole message in time");
+            return;
+        }
         quiet = connection.taken() == taken ? quiet + 1 : 1;
         taken = connection.taken();
         boolean stuck = connection.out.size() > 0 || !connection.open();
-        if (!ended() && (stuck ? quiet > STUCK : !querying && quiet > UNUSED)) {
+        if (!ended() && (stuck ? quiet > STUCK : !querying && !asked && quiet > UNUSED)) {
             cut();
         }
     }
@@ -120,6 +147,13 @@
                 return;
             }
             byte[] message = in.take(first + length);
+            unready = 0;
+            if (!started || message[0] != 'Q') {
+                vain();
+            }
+            if (!connection.open()) {
+                return;
+            }
             if (started) {
                 message(message, at);
             } else {
@@ -151,6 +185,19 @@
         }
     }
 
+    /** Guards against streams without end of messages that ask for nothing: they take the loop's time from the others. */
+    private void vain() {
+        if (++vain > MOST_VAIN) {
+            fatal("08P01", "too many messages that ask for nothing");
+        }
+    }
+
+    /** The open query could not be used. */
+    public void unusable(String why) {
+        error("22023", why);
+        vain();
+    }
+
     private void message(byte[] message, long at) {
         switch (message[0]) {
             case 'Q' -> query(message, at);
@@ -178,7 +225,11 @@
             return;
         }
         int end = message.length - 1;
-        if (end < 5 || message[end] != 0) {
+        boolean whole = end >= 5 && message[end] == 0;
+        for (int i = 5; i < end; i++) {
+            whole &= message[i] != 0;
+        }
+        if (!whole) {
             fatal("08P01", "invalid string in message");
             return;
         }
@@ -190,6 +241,7 @@
         if (empty) {
             message('I', new byte[0]);
             ready();
+            vain();
         } else {
             querying = true;
             front.query(this, java.util.Arrays.copyOfRange(message, 5, end), at);
@@ -315,4 +367,9 @@
     public void closed(boolean wasUp) {
         front.gone(this);
     }
+
+    @Override
+    public void over() {
+        front.over(this);
+    }
 }
--- a/src/main/java/tansytrack/wire/Sockets.java
+++ b/src/main/java/tansytrack/wire/Sockets.java
@@ -32,6 +32,8 @@
     private static final int FRONT_OUT = 1 << 19;        // a result of the most bytes, in the shortest rows
     private static final int CALL_OUT = 1 << 17;         // a statement, with its header
 
+    private static final long SAID_EVERY = 1_000_000_000L;
+
     private final Consumer<Runnable> hand;
     private final LongSupplier clock;
     private final ExecutorService threads = Executors.newCachedThreadPool(run -> {
@@ -45,6 +47,8 @@
     private final NioSocketConnector connector = new NioSocketConnector(threads, processors);
     private Consumer<Connection> accepted;
     private int open;
+    private int unsaid;
+    private long saidAt;
 
     public Sockets(Consumer<Runnable> hand, LongSupplier clock) {
         this.hand = hand;
@@ -106,8 +110,15 @@
         open--;
     }
 
+    /** Said once a second at most: bad peers must not take the time of the others. */
     void junk(Connection connection, Junk junk) {
-        Logger.warn("connection with {} closed: {}", connection.peer(), junk.getMessage());
+        unsaid++;
+        if (clock.getAsLong() - saidAt >= SAID_EVERY) {
+            saidAt = clock.getAsLong();
+            Logger.warn("connection with {} closed: {}{}", connection.peer(), junk.getMessage(),
+                    unsaid > 1 ? " (" + unsaid + " closed since the last such line)" : "");
+            unsaid = 0;
+        }
     }
 
     public void close() {
--- a/src/main/java/tansytrack/wire/Statement.java
+++ b/src/main/java/tansytrack/wire/Statement.java
@@ -49,6 +49,12 @@
         return fields.get(name);
     }
 
+    /** Is it these words, in any case and with blanks round them? */
+    public boolean is(String words) {
+        return body.length < 2 * words.length() && string(text.length - body.length, text.length).strip()
+                .equalsIgnoreCase(words);
+    }
+
     /** The statement without that comment. */
     public byte[] body() {
         return body;
