--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -156,11 +156,8 @@
 
     public void woken(long at, String token) {
         now = at;
-        for (Engine engine : engines.values()) {
-            if (!engine.out.isEmpty() || levers.probe() && now >= engine.probeAt) {
-                engine.put(engine::sweep);
-            }
-        }
+        engines.values().stream().filter(one -> !one.out.isEmpty() || levers.probe() && now >= one.probeAt)
+                .forEach(one -> one.put(one::sweep));
         gate.put(gate::sweep);
         act.wake(gate.nextSweep(), token);
     }
@@ -176,6 +173,11 @@
         gate.put(() -> gate.stopAt = until - ANSWER_MARGIN);
     }
 
+    public List<EngineView> view(long at) {
+        return engines.values().stream().filter(one -> one.entry != null).map(one -> new EngineView(one.id,
+                one.out.size(), one.report == null ? -1 : at - one.reportAt, !one.usable())).toList();
+    }
+
     private Forward find(String engine, String task, int index) {
         Engine at = engines.get(engine);
         return at == null ? null : at.out.stream().filter(forward -> forward.index == index
@@ -843,10 +845,7 @@
         }
 
         private void send(Task task) {
-            if (!fits(task)) {
-                gate.put(() -> gate.back(task));
-                return;
-            }
+            if (!fits(task)) { gate.put(() -> gate.back(task)); return; }
             double memory = grant(task);
             if (levers.grants() || levers.priorities()) {
                 act.provide(task.id, levers.grants() ? (long) Math.ceil(memory) : 0,
--- a/src/main/java/tansytrack/api/Decisions.java
+++ b/src/main/java/tansytrack/api/Decisions.java
@@ -31,4 +31,7 @@
     void stopping(long now, long until);
 
     void decide(long now);
+
+    /** The engines listed, as the module sees them at that time; changes nothing. */
+    List<EngineView> view(long now);
 }
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -27,6 +27,7 @@
     private final ArrayDeque<Idle> idle = new ArrayDeque<>();       // the last used at the end
     private final Map<HttpLine, Timers.Timer> coming = new IdentityHashMap<>();     // until up, or given up
     private InetSocketAddress address;
+    int forwards;                           // out, as the connections hold them
     private boolean retired;                // gone from the list: what is out ends, nothing is kept
     private long retiredAt;
 
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -17,6 +17,7 @@
 import tansytrack.api.Actions;
 import tansytrack.api.Decisions;
 import tansytrack.api.EngineEntry;
+import tansytrack.api.EngineView;
 import tansytrack.api.Grade;
 import tansytrack.api.LoadReport;
 import tansytrack.api.Outcome;
@@ -211,9 +212,22 @@
         module.task(timers.now(), offer);
     }
 
+    private static void row(StringBuilder rows, String name, long value) {
+        rows.append(name).append('\t').append(value).append('\n');
+    }
+
     private byte[] stats() {
         StringBuilder rows = new StringBuilder();
-        counters.all().forEach((kind, count) -> rows.append(kind).append('\t').append(count).append('\n'));
+        counters.all().forEach((kind, count) -> row(rows, kind, count));
+        // The module's view beside what is on the sockets: they differ only by news that it has not yet been told.
+        for (EngineView view : module.view(timers.now())) {
+            EngineLines engine = engines.get(view.id());
+            String name = "engine." + view.id();
+            row(rows, name + ".forwards.module", view.forwards());
+            row(rows, name + ".forwards.sockets", engine == null ? 0 : engine.forwards);
+            row(rows, name + ".report.age.ms", view.reportAge() < 0 ? -1 : view.reportAge() / MS);
+            row(rows, name + ".excluded", view.excluded() ? 1 : 0);
+        }
         return rows.toString().getBytes(StandardCharsets.UTF_8);
     }
 
@@ -254,6 +268,7 @@
     void ended(OpenForward forward, Outcome outcome, long cost, double memory, LoadReport report, List<byte[]> pages) {
         OpenTask task = forward.task;
         task.out--;
+        forward.engine.forwards--;
         counters.add("forwards.ended." + outcome);
         if (outcome == Outcome.OK && !task.answered()) {
             counters.add("tasks.handled");
@@ -323,6 +338,7 @@
         OpenForward forward = new OpenForward(this, timers, task, task.forwards.size(), engines.get(engine));
         task.forwards.add(forward);
         task.out++;
+        forward.engine.forwards++;
         forward.start(timeOut > 0 ? Math.min(timers.now() + timeOut, task.cutOffAt) : task.cutOffAt);
     }
 
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -459,6 +459,27 @@
                 .containsExactly("POST", "GET", "DELETE", "POST");
     }
 
+    /** The module's view beside the sockets: one forward out, then none, and an engine whose answers fail. */
+    @Test
+    void whatTheModuleSeesIsShownBesideTheSockets() throws IOException, InterruptedException {
+        try (Client client = new Client(at).started(); Client other = new Client(at).started()) {
+            client.send(Client.message('Q', Client.task("once", "00000000000000c4", "silent")));
+            engine.posted.await();
+            assertThat(other.ask("show stats")).contains("engine.e.forwards.module,1;", "engine.e.forwards.sockets,1;",
+                    "engine.e.report.age.ms,-1;", "engine.e.excluded,0;");
+            other.send(Client.start(80877102, client.number, client.secret));
+            client.send(Client.message('X', ""));
+            assertThat(engine.deleted.await(MINUTE, TimeUnit.MILLISECONDS)).isTrue();
+        }
+        try (Client client = new Client(at).started()) {
+            String told = client.ask("SHOW STATS");
+            while (told.contains("engine.e.forwards.sockets,1;")) {
+                told = client.ask("SHOW STATS");
+            }
+            assertThat(told).contains("engine.e.forwards.module,0;", "engine.e.forwards.sockets,0;");
+        }
+    }
+
     @Test
     void aClientThatLeavesGivesItsTaskUp() throws IOException, InterruptedException {
         try (Client client = new Client(at).started()) {
