--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -122,8 +122,9 @@
 
     /**
      * A call that nobody has to wait for: whatever becomes of it is said once, as whether it has come to the engine: it
-     * was answered, or has gone out whole and its connection stayed up. One that breaks is made again, as a connection
-     * may be reset before the call was read. A silent one is closed after the time that one may take to come up.
+     * was answered, or has twice gone out whole on connections that stayed up. One that breaks is made again, as a
+     * connection may be reset before the call was read, and so is one that stays silent for the time that a connection
+     * may take to come up, as a call may never be taken up.
      */
     void aside(String method, String path, byte[] body, Consumer<Boolean> done) {
         new Aside(method, path, body, done).start();
@@ -138,6 +139,7 @@
         private Timers.Timer timer;
         private boolean written;
         private int tries;
+        private int silent;
 
         Aside(String method, String path, byte[] body, Consumer<Boolean> done) {
             this.method = method;
@@ -178,7 +180,12 @@
             if (line != null) {
                 line.drop();
             }
-            done.accept(written);
+            silent += written ? 1 : 0;
+            if (written && silent < 2 && tries < TRIES) {
+                start();
+            } else {
+                done.accept(silent > 1);
+            }
         }
     }
 
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -40,6 +40,7 @@
     private static final int LAST_DESCRIPTORS = 24;         // of those: with no more left no client is taken in
     private static final long ROUND = 500 * MS;             // between rounds over sessions and idle connections
     private static final String[] COLUMNS = {"c1", "c2", "c3"};
+    private static final String FAILED = "58000";           // no refusal: it promises nothing
     private static final String SHOW_STATS = "show stats";
     private static final String[] STATS = {"counter", "count"};
 
@@ -103,6 +104,7 @@
     public void descriptors(int most) {
         limits.most = most - SPARE_DESCRIPTORS;
         mostSessions = most / 2;
+        sockets.mostAccepted(mostSessions + LAST_DESCRIPTORS);
     }
 
     public Counters counters() {
@@ -254,6 +256,18 @@
         sessions.remove(session.number());
     }
 
+    /** The client waits no longer: it is told so, and the module that nobody needs an answer any more. */
+    void timeUp(OpenTask task) {
+        if (!task.answered()) {
+            counters.add("tasks.time_up");
+            PgSession session = task.session;
+            over(task);
+            session.error(FAILED, "the time is up; the statement may have run");
+            told = true;
+            module.abandoned(timers.now(), task.id);
+        }
+    }
+
     private void abandon(OpenTask task) {
         if (!task.answered()) {
             counters.add("tasks.abandoned");
@@ -361,7 +375,7 @@
             counters.add("tasks.aborted");
             PgSession session = task.session;
             over(task);
-            session.error("58000", "the statement failed; it may have run");
+            session.error(FAILED, "the statement failed; it may have run");
         }
     }
 
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -43,6 +43,7 @@
     private boolean started;                                // the engine has answered for it
     private boolean left;                                   // a byte of the call that starts it was written
     private boolean silent;                                 // an answer was overdue since the last whole one
+    private boolean stalled;                                // a call ever went without an answer: it may yet be taken up
     private int broken;                                     // calls in a row that brought nothing whole
     private Timers.Timer callTimer;
     private boolean cancelled;
@@ -134,7 +135,7 @@
             }
         } else if (again && asking != null && (wasSilent || !notRun)) {
             // Not known after a break. Not an error: that would say it runs no more, and a key would not rest.
-            letGo(Outcome.RESET, !wasSilent);
+            letGo(Outcome.RESET, !wasSilent && !stalled);
         } else if (status == 503) {
             end(notRun ? Outcome.FULL : Outcome.ERROR);
         } else {
@@ -178,6 +179,7 @@
         if (!over && line != null) {
             manager.counters().add("calls.overdue");
             HttpLine open = line;
+            stalled = true;
             boolean up = open.up();             // then the call may have come to the engine
             open.drop();
             failed(up ? HttpLine.Failure.BROKEN : HttpLine.Failure.LATE);
@@ -187,7 +189,7 @@
     /**
      * Guards against spoilt answers, resets and silence, which cost a call and not the task: the query is asked for
      * again while its engine must still have it. Only a refused connection right after prompt breaks is a process that
-     * died, and what that ran with it; a reset proves nothing.
+     * died, and what that ran with it; a reset proves nothing, nor does a refusal where an earlier call stalled.
      */
     @Override
     public void failed(HttpLine.Failure why) {
@@ -209,7 +211,7 @@
             } else {
                 end(Outcome.UNREACHED);         // the call itself never left: nothing ran
             }
-        } else if (why == HttpLine.Failure.REFUSED && !silent) {
+        } else if (why == HttpLine.Failure.REFUSED && !silent && !stalled) {
             end(Outcome.RESET);
         } else if (timers.now() - askedAt > UNASKED) {
             end(Outcome.RESET);                 // its engine has dropped it by now
@@ -228,11 +230,15 @@
         }
     }
 
+    /**
+     * Its time is up. Guards against a key whose next task is sent beside this one: the client is answered at once, but
+     * the forward stays out until it is given up for sure, as the call for that may not be taken up.
+     */
     private void timeOut() {
-        if (!over) {
-            release();
-            end(Outcome.TIME_OUT);
+        if (!over && timers.now() >= task.cutOffAt) {
+            manager.timeUp(task);
         }
+        letGo(Outcome.TIME_OUT, true);
     }
 
     /**
@@ -251,7 +257,7 @@
      * prompt it is the same process, and DELETE proves that nothing runs on.
      */
     private void lost() {
-        letGo(Outcome.RESET, !silent);
+        letGo(Outcome.RESET, !silent && !stalled);
     }
 
     private void letGo(Outcome outcome, boolean trusted) {
@@ -289,9 +295,6 @@
         over = true;
         timer.cancel();
         quiet();
-        if (outcome == Outcome.TIME_OUT && !cancelled) {
-            engine.aside("DELETE", path, EngineLines.NOTHING, gone -> { });
-        }
         manager.ended(this, outcome, Math.round(cost * 1e6), memory, report, outcome == Outcome.OK ? pages : null);
     }
 }
--- a/src/main/java/tansytrack/wire/Sockets.java
+++ b/src/main/java/tansytrack/wire/Sockets.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.channels.spi.SelectorProvider;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -11,6 +13,7 @@
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
@@ -43,7 +46,7 @@
     });
     private final SimpleIoProcessorPool<NioSession> processors =
             new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, SelectorProvider.provider());
-    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(threads, processors);
+    private final Acceptor acceptor = new Acceptor();
     private final NioSocketConnector connector = new NioSocketConnector(threads, processors);
     private Consumer<Connection> accepted;
     private int open;
@@ -69,6 +72,35 @@
         config.setMaxReadBufferSize(READ_MOST);
     }
 
+    /** More accepted connections than that are closed at once. */
+    public void mostAccepted(int most) {
+        acceptor.most = most;
+    }
+
+    /**
+     * Guards against crowds that connect faster than the loop can turn them away: with no descriptor left nothing
+     * could be accepted and no engine reached.
+     */
+    private final class Acceptor extends NioSocketAcceptor {
+        private volatile int most = Integer.MAX_VALUE;
+
+        Acceptor() {
+            super(threads, processors);
+        }
+
+        @Override
+        protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel from) throws Exception {
+            if (getManagedSessionCount() < most) {
+                return super.accept(processor, from);
+            }
+            SocketChannel surplus = from.accept();
+            if (surplus != null) {
+                surplus.close();
+            }
+            return null;
+        }
+    }
+
     /** Listens there; each connection comes as a note, and is to get its owner at once. */
     public InetSocketAddress listen(InetSocketAddress at, Consumer<Connection> to) throws IOException {
         accepted = to;
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -58,6 +58,7 @@
         volatile String list = "";
         volatile int asked;
         volatile int pagesAsked;
+        volatile boolean mute;                  // to DELETE
 
         Engine() {
             try {
@@ -115,6 +116,15 @@
             }
         }
 
+        private String die() {
+            try {
+                close();
+            } catch (IOException e) {
+                // as good as closed
+            }
+            return "cut";
+        }
+
         private static String say(String status, String fields, String body) {
             return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + body.length() + "\r\n\r\n" + body;
         }
@@ -127,14 +137,17 @@
             }
             if (call.startsWith("DELETE")) {
                 deleted.countDown();
-                return say("204 No Content", "", "");
+                return mute ? "silent" : say("204 No Content", "", "");
             }
             boolean news = call.startsWith("POST") || call.endsWith("/0");
             asked += news ? 1 : 0;
             pagesAsked += news ? 0 : 1;
             String done = "Page-Count: 1\r\nWork-Ms: 5.5\r\nPeak-Mb: 2\r\n";
             String good = say("200 OK", done, "a\tb\tc\n");
+            int stalls = statement.equals("stalldie") ? 1 : 0;
             return switch (statement) {
+                case "die", "stalldie" -> asked <= stalls ? "silent" : asked < stalls + 3 ? say("202 Accepted", "", "")
+                        : die();
                 case "ok" -> say("200 OK", done, "a\tb\tc\n\t\t\n");
                 case "late" -> asked < 4 ? say("202 Accepted", "", "") : say("200 OK", done, "1\t2\t3\n");
                 case "pages" -> news ? say("200 OK", "Page-Count: 3\r\n", "a\tb\tc\n")
@@ -459,6 +472,37 @@
                 .containsExactly("POST", "GET", "DELETE", "POST");
     }
 
+    /**
+     * Guards against a second copy, and a key sent to too early: a refused connection is a process that died, but not the
+     * end of a query for which a call stalled before, as that may be taken up yet. Then 2 s must have passed.
+     */
+    @ParameterizedTest(name = "{0}: answered in under 1.5 s: {1}")
+    @CsvSource({"die, true", "stalldie, false"})
+    void aDeadProcessProvesNoEndWhereACallStalled(String statement, boolean soon) throws IOException {
+        try (Client client = new Client(at).started()) {
+            long from = System.nanoTime();
+            assertThat(client.ask(Client.task("once", "00000000000000c5", statement))).startsWith("58000");
+            assertThat(System.nanoTime() - from < 1_500_000_000L).isEqualTo(soon);
+        }
+    }
+
+    /** Guards against a key sent to beside a forward that timed out and may run on: it stays out until given up. */
+    @Test
+    void aForwardThatTimesOutStaysOutUntilItIsGivenUp() throws IOException {
+        engine.mute = true;
+        try (Client client = new Client(at).started()) {
+            String task = Client.task("once", "00000000000000c6", "silent").replace("wait=20000", "wait=400");
+            assertThat(client.ask(task)).startsWith("58000 the time is up");
+            String told = client.ask("SHOW STATS");
+            assertThat(told).contains("engine.e.forwards.module,1;", "engine.e.forwards.sockets,1;", "tasks.time_up,1;");
+            while (told.contains("engine.e.forwards.sockets,1;")) {
+                told = client.ask("SHOW STATS");
+            }
+            assertThat(told).contains("engine.e.forwards.module,0;", "forwards.ended.TIME_OUT,1;");
+        }
+        assertThat(engine.calls.stream().filter(call -> call.startsWith("DELETE"))).hasSize(2);
+    }
+
     /** The module's view beside the sockets: one forward out, then none, and an engine whose answers fail. */
     @Test
     void whatTheModuleSeesIsShownBesideTheSockets() throws IOException, InterruptedException {
