--- a/src/main/java/tansytrack/Main.java
+++ b/src/main/java/tansytrack/Main.java
@@ -17,10 +17,11 @@
     private static final String PROGRAM = "java -jar tansytrack.jar ";
     private static final int USAGE = 2;
 
-    @Argument(required = true, metaVar = "COMMAND", usage = "serve, adapter, check or version",
+    @Argument(required = true, metaVar = "COMMAND", usage = "serve, adapter, check, rehearse or version",
             handler = SubCommandHandler.class)
     @SubCommands({@SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "adapter", impl = Bench.class),
-        @SubCommand(name = "check", impl = Check.class), @SubCommand(name = "version", impl = Version.class)})
+        @SubCommand(name = "check", impl = Check.class), @SubCommand(name = "rehearse", impl = Rehearse.class),
+        @SubCommand(name = "version", impl = Version.class)})
     private Command command;
 
     private Main() { }
@@ -78,6 +79,23 @@
         }
     }
 
+    /** Runs the whole manager on loopback for a moment. */
+    public static final class Rehearse extends Command {
+        @Argument(metaVar = "FILE", usage = "the configuration; absent: the one that ROUTER_CONFIG names")
+        private String file = System.getenv("ROUTER_CONFIG");
+
+        @Override
+        String about() {
+            return "rehearse: serves some made-up tasks on loopback with the settings of a configuration, and ends. The\n"
+                    + "build makes its class-data archive of this. Exit code 2: the configuration cannot be used.";
+        }
+
+        @Override
+        int run() {
+            return Service.rehearse(file, System.out);
+        }
+    }
+
     /** Names the version. */
     public static final class Version extends Command {
         @Override
@@ -100,7 +118,7 @@
             parser.parseArgument(args);
         } catch (CmdLineException e) {
             System.err.println("tansytrack: " + e.getMessage());
-            System.err.println("usage: " + PROGRAM + "serve | adapter | check [FILE] | version   (each with --help)");
+            System.err.println("usage: " + PROGRAM + "serve | adapter | check [FILE] | rehearse [FILE] | version   (each with --help)");
             System.exit(USAGE);
         }
         if (main.command.help) {
--- a/src/main/java/tansytrack/service/Channel.java
+++ b/src/main/java/tansytrack/service/Channel.java
@@ -32,6 +32,7 @@
     private HttpLine line;
     private Timers.Timer timer;
     private long cursor;
+    private long askedAt;
     private int failures;                               // running
     private boolean complained;
 
@@ -116,7 +117,8 @@
         if (line == null) {
             line = new HttpLine(sockets, address, LONGEST, this);
         }
-        timer = timers.at(timers.now() + BLOCK * MS + SILENT, this::silent);
+        askedAt = timers.now();
+        timer = timers.at(askedAt + BLOCK * MS + SILENT, this::silent);
         line.call("GET", "/cmd/next?resume=" + cursor + "&block=" + BLOCK, "", new byte[0], this);
     }
 
@@ -138,13 +140,16 @@
         if (answer.status() != 200) {
             throw new Junk("status " + answer.status());
         }
+        long before = cursor;
         take(Json.read(answer.body()));
         timer.cancel();
+        // Guards against a channel that answers at once with nothing: asking it again at once would never end.
+        boolean early = cursor == before && timers.now() - askedAt < PAUSE;
         failures = 0;
         complained = false;
         manager.counters().add("channel.answers");
         // Not within this call: the connection is free for the next one only behind it.
-        timer = timers.at(timers.now(), this::ask);
+        timer = timers.at(timers.now() + (early ? PAUSE : 0), this::ask);
     }
 
     /** Asked again at once, as what breaks counts as told soon; a failure right behind another waits a little. */
--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -109,6 +109,19 @@
         }
     }
 
+    /** Rehearses serving on loopback: 0, or 2 for a configuration that cannot be used. */
+    public static int rehearse(String path, PrintStream out) {
+        try {
+            out.println("rehearsed: " + Rehearsal.play(config(path)) + " tasks handled");
+            return 0;
+        } catch (IOException | Junk | Unusable e) {
+            return unusable(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return FAILED;
+        }
+    }
+
     private static int unusable(Exception why) {
         System.err.println("tansytrack: " + said(why));
         return UNUSABLE;
@@ -178,6 +191,10 @@
         }
     }
 
+    long handled() {
+        return manager.counters().of("tasks.handled");
+    }
+
     int descriptors() {
         return sockets.open();
     }
--- a/src/main/java/tansytrack/settings/Config.java
+++ b/src/main/java/tansytrack/settings/Config.java
@@ -40,6 +40,12 @@
                 pairs.time("policy_limits.conn_idle_ms"), ((Number) sockets).intValue());
     }
 
+    /** The same manager elsewhere, with other engines. */
+    public Config moved(String otherListen, String otherChannel, Object otherKnown) {
+        return new Config(name, otherListen, otherChannel, otherKnown, settings, columns, connectTime, idleTime,
+                mostDescriptors);
+    }
+
     /** What differs in another one that a running manager cannot take over, by name; empty: nothing. */
     public String fixedDifference(Config other) {
         List<String> differ = new ArrayList<>();
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -56,6 +56,7 @@
         final CountDownLatch posted = new CountDownLatch(1);
         volatile String statement = "";
         volatile String list = "";
+        volatile boolean keepsList;
         volatile int asked;
         volatile int pagesAsked;
         volatile boolean mute;                  // to DELETE
@@ -132,7 +133,7 @@
         private String answer(String call) {
             if (call.startsWith("GET /cmd")) {
                 String told = list;
-                list = "";
+                list = keepsList ? told : "";
                 return told.isEmpty() ? "silent" : say("200 OK", "", told);
             }
             if (call.startsWith("DELETE")) {
@@ -599,6 +600,24 @@
         }
     }
 
+    /** Guards against an archive that lacks what serving needs: all but two of the 200 are tasks, and are handled. */
+    @Test
+    void aRehearsalServesItsTasks() throws Exception {
+        assertThat(Rehearsal.play(read(config()))).isEqualTo(198);
+    }
+
+    /** Guards against a loop that only asks a channel which answers at once with nothing: 20 times a second at most. */
+    @Test
+    void aChannelThatAnswersAtOnceWithNothingIsAskedWithPauses() throws Exception {
+        engine.list = "{\"cursor\":1,\"cmds\":[]}";
+        engine.keepsList = true;
+        end();
+        start(config());
+        Thread.sleep(500);
+        long asked = engine.calls.stream().filter(call -> call.startsWith("GET /cmd")).count();
+        assertThat(asked).isBetween(2L, 25L);
+    }
+
     @Test
     void aFailureInsideTheDecisionsEndsItWithItsCause() throws Exception {
         Service failing = new Service(read(config()), (settings, actions) -> (Decisions) Proxy.newProxyInstance(
