A starting call may be overtaken by its DELETE: given up twice; notes before timers

Now what was never answered for is given up twice 100 ms apart, and up to 2048 notes are taken before timers.

--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -31,7 +31,8 @@
     private static final int UNUSABLE = 2;
     private static final int FAILED = 3;
     private static final long LONGEST_NAP = 1000 * MS;      // of the loop, with nothing due
-    private static final int MOST_NOTES = 256;              // taken before timers and decisions have their turn
+    private static final int MOST_NOTES = 2048;             // taken before timers and decisions have their turn: what came
+                                                            // in time must not be judged as late, whatever the lag
 
     // After SIGTERM, by the platform: new connections for 0.4 s, requests on open ones for 0.2 s more; SIGKILL after
     // the longest deadline, 3 s of it at most, and 0.7 s more.
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -25,6 +25,7 @@
     private static final long MARGIN = 150_000_000L;
     private static final long UNASKED = 2_000_000_000L + HELD_OPEN + MARGIN;
     private static final long OVERDUE = HELD_OPEN + 2 * MARGIN;     // a call without its answer by then has lost it
+    private static final long OVERTAKEN = 100_000_000L;     // far more than a connection takes to come up and carry a call
     private static final int MOST_BROKEN = 8;               // calls in a row: one in four spoilt makes this one in 65,000
     private static final long PAUSE = 10_000_000L;          // before each further one, by how many came before
 
@@ -41,6 +42,7 @@
     private int bytes;
     private int pageCount;
     private boolean started;                                // the engine has answered for it
+    private boolean heard;                                  // a whole answer for the query ever came
     private boolean left;                                   // a byte of the call that starts it was written
     private boolean silent;                                 // an answer was overdue since the last whole one
     private boolean stalled;                                // a call ever went without an answer: it may yet be taken up
@@ -119,6 +121,7 @@
         quiet();
         report = told == null ? report : told;
         left = true;
+        heard = true;
         askedAt = timers.now();
         boolean again = broken > 0 || silent;
         boolean wasSilent = silent;
@@ -264,16 +267,26 @@
         if (!over && !cancelled) {
             cancelled = true;
             release();
-            engine.aside("DELETE", path, EngineLines.NOTHING, gone -> {
-                if (gone && trusted) {
-                    end(outcome);
-                } else {
-                    timers.at(askedAt + UNASKED, () -> end(outcome));
-                }
-            });
+            giveUp(outcome, trusted, heard);
         }
     }
 
+    /**
+     * Guards against a starting call that the one for giving up overtakes, as they go on different connections: where the
+     * engine has never answered for the query, only a second such call, some time after the first, is proof.
+     */
+    private void giveUp(Outcome outcome, boolean trusted, boolean proves) {
+        engine.aside("DELETE", path, EngineLines.NOTHING, gone -> {
+            if (!gone || !trusted) {
+                timers.at(askedAt + UNASKED, () -> end(outcome));
+            } else if (proves) {
+                end(outcome);
+            } else {
+                timers.at(timers.now() + OVERTAKEN, () -> giveUp(outcome, true, true));
+            }
+        });
+    }
+
     private void release() {
         if (line != null) {
             askedAt = line.up() ? calledAt : askedAt;
