Read once more: one way to stop waiting for a task, one reader of calls, a dead field out

Manager.timeUp repeated abandon and now calls it, with its own counter; the rehearsal and the tests' engine read and wrote HTTP by the same lines, now by the rehearsal's; OpenForward.started was read by nobody any more.

--- a/src/main/java/tansytrack/service/Rehearsal.java
+++ b/src/main/java/tansytrack/service/Rehearsal.java
@@ -76,12 +76,8 @@
         try (one) {
             DataInputStream in = new DataInputStream(one.getInputStream());
             while (true) {
-                StringBuilder head = new StringBuilder();
-                while (head.indexOf("\r\n\r\n") < 0) {
-                    head.append((char) in.readUnsignedByte());
-                }
-                int at = head.indexOf("Content-Length: ");
-                in.skipNBytes(at < 0 ? 0 : Integer.parseInt(head.substring(at + 16, head.indexOf("\r\n", at))));
+                String head = head(in);
+                in.skipNBytes(length(head));
                 String answer = head.indexOf("POST") == 0 ? say("202 Accepted", "", "")
                         : head.indexOf("/cmd/") > 0 ? say("200 OK", "", "{\"cursor\":1,\"cmds\":[]}")
                         : head.indexOf("/0 HTTP") > 0 ? say("200 OK", "Page-Count: 2\r\nWork-Ms: 5.5\r\nPeak-Mb: 2.5\r\n", PAGE)
@@ -95,7 +91,22 @@
         }
     }
 
-    private static String say(String status, String fields, String body) {
+    /** The head of the next call, up to its blank line. */
+    static String head(DataInputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) in.readUnsignedByte());
+        }
+        return head.toString();
+    }
+
+    /** The length of the body behind it. */
+    static int length(String head) {
+        int at = head.indexOf("Content-Length: ");
+        return at < 0 ? 0 : Integer.parseInt(head.substring(at + 16, head.indexOf("\r\n", at)));
+    }
+
+    static String say(String status, String fields, String body) {
         return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -238,7 +238,7 @@
         PgSession session = sessions.get(number);
         if (session != null && session.fits(secret) && session.open() instanceof OpenTask task) {
             counters.add("clients.cancels");
-            abandon(task);
+            abandon(task, "tasks.abandoned");
             session.error("57014", "canceling statement due to user request");
         }
     }
@@ -247,7 +247,7 @@
     public void gone(PgSession session) {
         if (session.open() instanceof OpenTask task) {
             counters.add("clients.left");
-            abandon(task);
+            abandon(task, "tasks.abandoned");
         }
     }
 
@@ -259,18 +259,15 @@
     /** The client waits no longer: it is told so, and the module that nobody needs an answer any more. */
     void timeUp(OpenTask task) {
         if (!task.answered()) {
-            counters.add("tasks.time_up");
             PgSession session = task.session;
-            over(task);
+            abandon(task, "tasks.time_up");
             session.error(FAILED, "the time is up; the statement may have run");
-            told = true;
-            module.abandoned(timers.now(), task.id);
         }
     }
 
-    private void abandon(OpenTask task) {
+    private void abandon(OpenTask task, String counter) {
         if (!task.answered()) {
-            counters.add("tasks.abandoned");
+            counters.add(counter);
             over(task);
             told = true;
             module.abandoned(timers.now(), task.id);
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -41,7 +41,6 @@
     private HttpLine line;                                  // with the open call
     private int bytes;
     private int pageCount;
-    private boolean started;                                // the engine has answered for it
     private boolean heard;                                  // a whole answer for the query ever came
     private boolean left;                                   // a byte of the call that starts it was written
     private boolean silent;                                 // an answer was overdue since the last whole one
@@ -128,7 +127,6 @@
         broken = 0;
         silent = false;
         if (status == 200 || status == 202) {
-            started = true;
             if (status == 200 && pages.size() == pageCount) {
                 end(Outcome.OK);
             } else {
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -91,13 +91,8 @@
             try (one) {
                 DataInputStream in = new DataInputStream(one.getInputStream());
                 while (true) {
-                    StringBuilder head = new StringBuilder();
-                    while (head.indexOf("\r\n\r\n") < 0) {
-                        head.append((char) in.readUnsignedByte());
-                    }
-                    int at = head.indexOf("Content-Length: ");
-                    byte[] body = new byte[at < 0 ? 0
-                            : Integer.parseInt(head.substring(at + 16, head.indexOf("\r\n", at)))];
+                    String head = Rehearsal.head(in);
+                    byte[] body = new byte[Rehearsal.length(head)];
                     in.readFully(body);
                     String call = head.substring(0, head.indexOf(" HTTP"));
                     if (call.startsWith("POST")) {
@@ -128,7 +123,7 @@
         }
 
         private static String say(String status, String fields, String body) {
-            return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+            return Rehearsal.say(status, fields, body);
         }
 
         private String answer(String call) {
