Starts and SIGHUP wait a bounded while for a file or an address that is not yet whole

Code 2 came for a bind that failed as well as for a file that was missing, empty or cut off, with neither size nor the machine's words.

Change: ConfigFile tells what may mend itself from what cannot; 5 s at the start, for file and address together, 2 s at SIGHUP, one reader at a time, the last whole file wins. SIGHUP is taken before the file is read. check waits for nothing.

--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -2,9 +2,8 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.BindException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -20,7 +19,6 @@
 import tansytrack.settings.Unusable;
 import tansytrack.state.Manager;
 import tansytrack.state.Timers;
-import tansytrack.wire.Json;
 import tansytrack.wire.Junk;
 import tansytrack.wire.Sockets;
 
@@ -39,6 +37,9 @@
     private static final long COMING = 650 * MS;
     private static final long LONGEST_TO_KILL = 3000 * MS;
     private static final long KILL_MARGIN = 700 * MS;
+    private static final String IN_USE = "in use";          // the machine's words for EADDRINUSE
+    private static final long BIND_PAUSE = 50 * MS;
+    private static final long START_PATIENCE = 5000 * MS;   // for the file and the address of the start together
     private static final long POLL = 10 * MS;               // between looks whether all is answered
 
     private final LinkedBlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
@@ -67,19 +68,53 @@
 
     /** From here on it can decide, so it may answer. */
     InetSocketAddress listen() throws IOException, Junk {
-        InetSocketAddress at = sockets.listen(address(config.listen()), manager::accepted);
-        channel.ask();
-        Logger.info("{} listens at {}:{}", config.name(), at.getHostString(), at.getPort());
-        return at;
+        return listen(System.nanoTime());
+    }
+
+    /**
+     * Guards against an address that the process before has not yet given back: it is tried again until that time of
+     * the steady clock. Harm: an address that is another's for good is said only then.
+     */
+    InetSocketAddress listen(long until) throws IOException, Junk {
+        InetSocketAddress wanted = address(config.listen());
+        boolean said = false;
+        while (true) {
+            try {
+                InetSocketAddress at = sockets.listen(wanted, manager::accepted);
+                channel.ask();
+                Logger.info("{} listens at {}:{}", config.name(), at.getHostString(), at.getPort());
+                return at;
+            } catch (IOException e) {
+                Throwable root = e;
+                while (root.getCause() != null) {
+                    root = root.getCause();
+                }
+                String what = "cannot listen at " + config.listen() + ": " + root.getMessage();
+                long left = until - System.nanoTime();
+                if (left <= 0 || !(root instanceof BindException) || !what.contains(IN_USE)) {
+                    throw new IOException(what, e);
+                }
+                if (!said) {
+                    said = true;
+                    Logger.warn("{}; tried again for up to {} ms", what, left / MS);
+                }
+                ConfigFile.nap(Math.min(BIND_PAUSE, left));
+            }
+        }
     }
 
     /** Serves until SIGTERM: 0, 2 for a configuration that cannot be used, 3 after a failure inside. */
     public static int serve(String path) {
+        long until = System.nanoTime() + START_PATIENCE;
         Service service;
         try {
-            service = new Service(config(path));
-            HangUp.take(() -> service.reread(path));
-            service.listen();
+            ConfigFile file = new ConfigFile(path);
+            // Before all else: SIGHUP would end a JVM that has nothing for it.
+            Rereading rereading = new Rereading(file);
+            HangUp.take(rereading::signalled);
+            service = started(file.read(until));
+            service.listen(until);
+            rereading.to(service::reread);
         } catch (IOException | Junk | Unusable e) {
             return unusable(e);
         }
@@ -95,17 +130,25 @@
         return 0;
     }
 
-    /** Starts as far as that goes without a socket: 0, or 2 for a configuration that cannot be used. */
+    private static Service started(ConfigFile.Whole from) {
+        try {
+            return new Service(from.config());
+        } catch (Junk e) {
+            throw new Unusable(from.from() + ": known: " + e.getMessage());
+        }
+    }
+
+    /** Starts as far as that goes without a socket, and waits for nothing: 0, or 2 for what cannot be used. */
     public static int check(String path, PrintStream out) {
         try {
-            Config config = config(path);
-            Service service = new Service(config);
-            address(config.listen());
+            ConfigFile.Whole from = new ConfigFile(path).readOnce();
+            Service service = started(from);
             service.sockets.close();
+            Config config = from.config();
             out.println(config.name() + ": " + config.settings().grades().size() + " service grades, "
                     + config.settings().tenants().size() + " tenants, " + service.manager.engineCount() + " engines");
             return 0;
-        } catch (IOException | Junk | Unusable e) {
+        } catch (IOException | Unusable e) {
             return unusable(e);
         }
     }
@@ -113,7 +156,7 @@
     /** Rehearses serving on loopback: 0, or 2 for a configuration that cannot be used. */
     public static int rehearse(String path, PrintStream out) {
         try {
-            out.println("rehearsed: " + Rehearsal.play(config(path)) + " tasks handled");
+            out.println("rehearsed: " + Rehearsal.play(new ConfigFile(path).readOnce().config()) + " tasks handled");
             return 0;
         } catch (IOException | Junk | Unusable e) {
             return unusable(e);
@@ -124,23 +167,13 @@
     }
 
     private static int unusable(Exception why) {
-        System.err.println("tansytrack: " + said(why));
+        System.err.println("tansytrack: " + why.getMessage());
         return UNUSABLE;
     }
 
-    private static String said(Exception why) {
-        return why instanceof IOException ? why.toString() : why.getMessage();
-    }
-
-    /** SIGHUP, on a thread of its own: the file is read here, the loop gets what was made of it, in the order read. */
-    synchronized void reread(String path) {
-        try {
-            Config next = config(path);
-            InetSocketAddress to = address(next.channel());
-            inbox.add(() -> reconfigure(next, to));
-        } catch (IOException | Junk | Unusable e) {
-            Logger.warn("the new configuration cannot be used, the old one stays: {}", said(e));
-        }
+    /** What SIGHUP brought; on the thread that read it. */
+    void reread(ConfigFile.Whole next) {
+        inbox.add(() -> reconfigure(next.config(), next.channel()));
     }
 
     /** What can change while tasks are open does; for the rest a line says that it takes a restart. */
@@ -157,13 +190,6 @@
         channel.move(to, next.known());
     }
 
-    private static Config config(String path) throws IOException, Junk {
-        if (path == null) {
-            throw new Unusable("ROUTER_CONFIG names no configuration");
-        }
-        return Config.of(Json.read(Files.readAllBytes(Path.of(path))));
-    }
-
     static InetSocketAddress address(String text) throws Junk {
         int colon = text.lastIndexOf(':');
         try {
--- a/src/main/java/tansytrack/wire/Json.java
+++ b/src/main/java/tansytrack/wire/Json.java
@@ -60,7 +60,7 @@
     }
 
     private Junk junk(String what) {
-        return new Junk("JSON: " + what + " at byte " + at);
+        return new Junk("JSON: " + what + " at byte " + at, at >= text.length);
     }
 
     private void blanks() {
--- a/src/main/java/tansytrack/wire/Junk.java
+++ b/src/main/java/tansytrack/wire/Junk.java
@@ -4,7 +4,19 @@
 public final class Junk extends Exception {
     private static final long serialVersionUID = 1L;
 
+    private final boolean cutOff;
+
     public Junk(String what) {
+        this(what, false);
+    }
+
+    public Junk(String what, boolean cutOff) {
         super(what, null, false, false);
+        this.cutOff = cutOff;
+    }
+
+    /** Is all right as far as it goes, and only its end is missing? */
+    public boolean cutOff() {
+        return cutOff;
     }
 }
