--- /dev/null
+++ b/src/main/java/tansytrack/LabCommands.java
@@ -0,0 +1,134 @@
+package tansytrack;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+import tansytrack.lab.Laboratory;
+import tansytrack.lab.LedgerBench;
+import tansytrack.lab.StandIns;
+import tansytrack.settings.Unusable;
+
+/** The command group `lab`: stand-ins and experiments, all on loopback. */
+public final class LabCommands {
+
+    private LabCommands() { }
+
+    /** The group. */
+    public static final class Group extends Main.Command {
+        @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class, usage = "engines, run or ledger-bench")
+        @SubCommands({@SubCommand(name = "engines", impl = Engines.class), @SubCommand(name = "run", impl = Run.class),
+            @SubCommand(name = "ledger-bench", impl = Bench.class)})
+        private Main.Command command;
+
+        @Override
+        String about() {
+            return "lab: stand-ins and experiments on loopback. Commands: engines, run, ledger-bench.";
+        }
+
+        @Override
+        Main.Command inner() {
+            return command;
+        }
+
+        @Override
+        int run() throws IOException {
+            return command.run();
+        }
+    }
+
+    /** Stand-ins for what a configuration names. */
+    public static final class Engines extends Main.Command {
+        @Argument(required = true, metaVar = "FILE", usage = "the configuration whose engines and command channel are stood in for")
+        private String file;
+        @Option(name = "--work-ms", metaVar = "N", usage = "work on a task, in milliseconds")
+        private int work = 20;
+
+        @Override
+        String about() {
+            return "lab engines: stand-ins for the engines and the command channel that a configuration names, until ended.";
+        }
+
+        @Override
+        int run() {
+            try {
+                StandIns.of(file, work, System.out);
+                Thread.sleep(Long.MAX_VALUE);
+                return 0;
+            } catch (IOException | Unusable e) {
+                System.err.println("tansytrack: " + file + ": " + e.getMessage());
+                return LedgerCommands.UNUSABLE;
+            } catch (InterruptedException e) {
+                return 0;
+            }
+        }
+    }
+
+    /** An experiment. */
+    public static final class Run extends Main.Command {
+        @Argument(required = true, metaVar = "FILE", usage = "the experiment (protobuf text format, lab.proto)")
+        private String file;
+        @Option(name = "--seed", metaVar = "N", usage = "of the first run")
+        private long seed = 1;
+        @Option(name = "--out", metaVar = "FOLDER", usage = "where results are left; absent: a new temporary folder")
+        private String out;
+
+        @Override
+        String about() {
+            return "lab run: plays an experiment and judges its claims. Exit code 1: one is not held; 2: the file cannot be used.";
+        }
+
+        @Override
+        int run() {
+            try {
+                Path to = out == null ? Files.createTempDirectory("tansytrack-lab") : Path.of(out);
+                boolean held = Laboratory.run(Laboratory.read(file), seed, to, System.out);
+                System.out.println("results in " + to);
+                return held ? 0 : LedgerCommands.DIFFERS;
+            } catch (Unusable e) {
+                System.err.println("tansytrack: " + e.getMessage());
+                return LedgerCommands.UNUSABLE;
+            } catch (Exception e) {
+                System.err.println("tansytrack: the experiment ended early: " + e);
+                return LedgerCommands.DIFFERS;
+            }
+        }
+    }
+
+    /** The ledger's measurement. */
+    public static final class Bench extends Main.Command {
+        @Option(name = "--folder", metaVar = "FOLDER", required = true, usage = "a new folder for its ledgers")
+        private String folder;
+        @Option(name = "--entries", metaVar = "N", usage = "entries, as fast as the disk takes them")
+        private int entries = 200_000;
+        @Option(name = "--seconds", metaVar = "N", usage = "of each paced part")
+        private int seconds = 5;
+
+        @Override
+        String about() {
+            return "lab ledger-bench: the loop's cost of a ledger's entry, durable entries a second, waits for the commit, a start after\n"
+                    + "a kill. The larger ledger stays in FOLDER/full, to measure `ledger export` on.";
+        }
+
+        @Override
+        int run() throws IOException {
+            Path to = Path.of(folder);
+            if (Files.exists(to)) {
+                System.err.println("tansytrack: --folder '" + folder + "' exists; allowed: a new one");
+                return LedgerCommands.UNUSABLE;
+            }
+            LedgerBench bench = new LedgerBench(System.out);
+            bench.throughput(to.resolve("full"), entries);
+            for (String wait : List.of("AT_ONCE", "AFTER_COMMIT")) {
+                bench.paced(to.resolve(wait), 500, seconds, wait);
+            }
+            bench.restart(to.resolve("full"), to.resolve("copy"));
+            return 0;
+        }
+    }
+}
--- a/src/main/java/tansytrack/Main.java
+++ b/src/main/java/tansytrack/Main.java
@@ -17,10 +17,11 @@
     private static final String PROGRAM = "java -jar tansytrack.jar ";
     private static final int USAGE = 2;
 
-    @Argument(required = true, metaVar = "COMMAND", usage = "serve, adapter, check, rehearse or version",
+    @Argument(required = true, metaVar = "COMMAND", usage = "serve, adapter, check, rehearse, ledger, lab or version",
             handler = SubCommandHandler.class)
     @SubCommands({@SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "adapter", impl = Bench.class),
         @SubCommand(name = "check", impl = Check.class), @SubCommand(name = "rehearse", impl = Rehearse.class),
+        @SubCommand(name = "ledger", impl = LedgerCommands.Group.class), @SubCommand(name = "lab", impl = LabCommands.Group.class),
         @SubCommand(name = "version", impl = Version.class)})
     private Command command;
 
@@ -34,10 +35,22 @@
         abstract String about();
 
         abstract int run() throws IOException;
+
+        /** The command within, in a group. */
+        Command inner() {
+            return null;
+        }
+
+        private Command asked() {
+            return help || inner() == null ? this : inner().asked();
+        }
     }
 
     /** The workload manager. */
     public static final class Serve extends Command {
+        @Option(name = "--operator", metaVar = "FILE", usage = "the operators' file (protobuf text format): what is switched on besides")
+        private String operator;
+
         @Override
         String about() {
             return "serve: runs one workload manager as the file that ROUTER_CONFIG names says, until SIGTERM.\n"
@@ -46,7 +59,7 @@
 
         @Override
         int run() {
-            return Service.serve(System.getenv("ROUTER_CONFIG"));
+            return Service.serve(System.getenv("ROUTER_CONFIG"), operator);
         }
     }
 
@@ -68,6 +81,9 @@
         @Argument(metaVar = "FILE", usage = "the configuration; absent: the one that ROUTER_CONFIG names")
         private String file = System.getenv("ROUTER_CONFIG");
 
+        @Option(name = "--operator", metaVar = "FILE", usage = "the operators' file, to be checked as well")
+        private String operator;
+
         @Override
         String about() {
             return "check: reads a configuration and says what is wrong with it. Exit code 2: it cannot be used.";
@@ -75,7 +91,7 @@
 
         @Override
         int run() {
-            return Service.check(file, System.out);
+            return Service.check(file, operator, System.out);
         }
     }
 
@@ -118,14 +134,15 @@
             parser.parseArgument(args);
         } catch (CmdLineException e) {
             System.err.println("tansytrack: " + e.getMessage());
-            System.err.println("usage: " + PROGRAM + "serve | adapter | check [FILE] | rehearse [FILE] | version   (each with --help)");
+            System.err.println("usage: " + PROGRAM + "serve | adapter | check [FILE] | rehearse [FILE] | ledger ... | lab ... | version   (each with --help)");
             System.exit(USAGE);
         }
-        if (main.command.help) {
-            System.out.println(main.command.about());
-            new CmdLineParser(main.command).printUsage(System.out);
+        Command asked = main.command.asked();
+        if (asked.help) {
+            System.out.println(asked.about());
+            new CmdLineParser(asked).printUsage(System.out);
             System.exit(0);
         }
-        System.exit(main.command.run());
+        System.exit(asked.run());
     }
 }
--- /dev/null
+++ b/src/main/java/tansytrack/lab/LabClient.java
@@ -0,0 +1,66 @@
+package tansytrack.lab;
+
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** A client for the lab: simple queries over the PostgreSQL protocol 3.0, one at a time on a session. */
+public final class LabClient implements AutoCloseable {
+
+    /** What came back: HANDLED, or the SQLSTATE of the error with its text. */
+    public record Answer(String code, String text, int rows) {
+        public boolean handled() {
+            return code.equals("HANDLED");
+        }
+    }
+
+    private final Socket socket = new Socket();
+    private final DataInputStream in;
+
+    public LabClient(InetSocketAddress to, int patienceMs) throws IOException {
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout(patienceMs);
+        socket.connect(to, patienceMs);
+        in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+        byte[] who = "user\0app\0database\0bi\0\0".getBytes(StandardCharsets.US_ASCII);
+        socket.getOutputStream().write(ByteBuffer.allocate(8 + who.length).putInt(8 + who.length).putInt(3 << 16).put(who).array());
+        answer();
+    }
+
+    public Answer ask(String statement) throws IOException {
+        byte[] text = (statement + '\0').getBytes(StandardCharsets.UTF_8);
+        socket.getOutputStream().write(ByteBuffer.allocate(5 + text.length).put((byte) 'Q').putInt(4 + text.length).put(text).array());
+        return answer();
+    }
+
+    /** Reads up to the next ReadyForQuery. */
+    private Answer answer() throws IOException {
+        String code = "HANDLED";
+        String text = "";
+        int rows = 0;
+        while (true) {
+            int type = in.readUnsignedByte();
+            byte[] body = new byte[in.readInt() - 4];
+            in.readFully(body);
+            if (type == 'E') {
+                for (String field : new String(body, StandardCharsets.UTF_8).split("\0")) {
+                    code = field.startsWith("C") ? field.substring(1) : code;
+                    text = field.startsWith("M") ? field.substring(1) : text;
+                }
+            } else if (type == 'D') {
+                rows++;
+            } else if (type == 'Z') {
+                return new Answer(code, text, rows);
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/lab/StandInEngine.java
@@ -0,0 +1,253 @@
+package tansytrack.lab;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * An engine for the lab, on loopback: takes statements over HTTP/1.1, works on each for a time that follows from its id, and
+ * keeps its own count of what it ran. A query runs on until it ends, is given up, or was not asked for in 2 s.
+ */
+public final class StandInEngine implements AutoCloseable {
+
+    private static final long HELD_OPEN_MS = 250;
+    private static final long UNASKED_MS = 2000;
+    private static final int LONGEST_HEAD = 1 << 14;
+    private static final int LONGEST_BODY = 1 << 17;
+    private static final String ROWS = "monday\t12\tnone\ntuesday\t7\tlate\n";
+
+    /** One query that was taken up. */
+    private final class Query {
+        final String id;
+        final double workMs;
+        boolean over;
+        boolean done;
+        long asked = System.nanoTime();
+        ScheduledFuture<?> end;
+
+        Query(String id) {
+            this.id = id;
+            // Thousandths, so that what is told in text is what is counted.
+            workMs = (leastMs * 1000 + Math.floorMod(id.hashCode() * 0x9E3779B97F4A7C15L >>> 16, spreadMs * 1000 + 1)) / 1000.0;
+        }
+    }
+
+    private final String name;
+    private final long leastMs;
+    private final long spreadMs;
+    private final ServerSocket socket = new ServerSocket();
+    private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor(StandInEngine::thread);
+    private final Map<String, Query> open = new HashMap<>();
+    private final List<Query> all = new ArrayList<>();
+    private final List<Socket> connections = new ArrayList<>();
+
+    public StandInEngine(String name, InetSocketAddress at, long leastMs, long spreadMs) throws IOException {
+        this.name = name;
+        this.leastMs = leastMs;
+        this.spreadMs = spreadMs;
+        socket.setReuseAddress(true);
+        socket.bind(at, 1024);
+        thread(this::accept).start();
+        clock.scheduleAtFixedRate(this::dropUnasked, UNASKED_MS, UNASKED_MS / 8, TimeUnit.MILLISECONDS);
+    }
+
+    static Thread thread(Runnable what) {
+        Thread thread = new Thread(what, "lab");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public String address() {
+        return socket.getInetAddress().getHostAddress() + ':' + socket.getLocalPort();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket one = socket.accept();
+                one.setTcpNoDelay(true);
+                synchronized (connections) {
+                    connections.add(one);
+                }
+                thread(() -> serve(one)).start();
+            }
+        } catch (IOException e) {
+            // closed
+        }
+    }
+
+    private void serve(Socket one) {
+        try (one) {
+            DataInputStream in = new DataInputStream(one.getInputStream());
+            while (true) {
+                String head = head(in);
+                byte[] body = new byte[length(head)];
+                in.readFully(body);
+                one.getOutputStream().write(answer(head).getBytes(StandardCharsets.UTF_8));
+            }
+        } catch (IOException | InterruptedException e) {
+            // the caller left, or spoke something else
+        } finally {
+            synchronized (connections) {
+                connections.remove(one);
+            }
+        }
+    }
+
+    /** The head of the next call, up to its blank line. */
+    static String head(DataInputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        int tail = 0;
+        while (tail != 0x0d0a0d0a) {
+            int b = in.read();
+            if (b < 0 || head.size() > LONGEST_HEAD) {
+                throw new EOFException();
+            }
+            head.write(b);
+            tail = tail << 8 | b;
+        }
+        return head.toString(StandardCharsets.UTF_8);
+    }
+
+    private static int length(String head) throws IOException {
+        for (String line : head.split("\r\n")) {
+            if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+                int length = Integer.parseInt(line.substring(15).strip());
+                if (length >= 0 && length <= LONGEST_BODY) {
+                    return length;
+                }
+                throw new IOException("a body of " + length);
+            }
+        }
+        return 0;
+    }
+
+    private static String field(String head, String name) {
+        return Arrays.stream(head.split("\r\n")).filter(line -> line.toLowerCase(Locale.ROOT).startsWith(name + ':'))
+                .map(line -> line.substring(name.length() + 1).strip()).findFirst().orElse("");
+    }
+
+    static String say(String status, String fields, String body) {
+        return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n"
+                + body;
+    }
+
+    private String answer(String head) throws InterruptedException {
+        String[] call = head.substring(0, head.indexOf("\r\n")).split(" ");
+        String path = call.length > 1 ? call[1] : "";
+        if (call[0].equals("POST") && path.equals("/o")) {
+            return news(started(field(head, "x-req")));
+        }
+        if (path.equals("/alive") || path.equals("/stats")) {
+            return say("200 OK", load(), "");
+        }
+        String[] parts = path.split("/");
+        if (parts.length < 3 || !parts[1].equals("o")) {
+            return say("404 Not Found", "", "");
+        }
+        return switch (call[0]) {
+            case "GET" -> known(parts[2]) == null ? say("500 Internal Server Error", "", "") : news(known(parts[2]));
+            case "DELETE" -> {
+                over(known(parts[2]), false);
+                yield "HTTP/1.1 204 No Content\r\n\r\n";
+            }
+            default -> "HTTP/1.1 204 No Content\r\n\r\n";
+        };
+    }
+
+    private synchronized Query known(String id) {
+        return open.get(id);
+    }
+
+    private synchronized String load() {
+        long busy = open.values().stream().filter(one -> !one.over).count();
+        return "X-Load: busy_reqs:" + busy + ";inflight:" + busy + "\r\n";
+    }
+
+    private synchronized Query started(String id) {
+        Query query = new Query(id);
+        open.put(id, query);
+        all.add(query);
+        query.end = clock.schedule(() -> over(query, true), (long) (query.workMs * 1000), TimeUnit.MICROSECONDS);
+        return query;
+    }
+
+    private synchronized void over(Query query, boolean done) {
+        if (query != null && !query.over) {
+            query.over = true;
+            query.done = done;
+            query.end.cancel(false);
+            notifyAll();
+        }
+    }
+
+    /** The end of a query, or after a while the word that it runs on. */
+    private synchronized String news(Query query) throws InterruptedException {
+        long until = System.nanoTime() + HELD_OPEN_MS * 1_000_000;
+        query.asked = System.nanoTime();
+        while (!query.over) {
+            long left = (until - System.nanoTime()) / 1_000_000;
+            if (left <= 0) {
+                return say("202 Accepted", "", "");
+            }
+            wait(left);
+        }
+        query.asked = System.nanoTime();
+        return query.done ? say("200 OK", "Page-Count: 1\r\nPeak-Mb: 4\r\nWork-Ms: " + String.format(Locale.ROOT, "%.3f", query.workMs)
+                + "\r\n" + load(), ROWS) : say("500 Internal Server Error", "", "");
+    }
+
+    private synchronized void dropUnasked() {
+        long now = System.nanoTime();
+        for (Query query : List.copyOf(open.values())) {
+            if (now - query.asked > UNASKED_MS * 1_000_000) {
+                over(query, false);
+                open.remove(query.id);
+            }
+        }
+    }
+
+    /** What it ran, as the rows of a statement: engine,task,work_ns,done; with a last row that says that it is whole. */
+    public synchronized List<String> statement() {
+        List<String> rows = new ArrayList<>();
+        for (Query query : all) {
+            rows.add(name + ',' + query.id + ',' + Math.round(query.workMs * 1e6) + ',' + query.done);
+        }
+        rows.add(name + ",,,");
+        return rows;
+    }
+
+    public synchronized long runs() {
+        return all.size();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+        clock.shutdownNow();
+        synchronized (connections) {
+            for (Socket one : List.copyOf(connections)) {
+                one.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/ledger/Line.java
@@ -0,0 +1,37 @@
+package tansytrack.ledger;
+
+/** What goes from the loop to the disk, in order. Each says whether the task's entry is complete with it. */
+public sealed interface Line {
+
+    long sequence();
+
+    boolean complete();
+
+    /** A forward is about to go out. */
+    record Sent(long sequence, String task, String tenant, String grade, long takenAt, Use use) implements Line {
+        @Override
+        public boolean complete() {
+            return false;
+        }
+    }
+
+    /** A forward ended. */
+    record Ended(long sequence, Use use, boolean complete) implements Line { }
+
+    /** The task is owed no answer any more. */
+    record Answered(long sequence, String task, String tenant, String grade, long takenAt, long endedAt, End end,
+            long bytes, long earningsMilli, boolean complete) implements Line { }
+
+    /** What was not kept before this line. */
+    record Missing(Gap gap) implements Line {
+        @Override
+        public long sequence() {
+            return gap.lastSequence();
+        }
+
+        @Override
+        public boolean complete() {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/ledger/disk/Billing.java
@@ -0,0 +1,163 @@
+package tansytrack.ledger.disk;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.LongConsumer;
+import tansytrack.ledger.Amendment;
+import tansytrack.ledger.Bill;
+import tansytrack.ledger.Entry;
+import tansytrack.ledger.Gap;
+import tansytrack.ledger.Invariants;
+import tansytrack.ledger.Periods;
+import tansytrack.ledger.Rates;
+import tansytrack.operator.OperatorFile;
+
+/** Runs a store's lines through the modules that bill and check. */
+public final class Billing {
+
+    private static final long TOLD_EVERY = 1_000_000;       // lines, on long work
+
+    private Billing() { }
+
+    /** Gives entries alone to someone who wants no more. */
+    private abstract static class Entries implements Store.Lines {
+        @Override
+        public void amendment(long position, Amendment amendment) { }
+
+        @Override
+        public void gap(long position, Gap gap) { }
+    }
+
+    public static Bill bill(Store store, Periods periods, Rates rates, String period) throws IOException {
+        long upTo = store.closed().stream().filter(one -> one.period().equals(period)).mapToLong(Store.Closed::upTo).findAny()
+                .orElse(0);
+        Bill bill = new Bill(period, periods, rates, upTo);
+        store.read(1, Long.MAX_VALUE, new Entries() {
+            @Override
+            public void entry(long position, Entry entry) {
+                bill.take(position, entry);
+            }
+
+            @Override
+            public void amendment(long position, Amendment amendment) {
+                bill.take(amendment);
+            }
+        });
+        return bill;
+    }
+
+    /** Complete tasks by period. */
+    public static Map<String, Long> counts(Store store, Periods periods) throws IOException {
+        Map<String, Long> counts = new TreeMap<>();
+        store.read(1, Long.MAX_VALUE, new Entries() {
+            @Override
+            public void entry(long position, Entry entry) {
+                counts.merge(periods.of(entry.takenAt()), 1L, Long::sum);
+            }
+        });
+        return counts;
+    }
+
+    public static Store.Closed close(Store store, OperatorFile.LedgerSection section, String period, String author, long now)
+            throws IOException {
+        long upTo = store.last();
+        Bill bill = new Bill(period, section.periods(), section.rates(), upTo);
+        store.read(1, upTo, new Entries() {
+            @Override
+            public void entry(long position, Entry entry) {
+                bill.take(position, entry);
+            }
+        });
+        Store.Closed closed = new Store.Closed(period, upTo, now, author, hash(bill), section.billingText());
+        store.close(closed);
+        return closed;
+    }
+
+    /** Closes the periods whose grace is over. */
+    public static List<String> closeDue(Store store, OperatorFile.LedgerSection section, long now) throws IOException {
+        List<String> closed = new ArrayList<>();
+        for (String period : section.closing().due(now, counts(store, section.periods()).keySet(),
+                store.closed().stream().map(Store.Closed::period).toList())) {
+            close(store, section, period, "its grace", now);
+            closed.add(period);
+        }
+        return closed;
+    }
+
+    private static String hash(Bill bill) {
+        Exporter.Sha sha = new Exporter.Sha(java.io.OutputStream.nullOutputStream());
+        byte[] text = bill.sealed().getBytes(StandardCharsets.UTF_8);
+        try {
+            sha.write(text, 0, text.length);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        return sha.hex();
+    }
+
+    /** How a tenant stands against its quota in words. */
+    public static String quota(Bill bill, String tenant, List<OperatorFile.QuotaLine> quotas) {
+        long tasks = 0;
+        long work = 0;
+        for (Map.Entry<Bill.Whose, Bill.Sum> one : bill.sums().entrySet()) {
+            if (one.getKey().tenant().equals(tenant)) {
+                tasks += one.getValue().tasks() - one.getValue().bounced();
+                work += one.getValue().work();
+            }
+        }
+        for (OperatorFile.QuotaLine quota : quotas) {
+            if (quota.tenant().equals(tenant)) {
+                boolean over = quota.tasks() > 0 && tasks > quota.tasks() || quota.work() > 0 && work > quota.work();
+                return over ? "over" : "within";
+            }
+        }
+        return "-";
+    }
+
+    /** The first breach of an invariant, or null. */
+    public static String verify(Store store, OperatorFile.LedgerSection section, LongConsumer progress) throws IOException {
+        String damage = store.damage();
+        if (damage != null) {
+            return "the file is damaged: " + damage;
+        }
+        Invariants checks = new Invariants();
+        store.read(1, Long.MAX_VALUE, new Store.Lines() {
+            private void told(long position) {
+                if (position % TOLD_EVERY == 0) {
+                    progress.accept(position);
+                }
+            }
+
+            @Override
+            public void entry(long position, Entry entry) {
+                checks.line(position, entry);
+                told(position);
+            }
+
+            @Override
+            public void amendment(long position, Amendment amendment) {
+                checks.line(position);
+            }
+
+            @Override
+            public void gap(long position, Gap gap) {
+                checks.line(position);
+            }
+        });
+        for (Store.Batch one : store.batches()) {
+            checks.batch(one.number(), one.first(), one.last(), one.sha(), Exporter.hash(store, one));
+        }
+        for (Store.Closed one : store.closed()) {
+            // Only where billing is still what it was: other rates give other sums by right.
+            if (section.billingText().equals(one.billing())) {
+                Bill bill = bill(store, section.periods(), section.rates(), one.period());
+                checks.closed(one.period(), one.sha(), hash(bill));
+            }
+        }
+        return checks.breach();
+    }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/ledger/disk/Faults.java
@@ -0,0 +1,12 @@
+package tansytrack.ledger.disk;
+
+import java.io.IOException;
+
+/** Told of each step that touches the disk, before it; a test makes any of them fail. */
+@FunctionalInterface
+public interface Faults {
+
+    Faults NONE = step -> { };
+
+    void before(String step) throws IOException;
+}
--- /dev/null
+++ b/src/main/java/tansytrack/operator/OperatorFile.java
@@ -0,0 +1,206 @@
+package tansytrack.operator;
+
+import com.google.protobuf.Descriptors.FieldDescriptor;
+import com.google.protobuf.TextFormat;
+import com.google.protobuf.TextFormatParseInfoTree;
+import com.google.protobuf.TextFormatParseLocation;
+import java.io.IOException;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.DateTimeException;
+import java.time.LocalDate;
+import java.time.ZoneId;
+import java.util.ArrayList;
+import java.util.List;
+import tansytrack.ledger.Closing;
+import tansytrack.ledger.Periods;
+import tansytrack.ledger.Rates;
+import tansytrack.operator.proto.Billing;
+import tansytrack.operator.proto.Ledger;
+import tansytrack.operator.proto.Log;
+import tansytrack.operator.proto.Operator;
+import tansytrack.operator.proto.Quota;
+import tansytrack.operator.proto.Rate;
+import tansytrack.settings.Unusable;
+
+/** The operators' file, read and checked; what it does not name is off. Errors name file, line, column, field, what is allowed. */
+public final class OperatorFile {
+
+    private static final long MS = 1_000_000L;
+    private static final long HOUR = 3_600_000_000_000L;
+    private static final int LONGEST_DECIMAL = 24;
+
+    /** The ledger's section; times in nanoseconds. */
+    public record LedgerSection(Path folder, boolean afterCommit, boolean intentsFirst, long mostWait, long commitEvery,
+            int mostUnwritten, Periods periods,
+            Rates rates, Closing closing, List<QuotaLine> quotas, String billingText) { }
+
+    /** Use in a period that is worth a warning; 0: no bound. */
+    public record QuotaLine(String tenant, long tasks, long work) { }
+
+    private final String file;
+    private final LedgerSection ledger;
+    private final boolean jsonLines;
+
+    private OperatorFile(String file, boolean jsonLines, LedgerSection ledger) {
+        this.file = file;
+        this.jsonLines = jsonLines;
+        this.ledger = ledger;
+    }
+
+    /** The ledger's section, or null. */
+    public LedgerSection ledger() {
+        return ledger;
+    }
+
+    /** Are log lines JSON objects? */
+    public boolean jsonLines() {
+        return jsonLines;
+    }
+
+    public String file() {
+        return file;
+    }
+
+    public static OperatorFile read(String file) {
+        String text;
+        try {
+            text = Files.readString(Path.of(file), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new Unusable(file + ": cannot be read: " + e);
+        }
+        return of(file, text);
+    }
+
+    public static OperatorFile of(String file, String text) {
+        Operator.Builder made = Operator.newBuilder();
+        TextFormatParseInfoTree.Builder places = TextFormatParseInfoTree.builder();
+        try {
+            TextFormat.Parser.newBuilder().setParseInfoTreeBuilder(places).build().merge(text, made);
+        } catch (TextFormat.ParseException e) {
+            throw new Unusable(file + ':' + e.getMessage());
+        }
+        Operator all = made.build();
+        Place root = new Place(file, places.build());
+        return new OperatorFile(file, all.getLog().getForm() == Log.Form.JSON_LINES, all.hasLedger() ? ledger(all.getLedger(),
+                root.in(Operator.getDescriptor().findFieldByName("ledger"), 0)) : null);
+    }
+
+    /** Where a section stands, to name its fields by line and column. */
+    private record Place(String file, TextFormatParseInfoTree tree) {
+
+        Place in(FieldDescriptor field, int index) {
+            return new Place(file, tree.getNestedTree(field, index));
+        }
+
+        Unusable wrong(FieldDescriptor field, int index, Object value, String allowed) {
+            List<TextFormatParseLocation> places = tree.getLocations(field);
+            TextFormatParseLocation at = index < places.size() ? places.get(index) : null;
+            String where = at == null ? "" : ":" + (at.getLine() + 1) + ':' + (at.getColumn() + 1);
+            return new Unusable(file + where + ": " + field.getName() + ": "
+                    + (where.isEmpty() ? "missing" : "'" + value + "'") + "; allowed: " + allowed);
+        }
+    }
+
+    private static LedgerSection ledger(Ledger from, Place place) {
+        if (from.getFolder().isBlank()) {
+            throw place.wrong(field(Ledger.getDescriptor(), "folder"), 0, from.getFolder(), "a folder on a disk that lasts");
+        }
+        int every = ranged(from.getCommitEveryMs(), 5, 1, 1000, Ledger.getDescriptor(), "commit_every_ms", place);
+        int most = ranged(from.getMostUnwritten(), 16384, 64, 1 << 20, Ledger.getDescriptor(), "most_unwritten", place);
+        int wait = ranged(from.getMostWaitMs(), 100, 1, 10000, Ledger.getDescriptor(), "most_wait_ms", place);
+        FieldDescriptor section = field(Ledger.getDescriptor(), "billing");
+        Place billingPlace = from.hasBilling() ? place.in(section, 0) : place;
+        Billing billing = from.getBilling();
+        Periods periods = periods(billing, billingPlace);
+        if (billing.getGraceHours() < 0) {
+            throw billingPlace.wrong(field(Billing.getDescriptor(), "grace_hours"), 0, billing.getGraceHours(), "0 and more");
+        }
+        List<QuotaLine> quotas = new ArrayList<>();
+        for (int i = 0; i < billing.getQuotasCount(); i++) {
+            Quota quota = billing.getQuotas(i);
+            if (quota.getTasks() < 0 || quota.getWorkSeconds() < 0) {
+                throw billingPlace.wrong(field(Billing.getDescriptor(), "quotas"), i, quota.getTenant(), "amounts from 0 on");
+            }
+            quotas.add(new QuotaLine(quota.getTenant(), quota.getTasks(), quota.getWorkSeconds() * 1_000_000_000L));
+        }
+        return new LedgerSection(Path.of(from.getFolder()), from.getAnswers() == Ledger.Wait.AFTER_COMMIT,
+                from.getForwards() == Ledger.Wait.AFTER_COMMIT, wait * MS, every * MS,
+                most, periods, rates(billing, from.getWaste() == Ledger.Waste.TENANT, billingPlace),
+                new Closing(periods, billing.getGraceHours() * HOUR), quotas,
+                TextFormat.printer().emittingSingleLine(true).printToString(billing) + " waste: " + from.getWaste());
+    }
+
+    private static FieldDescriptor field(com.google.protobuf.Descriptors.Descriptor of, String name) {
+        return of.findFieldByName(name);
+    }
+
+    private static int ranged(int value, int otherwise, int least, int most,
+            com.google.protobuf.Descriptors.Descriptor of, String name, Place place) {
+        if (value != 0 && (value < least || value > most)) {
+            throw place.wrong(field(of, name), 0, value, least + " to " + most);
+        }
+        return value == 0 ? otherwise : value;
+    }
+
+    private static Periods periods(Billing billing, Place place) {
+        try {
+            Periods.Length length = Periods.Length.valueOf(billing.getPeriod().name());
+            return new Periods(length, ZoneId.of(billing.getZone().isEmpty() ? "UTC" : billing.getZone()));
+        } catch (DateTimeException e) {
+            throw place.wrong(field(Billing.getDescriptor(), "zone"), 0, billing.getZone(),
+                    "an IANA time zone, as in Asia/Kolkata");
+        } catch (IllegalArgumentException e) {
+            throw place.wrong(field(Billing.getDescriptor(), "period"), 0, billing.getPeriod(), "MONTH, WEEK, DAY");
+        }
+    }
+
+    private static Rates rates(Billing billing, boolean wasteBilled, Place place) {
+        int decimals = billing.hasDecimals() ? billing.getDecimals() : 2;
+        if (decimals < 0 || decimals > 9) {
+            throw place.wrong(field(Billing.getDescriptor(), "decimals"), 0, decimals, "0 to 9");
+        }
+        RoundingMode rounding = switch (billing.getRounding()) {
+            case HALF_UP -> RoundingMode.HALF_UP;
+            case UP -> RoundingMode.UP;
+            case DOWN -> RoundingMode.DOWN;
+            default -> RoundingMode.HALF_EVEN;
+        };
+        List<Rates.Rate> rates = new ArrayList<>();
+        for (int i = 0; i < billing.getRatesCount(); i++) {
+            Rate rate = billing.getRates(i);
+            Place at = place.in(field(Billing.getDescriptor(), "rates"), i);
+            LocalDate from;
+            try {
+                from = rate.getFromDate().isEmpty() ? LocalDate.EPOCH : LocalDate.parse(rate.getFromDate());
+            } catch (DateTimeException e) {
+                throw at.wrong(field(Rate.getDescriptor(), "from_date"), 0, rate.getFromDate(), "a day, as in 2026-12-01");
+            }
+            Rates.Rate made = new Rates.Rate(rate.getTenant(), rate.getGrade(), from,
+                    price(rate.getPerTask(), "per_task", at), price(rate.getPerWorkSecond(), "per_work_second", at),
+                    price(rate.getPerGbSecond(), "per_gb_second", at), price(rate.getPerMbReturned(), "per_mb_returned", at));
+            for (Rates.Rate other : rates) {
+                if (other.tenant().equals(made.tenant()) && other.grade().equals(made.grade())
+                        && other.from().equals(made.from())) {
+                    throw place.wrong(field(Billing.getDescriptor(), "rates"), i, rate.getTenant() + '/' + rate.getGrade()
+                            + " from " + from, "one rate for a tenant, grade and day");
+                }
+            }
+            rates.add(made);
+        }
+        return new Rates(List.copyOf(rates), decimals, rounding, wasteBilled);
+    }
+
+    private static BigDecimal price(String text, String name, Place place) {
+        if (text.isEmpty()) {
+            return BigDecimal.ZERO;
+        }
+        if (text.length() <= LONGEST_DECIMAL && text.matches("[0-9]+(\\.[0-9]+)?")) {
+            return new BigDecimal(text);
+        }
+        throw place.wrong(field(Rate.getDescriptor(), name), 0, text, "a plain decimal from 0 on, as in \"0.0125\"");
+    }
+}
--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -4,20 +4,25 @@
 import java.io.PrintStream;
 import java.net.BindException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 import tansytrack.Decide;
 import tansytrack.api.Actions;
 import tansytrack.api.Decisions;
 import tansytrack.api.Grade;
 import tansytrack.api.Settings;
+import tansytrack.log.Event;
 import tansytrack.settings.Config;
 import tansytrack.settings.Unusable;
 import tansytrack.state.Manager;
+import tansytrack.state.TaskWatch;
 import tansytrack.state.Timers;
 import tansytrack.wire.Junk;
 import tansytrack.wire.Sockets;
@@ -48,19 +53,28 @@
     private final Sockets sockets = new Sockets(inbox::add, clock);
     private final Manager manager;
     private final Channel channel;
+    private final TaskWatch watch;
     private final CountDownLatch ended = new CountDownLatch(1);
     private Config config;                                  // as last read
     private boolean stopping;
     private boolean stopped;
 
+    /** Makes what listens to the tasks of one manager. */
+    interface WatchMaker {
+        WatchMaker NONE = (config, timers, inbox) -> TaskWatch.NONE;
+
+        TaskWatch make(Config config, Timers timers, Consumer<Runnable> inbox);
+    }
+
     Service(Config config) throws Junk {
-        this(config, Decide::new);
+        this(config, Decide::new, WatchMaker.NONE);
     }
 
-    Service(Config config, BiFunction<Settings, Actions, Decisions> start) throws Junk {
+    Service(Config config, BiFunction<Settings, Actions, Decisions> start, WatchMaker watch) throws Junk {
         this.config = config;
         timers.now(clock.getAsLong());
-        manager = new Manager(config, timers, sockets, start);
+        this.watch = watch.make(config, timers, inbox::add);
+        manager = new Manager(config, timers, sockets, start, this.watch);
         channel = new Channel(sockets, timers, address(config.channel()), manager);
         channel.take(config.known());
         manager.turn();
@@ -82,7 +96,8 @@
             try {
                 InetSocketAddress at = sockets.listen(wanted, manager::accepted);
                 channel.ask();
-                Logger.info("{} listens at {}:{}", config.name(), at.getHostString(), at.getPort());
+                Event.info("listening", config.name() + " listens at " + at.getHostString() + ':' + at.getPort(),
+                        "manager", config.name(), "address", at.getHostString() + ':' + at.getPort());
                 return at;
             } catch (IOException e) {
                 Throwable root = e;
@@ -104,15 +119,16 @@
     }
 
     /** Serves until SIGTERM: 0, 2 for a configuration that cannot be used, 3 after a failure inside. */
-    public static int serve(String path) {
+    public static int serve(String path, String operator) {
         long until = System.nanoTime() + START_PATIENCE;
         Service service;
         try {
+            WatchMaker watch = operator == null ? WatchMaker.NONE : Installed.watch(operator);
             ConfigFile file = new ConfigFile(path);
             // Before all else: SIGHUP would end a JVM that has nothing for it.
             Rereading rereading = new Rereading(file);
             HangUp.take(rereading::signalled);
-            service = started(file.read(until));
+            service = started(file.read(until), watch);
             service.listen(until);
             rereading.to(service::reread);
         } catch (IOException | Junk | Unusable e) {
@@ -130,23 +146,24 @@
         return 0;
     }
 
-    private static Service started(ConfigFile.Whole from) {
+    private static Service started(ConfigFile.Whole from, WatchMaker watch) {
         try {
-            return new Service(from.config());
+            return new Service(from.config(), Decide::new, watch);
         } catch (Junk e) {
             throw new Unusable(from.from() + ": known: " + e.getMessage());
         }
     }
 
     /** Starts as far as that goes without a socket, and waits for nothing: 0, or 2 for what cannot be used. */
-    public static int check(String path, PrintStream out) {
+    public static int check(String path, String operator, PrintStream out) {
         try {
+            String installed = operator == null ? "" : Installed.said(operator);
             ConfigFile.Whole from = new ConfigFile(path).readOnce();
-            Service service = started(from);
+            Service service = started(from, WatchMaker.NONE);
             service.sockets.close();
             Config config = from.config();
             out.println(config.name() + ": " + config.settings().grades().size() + " service grades, "
-                    + config.settings().tenants().size() + " tenants, " + service.manager.engineCount() + " engines");
+                    + config.settings().tenants().size() + " tenants, " + service.manager.engineCount() + " engines" + installed);
             return 0;
         } catch (IOException | Unusable e) {
             return unusable(e);
@@ -213,6 +230,7 @@
                 turn();
             }
         } finally {
+            watch.close();
             sockets.close();
             report();
         }
@@ -263,7 +281,8 @@
         }
         long longest = config.settings().grades().stream().mapToLong(Grade::cutOff).max().orElse(0);
         long until = timers.now() + Math.min(longest, LONGEST_TO_KILL) + KILL_MARGIN;
-        Logger.info("told to end; answers count for {} ms more", (until - timers.now()) / MS);
+        Event.info("ending", "told to end; answers count for " + (until - timers.now()) / MS + " ms more", "for_ms",
+                (until - timers.now()) / MS);
         stopping = true;
         manager.stopping(until);
         timers.at(timers.now() + COMING, () -> {
@@ -285,9 +304,12 @@
 
     private void report() {
         StringBuilder line = new StringBuilder();
+        List<Object> pairs = new ArrayList<>();
         for (Map.Entry<String, Long> one : manager.counters().all().entrySet()) {
             line.append(' ').append(one.getKey()).append('=').append(one.getValue());
+            pairs.add(one.getKey());
+            pairs.add(one.getValue());
         }
-        Logger.info("counters:{}", line);
+        Event.info("counters", "counters:" + line, pairs.toArray());
     }
 }
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -41,6 +41,8 @@
     private static final long ROUND = 500 * MS;             // between rounds over sessions and idle connections
     private static final String[] COLUMNS = {"c1", "c2", "c3"};
     private static final String FAILED = "58000";           // no refusal: it promises nothing
+    private static final String[] ENDED = {"tasks.handled", "tasks.bounced", "tasks.aborted", "tasks.abandoned",
+        "tasks.time_up"};                                   // by TaskWatch.End
     private static final String SHOW_STATS = "show stats";
     private static final String[] STATS = {"counter", "count"};
 
@@ -49,6 +51,7 @@
     private final Sockets sockets;
     private final Counters counters = new Counters();
     private final Decisions module;
+    private final TaskWatch watch;
     private final EngineLines.Limits limits;
     private int mostSessions;
     private final SecureRandom secrets = new SecureRandom();
@@ -62,8 +65,10 @@
     private int owed;                                       // answers
     private boolean told;                                   // the module has heard something and not yet decided
 
-    public Manager(Config config, Timers timers, Sockets sockets, BiFunction<Settings, Actions, Decisions> start) {
+    public Manager(Config config, Timers timers, Sockets sockets, BiFunction<Settings, Actions, Decisions> start,
+            TaskWatch watch) {
         this.config = config;
+        this.watch = watch;
         this.timers = timers;
         this.sockets = sockets;
         limits = new EngineLines.Limits(config.connectTime(), config.idleTime() / 2);
@@ -210,6 +215,7 @@
         owed++;
         tasks.put(task.id, task);
         counters.add("tasks.taken");
+        watch.taken(timers.now(), offer);
         told = true;
         module.task(timers.now(), offer);
     }
@@ -238,8 +244,7 @@
         PgSession session = sessions.get(number);
         if (session != null && session.fits(secret) && session.open() instanceof OpenTask task) {
             counters.add("clients.cancels");
-            abandon(task, "tasks.abandoned");
-            session.error("57014", "canceling statement due to user request");
+            abandon(task, TaskWatch.End.ABANDONED, () -> session.error("57014", "canceling statement due to user request"));
         }
     }
 
@@ -247,7 +252,7 @@
     public void gone(PgSession session) {
         if (session.open() instanceof OpenTask task) {
             counters.add("clients.left");
-            abandon(task, "tasks.abandoned");
+            abandon(task, TaskWatch.End.ABANDONED, () -> { });
         }
     }
 
@@ -260,15 +265,13 @@
     void timeUp(OpenTask task) {
         if (!task.answered()) {
             PgSession session = task.session;
-            abandon(task, "tasks.time_up");
-            session.error(FAILED, "the time is up; the statement may have run");
+            abandon(task, TaskWatch.End.TIME_UP, () -> session.error(FAILED, "the time is up; the statement may have run"));
         }
     }
 
-    private void abandon(OpenTask task, String counter) {
+    private void abandon(OpenTask task, TaskWatch.End end, Runnable say) {
         if (!task.answered()) {
-            counters.add(counter);
-            over(task);
+            over(task, end, 0, say);
             told = true;
             module.abandoned(timers.now(), task.id);
         }
@@ -281,11 +284,12 @@
         task.out--;
         forward.engine.forwards--;
         counters.add("forwards.ended." + outcome);
-        if (outcome == Outcome.OK && !task.answered()) {
-            counters.add("tasks.handled");
+        boolean served = outcome == Outcome.OK && !task.answered();
+        watch.ended(timers.now(), task.id, forward.index, outcome, cost, memory, served);
+        if (served) {
             PgSession session = task.session;
-            over(task);
-            session.rows(COLUMNS, pages);
+            over(task, TaskWatch.End.HANDLED, pages.stream().mapToLong(page -> page.length).sum(),
+                    () -> session.rows(COLUMNS, pages));
         }
         boolean over = task.answered();
         forget(task);
@@ -295,11 +299,13 @@
     }
 
     /** The one place where a task stops being owed an answer. */
-    private void over(OpenTask task) {
+    private void over(OpenTask task, TaskWatch.End end, long bytes, Runnable say) {
         owed--;
+        counters.add(ENDED[end.ordinal()]);
         task.session.open(null);
         task.session = null;
         forget(task);
+        watch.answered(timers.now(), task.id, end, bytes, say);
     }
 
     private void forget(OpenTask task) {
@@ -350,18 +356,17 @@
         task.forwards.add(forward);
         task.out++;
         forward.engine.forwards++;
-        forward.start(timeOut > 0 ? Math.min(timers.now() + timeOut, task.cutOffAt) : task.cutOffAt);
+        forward.due(timeOut > 0 ? Math.min(timers.now() + timeOut, task.cutOffAt) : task.cutOffAt);
+        watch.sent(timers.now(), id, forward.index, engine, task.memoryMb, forward::start);
     }
 
     @Override
     public void bounce(String id, long pause) {
         OpenTask task = tasks.get(id);
         if (task != null && !task.answered()) {
-            counters.add("tasks.bounced");
             PgSession session = task.session;
-            over(task);
-            session.error("53300", pause > 0 ? "no room at present, after=" + (pause + MS - 1) / MS
-                    : "no room at present");
+            over(task, TaskWatch.End.BOUNCED, 0, () -> session.error("53300", pause > 0
+                    ? "no room at present, after=" + (pause + MS - 1) / MS : "no room at present"));
         }
     }
 
@@ -369,10 +374,8 @@
     public void abort(String id) {
         OpenTask task = tasks.get(id);
         if (task != null && !task.answered()) {
-            counters.add("tasks.aborted");
             PgSession session = task.session;
-            over(task);
-            session.error(FAILED, "the statement failed; it may have run");
+            over(task, TaskWatch.End.ABORTED, 0, () -> session.error(FAILED, "the statement failed; it may have run"));
         }
     }
 
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -68,14 +68,18 @@
         path = "/o/" + task.id;
     }
 
-    /** Sends it; its end comes later, never within this call. */
-    void start(long by) {
+    /** Sets until when it may take. */
+    void due(long by) {
         until = by;
         timer = timers.at(until, this::timeOut);
+    }
+
+    /** Sends it, if it was not given up meanwhile; its end comes later, never within this call. */
+    void start() {
         if (task.answered()) {
             manager.later(() -> end(Outcome.NEVER_SENT));
         } else {
-            post();
+            postOpen();
         }
     }
 
@@ -208,7 +212,7 @@
         silent |= late && left;
         if (!left) {
             if (why == HttpLine.Failure.UNSENT && broken < MOST_BROKEN) {
-                manager.later(this::postAgain);
+                manager.later(this::postOpen);
             } else {
                 end(Outcome.UNREACHED);         // the call itself never left: nothing ran
             }
@@ -225,7 +229,7 @@
         }
     }
 
-    private void postAgain() {
+    private void postOpen() {
         if (!over && !cancelled) {
             post();
         }
--- /dev/null
+++ b/src/main/java/tansytrack/state/TaskWatch.java
@@ -0,0 +1,32 @@
+package tansytrack.state;
+
+import tansytrack.api.Outcome;
+import tansytrack.api.TaskOffer;
+
+/** Hears what tasks do, in the loop; it must not block, and decides nothing about them. Times in nanoseconds. */
+public interface TaskWatch {
+
+    /** How a task stopped being owed an answer. */
+    enum End { HANDLED, BOUNCED, ABORTED, ABANDONED, TIME_UP }
+
+    /** Hears nothing. */
+    TaskWatch NONE = new TaskWatch() { };
+
+    default void taken(long now, TaskOffer offer) { }
+
+    /** A forward is to go out, by running go, once, here or a moment later in the loop. */
+    default void sent(long now, String task, int index, String engine, long memoryMb, Runnable go) {
+        go.run();
+    }
+
+    /** A forward ended; served: what it brought goes to the client. */
+    default void ended(long now, String task, int index, Outcome outcome, long work, double memoryMb, boolean served) { }
+
+    /** The task's answer, which is to be given by running say, once, here or a moment later in the loop. */
+    default void answered(long now, String task, End end, long bytes, Runnable say) {
+        say.run();
+    }
+
+    /** Nothing comes any more; what is still to be given is given. Called by the loop's thread at its end. */
+    default void close() { }
+}
--- /dev/null
+++ b/src/test/java/tansytrack/operator/OperatorFileTest.java
@@ -0,0 +1,48 @@
+package tansytrack.operator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import tansytrack.settings.Unusable;
+
+/** The operators' file: what it gives, and how its faults are said. */
+class OperatorFileTest {
+
+    @Test
+    void anAbsentSectionIsOffAndAbsentFieldsHaveTheirDefaults() {
+        assertThat(OperatorFile.of("f", "# nothing\n").ledger()).isNull();
+        OperatorFile.LedgerSection ledger = OperatorFile.of("f", "ledger { folder: 'x' }").ledger();
+        assertThat(ledger.afterCommit()).isFalse();
+        assertThat(ledger.commitEvery()).isEqualTo(5_000_000);
+        assertThat(ledger.mostUnwritten()).isEqualTo(16384);
+        assertThat(ledger.rates().decimals()).isEqualTo(2);
+        assertThat(ledger.periods().of(0)).isEqualTo("1970-01");
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {"ledger { | f:", "ledger { fodler: 'x' } | f:1:",
+        "ledger { } | folder: missing; allowed: a folder", "ledger {@ folder: ' ' } | f:2:",
+        "ledger { folder: 'x'@  commit_every_ms: 2000 } | f:2:3: commit_every_ms: '2000'; allowed: 1 to 1000",
+        "ledger { folder: 'x' most_unwritten: -1 } | most_unwritten: '-1'; allowed: 64 to 1048576",
+        "ledger { folder: 'x' answers: SOON } | f:1:",
+        "ledger { folder: 'x' billing {@@ zone: 'Mars/Base' } } | f:3:2: zone: 'Mars/Base'; allowed: an IANA time zone",
+        "ledger { folder: 'x' billing { decimals: 12 } } | decimals: '12'; allowed: 0 to 9",
+        "ledger { folder: 'x' billing { grace_hours: -2 } } | grace_hours: '-2'",
+        "ledger { folder: 'x' billing { rates { per_task: '1e3' } } } | per_task: '1e3'; allowed: a plain decimal",
+        "ledger { folder: 'x' billing { rates { per_task: '-1' } } } | per_task: '-1'",
+        "ledger { folder: 'x' billing { rates { from_date: 'soon' } } } | from_date: 'soon'; allowed: a day",
+        "ledger { folder: 'x' billing { rates { tenant: 'a' } rates { tenant: 'a' } } } | one rate for a tenant"})
+    void aFaultNamesPlaceFieldValueAndWhatIsAllowed(String text, String said) {
+        assertThatThrownBy(() -> OperatorFile.of("f", text.replace('@', '\n'))).isInstanceOf(Unusable.class)
+                .hasMessageContaining(said).hasMessageStartingWith("f:");
+    }
+
+    @Test
+    void aFileThatCannotBeReadIsNamed() {
+        assertThatThrownBy(() -> OperatorFile.read("/nowhere/at/all")).isInstanceOf(Unusable.class)
+                .hasMessageContaining("/nowhere/at/all");
+    }
+}
--- a/src/test/java/tansytrack/service/RestartTest.java
+++ b/src/test/java/tansytrack/service/RestartTest.java
@@ -118,7 +118,7 @@
         assertThat(process.waitFor()).isEqualTo(2);
         assertThat(System.nanoTime() - from > 5 * SECOND).isEqualTo(waits);
         from = System.nanoTime();
-        assertThat(Service.check(file().toString(), System.out)).isEqualTo(2);
+        assertThat(Service.check(file().toString(), null, System.out)).isEqualTo(2);
         assertThat(System.nanoTime() - from).isLessThan(2 * SECOND);
     }
 
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -639,7 +639,7 @@
                         throw new IllegalStateException("no idea");
                     }
                     return null;
-                }));
+                }), Service.WatchMaker.NONE);
         try (Client client = new Client(failing.listen())) {
             client.send(Client.start(3 << 16));
             client.send(Client.message('Q', Client.task("safe", "00000000000000d5", "ok")));
@@ -707,11 +707,11 @@
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         PrintStream to = new PrintStream(out, true, StandardCharsets.UTF_8);
         Files.writeString(file, config().replace(good, bad == null ? "" : bad).replace('\'', '"'));
-        assertThat(Service.check(file.toString(), to)).isEqualTo(2);
+        assertThat(Service.check(file.toString(), null, to)).isEqualTo(2);
         Files.writeString(file, config().replace('\'', '"'));
-        assertThat(Service.check(file.toString(), to)).isZero();
+        assertThat(Service.check(file.toString(), null, to)).isZero();
         assertThat(out.toString(StandardCharsets.UTF_8)).isEqualTo("m: 2 service grades, 1 tenants, 1 engines\n");
-        assertThat(Service.check(folder.resolve("none").toString(), to)).isEqualTo(2);
+        assertThat(Service.check(folder.resolve("none").toString(), null, to)).isEqualTo(2);
     }
 
     @Test
