Ledger: one pass an export, lines coalesced in a commit, full and slow disks tested

Change: the temporary file is written while a batch is sealed, and its hash remembered; what is sent and over within one commit is written once; larger commits, the log taken over more rarely. RecorderTest plays the loop on a disk that is full or slow for a while.

--- a/src/main/java/tansytrack/ledger/disk/Exporter.java
+++ b/src/main/java/tansytrack/ledger/disk/Exporter.java
@@ -60,6 +60,8 @@
     }
 
     private Store.Batch steps(String form, long most, long now) throws IOException {
+        String written = null;              // the hash of the temporary file, where this process wrote it
+        String moved = null;                // and of the file in place
         boolean synced = false;
         boolean folderSynced = false;
         Store.Batch placed = null;
@@ -71,17 +73,24 @@
             Path place = open == null ? null : folder.resolve(name(open));
             Path temporary = open == null ? null : folder.resolve(name(open) + ".tmp");
             ExportSteps.Step step = ExportSteps.next(new ExportSteps.Found(store.last() > behind,
-                    open == null ? null : open.sha(), hash(temporary), synced, hash(place), folderSynced));
+                    open == null ? null : open.sha(), written != null ? written : hash(temporary), synced,
+                    moved != null ? moved : hash(place), folderSynced));
             faults.before(step.name());
             switch (step) {
-                case SEAL -> seal(last == null ? 1 : last.number() + 1, behind + 1, Math.min(store.last(), behind + most), form, now);
-                case WRITE -> write(open, temporary);
+                case SEAL -> written = seal(last == null ? 1 : last.number() + 1, behind + 1, Math.min(store.last(), behind + most),
+                        form, now);
+                case WRITE -> {
+                    write(open, temporary);
+                    written = open.sha();
+                }
                 case SYNC -> {
                     sync(temporary, StandardOpenOption.WRITE);
                     synced = true;
                 }
-                case RENAME -> Files.move(temporary, place, StandardCopyOption.ATOMIC_MOVE,
-                        StandardCopyOption.REPLACE_EXISTING);
+                case RENAME -> {
+                    Files.move(temporary, place, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+                    moved = written;
+                }
                 case SYNC_FOLDER -> {
                     sync(folder, StandardOpenOption.READ);
                     folderSynced = true;
@@ -90,6 +99,8 @@
                     store.placed(open.number(), now);
                     Files.deleteIfExists(temporary);
                     placed = open;
+                    written = null;
+                    moved = null;
                     synced = false;
                     folderSynced = false;
                 }
@@ -100,10 +111,15 @@
         }
     }
 
-    private void seal(long number, long first, long last, String form, long now) throws IOException {
-        Sha sha = new Sha(OutputStream.nullOutputStream());
-        Forms.write(store, number, first, last, form, sha);
-        store.seal(new Store.Batch(number, first, last, form, sha.hex(), sha.size, now, 0, 0));
+    /** Writes the lines to the temporary file and fixes range and hash; before that the file counts for nothing. */
+    private String seal(long number, long first, long last, String form, long now) throws IOException {
+        Store.Batch batch = new Store.Batch(number, first, last, form, "", 0, now, 0, 0);
+        try (OutputStream out = Files.newOutputStream(folder.resolve(name(batch) + ".tmp"))) {
+            Sha sha = new Sha(out);
+            Forms.write(store, number, first, last, form, sha);
+            store.seal(new Store.Batch(number, first, last, form, sha.hex(), sha.size, now, 0, 0));
+            return sha.hex();
+        }
     }
 
     private void write(Store.Batch batch, Path to) throws IOException {
--- a/src/main/java/tansytrack/ledger/disk/Recorder.java
+++ b/src/main/java/tansytrack/ledger/disk/Recorder.java
@@ -30,7 +30,7 @@
     private static final long AGAIN = 200 * MS;             // after a commit that failed
     private static final long LOOK = 500 * MS;              // for a gap that waits for room, with no task coming
     private static final long LAST = 2000 * MS;             // for what is unwritten at the end
-    private static final int BATCH = 4096;
+    private static final int BATCH = 16384;
 
     private final Store store;
     private final Timers timers;
@@ -63,7 +63,12 @@
     /** Opens the ledger, resolves what the life before left open, and begins a new epoch. */
     public static Recorder start(OperatorFile.LedgerSection section, String manager, List<Grade> grades, Timers timers,
             Consumer<Runnable> inbox) throws IOException {
-        Store store = Store.forManager(section.folder(), manager, Faults.NONE);
+        return start(section, manager, grades, timers, inbox, Faults.NONE);
+    }
+
+    static Recorder start(OperatorFile.LedgerSection section, String manager, List<Grade> grades, Timers timers,
+            Consumer<Runnable> inbox, Faults faults) throws IOException {
+        Store store = Store.forManager(section.folder(), manager, faults);
         long unresolved = store.beginEpoch(timers.now());
         Event.info("ledger.opened", "ledger in " + section.folder() + ": epoch " + store.epoch() + ", " + unresolved
                 + " tasks of the life before unresolved", "epoch", store.epoch(), "unresolved", unresolved);
--- a/src/main/java/tansytrack/ledger/disk/Store.java
+++ b/src/main/java/tansytrack/ledger/disk/Store.java
@@ -16,8 +16,10 @@
 import java.sql.SQLException;
 import java.sql.Statement;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.sqlite.JDBC;
 import org.sqlite.SQLiteConfig;
@@ -41,6 +43,7 @@
     private static final long LOCK_PATIENCE = 2_000_000_000L;   // for the process before, which may be ending
     private static final long LOCK_PAUSE = 50_000_000L;
     private static final int BUSY_MS = 5000;                    // for a command that writes beside a running manager
+    private static final int LOG_PAGES = 16384;                 // of 4 KB, before the log is taken over into the file
     private static final int ROWS = 512;                        // fetched at a time
 
     private static final String[] TABLES = {
@@ -164,6 +167,9 @@
         try {
             faults.before("open");
             db = JDBC.createConnection("jdbc:sqlite:" + folder.resolve(FILE), config.toProperties());
+            try (Statement run = db.createStatement()) {
+                run.execute("PRAGMA wal_autocheckpoint = " + LOG_PAGES);
+            }
             String owner = schema(db, manager, folder);
             reader = JDBC.createConnection("jdbc:sqlite:" + folder.resolve(FILE), config.toProperties());
             return new Store(folder, faults, db, reader, lock, owner);
@@ -342,8 +348,21 @@
         });
     }
 
+    /** One forward of this epoch. */
+    private record Place(long sequence, int index) { }
+
     /** Writes lines of this epoch, in one transaction. */
     void write(List<Line> lines) throws IOException {
+        // What is sent and over within one batch is written once, as it ended.
+        Set<Long> answeredHere = new HashSet<>();
+        Set<Place> endedHere = new HashSet<>();
+        for (Line line : lines) {
+            if (line instanceof Line.Answered) {
+                answeredHere.add(line.sequence());
+            } else if (line instanceof Line.Ended one) {
+                endedHere.add(new Place(one.sequence(), one.use().index()));
+            }
+        }
         atomically("lines", () -> {
             long at = position(db);
             try (PreparedStatement intent = db.prepareStatement("INSERT INTO entry(epoch, seq, task, tenant, grade, taken_at)"
@@ -361,9 +380,14 @@
                     PreparedStatement missing = db.prepareStatement("INSERT INTO gap VALUES(?, ?, ?, ?, ?, ?, ?, ?, ?)")) {
                 for (Line line : lines) {
                     if (line instanceof Line.Sent one) {
-                        set(intent, epoch, one.sequence(), one.task(), one.tenant(), one.grade(), one.takenAt()).executeUpdate();
                         Use use = one.use();
-                        set(sent, epoch, one.sequence(), use.index(), use.engine(), use.sentAt(), use.grantedMb()).executeUpdate();
+                        if (!answeredHere.contains(one.sequence())) {
+                            set(intent, epoch, one.sequence(), one.task(), one.tenant(), one.grade(), one.takenAt()).executeUpdate();
+                        }
+                        if (!endedHere.contains(new Place(one.sequence(), use.index()))) {
+                            set(sent, epoch, one.sequence(), use.index(), use.engine(), use.sentAt(), use.grantedMb())
+                                    .executeUpdate();
+                        }
                     } else if (line instanceof Line.Ended one) {
                         Use use = one.use();
                         set(ended, epoch, one.sequence(), use.index(), use.engine(), use.sentAt(), use.endedAt(), use.outcome(),
