Ledger: refuse at the door when nothing can be kept, engines asked after a kill, resolve

Need: on a full or dead disk the operators' file is to choose between serving with a counted gap and bouncing; what a killed manager left open is to be resolved by asking the engines, or by their statements.

Change: Decide.admit, told by the manager where its watch says that nothing more can be kept (when_full: BOUNCE); state.Inquiry asks engines after a start about forwards that were out; their words are kept, and ledger resolve turns them and statements into amendments, once each.

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -80,6 +80,7 @@
     private final Map<String, Tenant> tenants = new TreeMap<>();
     private final Gate gate = new Gate();
     private long now;
+    private boolean shut;                                 // nothing new is let in, as what must be kept of it cannot be
 
     public Decide(Settings settings, Actions actions) {
         set = settings;
@@ -112,8 +113,8 @@
     public void task(long at, TaskOffer offer) {
         now = at;
         Row row = rows.get(offer.grade());
-        if (row == null) {
-            act.bounce(offer.id(), 0);
+        if (row == null || shut) {
+            act.bounce(offer.id(), row != null && levers.comeBack() ? levers.longestComeBack() : 0);
         } else {
             Task task = new Task(offer, row);
             tasks.put(task.id, task);
@@ -121,6 +122,11 @@
         }
     }
 
+    public void admit(long at, boolean open) {
+        now = at;
+        shut = !open;
+    }
+
     public void outcome(long at, String id, int index, String engine, Outcome outcome, long lag, boolean over,
             long cost, double memoryMb, LoadReport report) {
         now = at;
--- a/src/main/java/tansytrack/LedgerCommands.java
+++ b/src/main/java/tansytrack/LedgerCommands.java
@@ -26,6 +26,7 @@
 import tansytrack.ledger.Gap;
 import tansytrack.ledger.Merged;
 import tansytrack.ledger.Reconciliation;
+import tansytrack.ledger.Resolutions;
 import tansytrack.ledger.disk.Billing;
 import tansytrack.ledger.disk.Exporter;
 import tansytrack.ledger.disk.Faults;
@@ -45,17 +46,18 @@
     /** The group. */
     public static final class Group extends Main.Command {
         @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class,
-                usage = "show, periods, close, correct, export, ack, merge, reconcile or verify")
+                usage = "show, periods, close, correct, export, ack, merge, reconcile, resolve or verify")
         @SubCommands({@SubCommand(name = "show", impl = Show.class), @SubCommand(name = "periods", impl = PeriodList.class),
             @SubCommand(name = "close", impl = Close.class), @SubCommand(name = "correct", impl = Correct.class),
             @SubCommand(name = "export", impl = Export.class), @SubCommand(name = "ack", impl = Ack.class),
             @SubCommand(name = "merge", impl = Merge.class), @SubCommand(name = "reconcile", impl = Reconcile.class),
-            @SubCommand(name = "verify", impl = Verify.class)})
+            @SubCommand(name = "resolve", impl = Resolve.class), @SubCommand(name = "verify", impl = Verify.class)})
         private Main.Command command;
 
         @Override
         String about() {
-            return "ledger: what each tenant used. Commands: show, periods, close, correct, export, ack, merge, reconcile, verify.\n"
+            return "ledger: what each tenant used. Commands: show, periods, close, correct, export, ack, merge, reconcile,\n"
+                    + "resolve, verify. "
                     + "Exit code 1: done, but what was found is not as it should be; 2: cannot be used, nothing was written.";
         }
 
@@ -475,6 +477,37 @@
         }
     }
 
+    /** Resolves. */
+    public static final class Resolve extends Billed {
+        @Option(name = "--statement", metaVar = "FILE", usage = "CSV of the engines: engine,task,work_ns,done; beside what they said at starts")
+        private List<String> statements = new ArrayList<>();
+        @Option(name = "--author", metaVar = "NAME", required = true, usage = "who resolves")
+        private String author;
+
+        @Override
+        String about() {
+            return "ledger resolve: an amendment for each task whose end nobody told and of which the engines' statements tell what ran.\n"
+                    + "A statement may be read in again.";
+        }
+
+        @Override
+        int work(Store store) throws IOException {
+            Resolutions by = new Resolutions(section.rates(), section.periods(), store.amendments());
+            store.told().forEach(by::take);
+            for (String one : statements) {
+                try (InputStream in = Files.newInputStream(Path.of(one))) {
+                    LedgerFiles.statement(one, in, engine -> { }, by::take);
+                }
+            }
+            for (Amendment one : Billing.resolve(store, by, author, now())) {
+                row(columns("amendment", one.number(), "period", one.period(), "tenant", one.tenant(), "corrects", one.corrects(),
+                        "amount", one.amount().toPlainString(), "reason", one.reason()));
+            }
+            table();
+            return 0;
+        }
+    }
+
     /** Verifies. */
     public static final class Verify extends Billed {
         @Override
--- a/src/main/java/tansytrack/Main.java
+++ b/src/main/java/tansytrack/Main.java
@@ -128,6 +128,10 @@
     }
 
     public static void main(String[] args) throws IOException {
+        System.exit(run(args));
+    }
+
+    static int run(String... args) throws IOException {
         Main main = new Main();
         CmdLineParser parser = new CmdLineParser(main);
         try {
@@ -135,14 +139,14 @@
         } catch (CmdLineException e) {
             System.err.println("tansytrack: " + e.getMessage());
             System.err.println("usage: " + PROGRAM + "serve | adapter | check [FILE] | rehearse [FILE] | ledger ... | lab ... | version   (each with --help)");
-            System.exit(USAGE);
+            return USAGE;
         }
         Command asked = main.command.asked();
         if (asked.help) {
             System.out.println(asked.about());
             new CmdLineParser(asked).printUsage(System.out);
-            System.exit(0);
+            return 0;
         }
-        System.exit(asked.run());
+        return asked.run();
     }
 }
--- a/src/main/java/tansytrack/api/Decisions.java
+++ b/src/main/java/tansytrack/api/Decisions.java
@@ -15,6 +15,9 @@
 
     void task(long now, TaskOffer offer);
 
+    /** May new tasks come in? Where not, each is bounced; those taken before go on. */
+    void admit(long now, boolean open);
+
     /** A forward ended. Over: the task needs no answer any more. Cost and memory are 0 where they are not told. */
     void outcome(long now, String task, int index, String engine, Outcome outcome, long lag, boolean over,
             long cost, double memoryMb, LoadReport report);
--- a/src/main/java/tansytrack/lab/LedgerCheck.java
+++ b/src/main/java/tansytrack/lab/LedgerCheck.java
@@ -13,7 +13,9 @@
 import tansytrack.ledger.Entry;
 import tansytrack.ledger.Merged;
 import tansytrack.ledger.Reconciliation;
+import tansytrack.ledger.disk.Faults;
 import tansytrack.ledger.disk.LedgerFiles;
+import tansytrack.ledger.disk.Store;
 import tansytrack.ledger.proto.BatchHead;
 
 /** Holds the ledgers and exports of a run against the engines' own count, and against what a consumer saw meanwhile. */
@@ -72,6 +74,13 @@
         figures.put("entries.work_differs", (double) kinds.getOrDefault("work differs", 0L));
         figures.put("entries.unresolved", (double) unresolved);
         figures.put("entries.resolved_by_engines", (double) kinds.getOrDefault("resolved by the engine", 0L));
+        long told = 0;
+        for (ManagerProcess one : managers) {
+            try (Store store = Store.forCommand(one.ledger(), Faults.NONE)) {
+                told += store.told().size();
+            }
+        }
+        figures.put("entries.told_at_start", (double) told);
         figures.put("entries.holes", (double) ledgers.holes().stream().mapToLong(hole -> hole.last() - hole.first() + 1).sum());
         figures.put("gaps", (double) ledgers.gaps().size());
         figures.put("export.differs", exported.equals(ledgers) ? 0.0 : 1.0);
--- a/src/main/java/tansytrack/ledger/Line.java
+++ b/src/main/java/tansytrack/ledger/Line.java
@@ -22,6 +22,19 @@
     record Answered(long sequence, String task, String tenant, String grade, long takenAt, long endedAt, End end,
             long bytes, long earningsMilli, boolean complete) implements Line { }
 
+    /** What an engine said, after a start, of a forward that the life before left out. */
+    record Told(Reconciliation.Run run) implements Line {
+        @Override
+        public long sequence() {
+            return 0;
+        }
+
+        @Override
+        public boolean complete() {
+            return false;
+        }
+    }
+
     /** What was not kept before this line. */
     record Missing(Gap gap) implements Line {
         @Override
--- a/src/main/java/tansytrack/ledger/Outflow.java
+++ b/src/main/java/tansytrack/ledger/Outflow.java
@@ -15,6 +15,8 @@
     /** One answer that waits, by the number of its line. */
     private record Held(long number, long since, Runnable say) { }
 
+    private static final int LINES_A_TASK = 5;  // two forwards out and in, and the answer
+
     private final long epoch;
     private final int mostUnwritten;
     private final long patience;
@@ -59,6 +61,14 @@
         return both;
     }
 
+    /**
+     * Is there room for a further task beside those open? Each may bring some lines yet, and no line of a task that was
+     * let in is to be lost. Guards against work that nobody can be billed for; the harm is that tasks are refused.
+     */
+    public boolean admits(int openTasks) {
+        return gapLines == 0 && handed - durable + (long) LINES_A_TASK * (openTasks + 1) <= mostUnwritten;
+    }
+
     /** The open gap, where there is room for it now: it must not wait for another task. */
     public List<Line> idle(long now) {
         if (gapLines == 0 || handed - durable >= mostUnwritten) {
--- a/src/main/java/tansytrack/ledger/disk/Billing.java
+++ b/src/main/java/tansytrack/ledger/disk/Billing.java
@@ -14,6 +14,7 @@
 import tansytrack.ledger.Invariants;
 import tansytrack.ledger.Periods;
 import tansytrack.ledger.Rates;
+import tansytrack.ledger.Resolutions;
 import tansytrack.operator.OperatorFile;
 
 /** Runs a store's lines through the modules that bill and check. */
@@ -99,6 +100,25 @@
         return sha.hex();
     }
 
+    /** Writes an amendment for each entry that the statements resolve; gives those written. */
+    public static List<Amendment> resolve(Store store, Resolutions by, String author, long now) throws IOException {
+        List<Amendment> wanted = new ArrayList<>();
+        store.read(1, Long.MAX_VALUE, new Entries() {
+            @Override
+            public void entry(long position, Entry entry) {
+                Amendment one = by.of(entry, author, now);
+                if (one != null) {
+                    wanted.add(one);
+                }
+            }
+        });
+        List<Amendment> written = new ArrayList<>();
+        for (Amendment one : wanted) {
+            written.add(store.amend(one));
+        }
+        return written;
+    }
+
     /** How a tenant stands against its quota in words. */
     public static String quota(Bill bill, String tenant, List<OperatorFile.QuotaLine> quotas) {
         long tasks = 0;
--- a/src/main/java/tansytrack/ledger/disk/LedgerFiles.java
+++ b/src/main/java/tansytrack/ledger/disk/LedgerFiles.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.apache.commons.csv.CSVFormat;
 import org.apache.commons.csv.CSVRecord;
@@ -88,15 +89,20 @@
 
     /** An engine's statement as CSV: engine,task,work_ns,done; a row without a task says that the engine has stated all. */
     public static void statement(String name, InputStream from, Reconciliation to) throws IOException {
+        statement(name, from, to::stated, to::take);
+    }
+
+    public static void statement(String name, InputStream from, Consumer<String> stated, Consumer<Reconciliation.Run> ran)
+            throws IOException {
         for (CSVRecord row : CSVFormat.RFC4180.parse(new InputStreamReader(from, StandardCharsets.UTF_8))) {
             if (row.getRecordNumber() == 1 && row.get(0).equals("engine")) {
                 continue;
             }
             try {
                 if (row.size() == 1 || row.get(1).isEmpty()) {
-                    to.stated(row.get(0));
+                    stated.accept(row.get(0));
                 } else if (row.size() == 4 && (row.get(3).equals("true") || row.get(3).equals("false"))) {
-                    to.take(new Reconciliation.Run(row.get(0), row.get(1), Long.parseLong(row.get(2)), row.get(3).equals("true")));
+                    ran.accept(new Reconciliation.Run(row.get(0), row.get(1), Long.parseLong(row.get(2)), row.get(3).equals("true")));
                 } else {
                     throw new NumberFormatException();
                 }
--- a/src/main/java/tansytrack/ledger/disk/Recorder.java
+++ b/src/main/java/tansytrack/ledger/disk/Recorder.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
 import tansytrack.ledger.Bookkeeper;
 import tansytrack.ledger.Line;
 import tansytrack.ledger.Outflow;
+import tansytrack.ledger.Reconciliation;
 import tansytrack.log.Event;
 import tansytrack.operator.OperatorFile;
 import tansytrack.state.TaskWatch;
@@ -37,6 +39,7 @@
     private final Consumer<Runnable> inbox;
     private final boolean afterCommit;                      // answers wait for the disk
     private final boolean intentsFirst;                     // so do forwards
+    private final boolean bounces;                          // where there is no room for what a task brings
     private final long commitEvery;
     private final Map<String, Grade> grades = new HashMap<>();
     private final Bookkeeper book = new Bookkeeper(this::earned);
@@ -47,13 +50,17 @@
     private volatile boolean ending;
     private volatile long lastEffort;
 
-    private Recorder(OperatorFile.LedgerSection section, Store store, List<Grade> known, Timers timers,
-            Consumer<Runnable> inbox) {
+    private final List<TaskWatch.Left> left;
+
+    private Recorder(OperatorFile.LedgerSection section, Store store, List<TaskWatch.Left> left, List<Grade> known,
+            Timers timers, Consumer<Runnable> inbox) {
         this.store = store;
+        this.left = left;
         this.timers = timers;
         this.inbox = inbox;
         afterCommit = section.afterCommit();
         intentsFirst = section.intentsFirst();
+        bounces = section.bounces();
         commitEvery = section.commitEvery();
         known.forEach(grade -> grades.put(grade.name(), grade));
         outflow = new Outflow(store.epoch(), section.mostUnwritten(), section.mostWait());
@@ -69,10 +76,11 @@
     static Recorder start(OperatorFile.LedgerSection section, String manager, List<Grade> grades, Timers timers,
             Consumer<Runnable> inbox, Faults faults) throws IOException {
         Store store = Store.forManager(section.folder(), manager, faults);
-        long unresolved = store.beginEpoch(timers.now());
+        List<TaskWatch.Left> left = new ArrayList<>();
+        long unresolved = store.beginEpoch(timers.now(), (task, engine) -> left.add(new TaskWatch.Left(task, engine)));
         Event.info("ledger.opened", "ledger in " + section.folder() + ": epoch " + store.epoch() + ", " + unresolved
                 + " tasks of the life before unresolved", "epoch", store.epoch(), "unresolved", unresolved);
-        Recorder recorder = new Recorder(section, store, grades, timers, inbox);
+        Recorder recorder = new Recorder(section, store, left, grades, timers, inbox);
         recorder.writer.setDaemon(true);
         recorder.writer.start();
         recorder.look();
@@ -86,6 +94,11 @@
         book.taken(now, offer.id(), offer.tenant(), offer.grade());
     }
 
+    @Override
+    public boolean admits() {
+        return !bounces || outflow.admits(book.openTasks());
+    }
+
     @Override
     public void sent(long now, String task, int index, String engine, long memoryMb, Runnable go) {
         hand(now, book.sent(now, task, index, engine, memoryMb));
@@ -116,6 +129,16 @@
         overdue();
     }
 
+    @Override
+    public Collection<TaskWatch.Left> left() {
+        return left;
+    }
+
+    @Override
+    public void told(TaskWatch.Left about, boolean ended, long work) {
+        hand(timers.now(), new Line.Told(new Reconciliation.Run(about.engine(), about.task(), work, ended)));
+    }
+
     private long earned(String name, tansytrack.ledger.End end, long time) {
         Grade grade = grades.get(name);
         return end != tansytrack.ledger.End.HANDLED ? 0
--- a/src/main/java/tansytrack/ledger/disk/Store.java
+++ b/src/main/java/tansytrack/ledger/disk/Store.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import org.sqlite.JDBC;
 import org.sqlite.SQLiteConfig;
 import tansytrack.ledger.Amendment;
@@ -28,6 +29,7 @@
 import tansytrack.ledger.Entry;
 import tansytrack.ledger.Gap;
 import tansytrack.ledger.Line;
+import tansytrack.ledger.Reconciliation;
 import tansytrack.ledger.Use;
 
 /**
@@ -37,7 +39,7 @@
  */
 public final class Store implements AutoCloseable {
 
-    static final int SCHEMA = 2;
+    static final int SCHEMA = 3;
     private static final String FILE = "ledger.sqlite";
     private static final String LOCK = "ledger.lock";
     private static final long LOCK_PATIENCE = 2_000_000_000L;   // for the process before, which may be ending
@@ -46,6 +48,8 @@
     private static final int LOG_PAGES = 16384;                 // of 4 KB, before the log is taken over into the file
     private static final int ROWS = 512;                        // fetched at a time
 
+    private static final String TOLD = "CREATE TABLE told(engine TEXT, task TEXT, work INTEGER, done INTEGER, PRIMARY KEY(engine,"
+            + " task)) WITHOUT ROWID";
     private static final String[] TABLES = {
         "CREATE TABLE meta(name TEXT PRIMARY KEY, value) WITHOUT ROWID",
         "CREATE TABLE epoch(number INTEGER PRIMARY KEY, started_at INTEGER NOT NULL)",
@@ -62,6 +66,7 @@
                 + " lines INTEGER, cause TEXT, pos INTEGER UNIQUE NOT NULL, PRIMARY KEY(epoch, number))",
         "CREATE TABLE amendment(number INTEGER PRIMARY KEY, period TEXT, tenant TEXT, amount TEXT, author TEXT, reason TEXT,"
                 + " corrects TEXT, at INTEGER, withdraws INTEGER, pos INTEGER UNIQUE NOT NULL)",
+        TOLD,
         "CREATE TABLE closed(period TEXT PRIMARY KEY, upto INTEGER, at INTEGER, author TEXT, sha TEXT, billing TEXT)",
         "CREATE TABLE batch(number INTEGER PRIMARY KEY, first INTEGER, last INTEGER, form TEXT, sha TEXT, size INTEGER,"
                 + " sealed_at INTEGER, placed_at INTEGER, acked_at INTEGER)"};
@@ -212,8 +217,11 @@
                     }
                     run.execute("INSERT INTO meta VALUES('position', 0)");
                 } else {
-                    // Schema 1 did not keep with which billing section a period was closed.
-                    run.execute("ALTER TABLE closed ADD COLUMN billing TEXT");
+                    if (version == 1) {
+                        // It did not keep with which billing section a period was closed.
+                        run.execute("ALTER TABLE closed ADD COLUMN billing TEXT");
+                    }
+                    run.execute(TOLD);
                 }
                 run.execute("PRAGMA user_version = " + SCHEMA);
                 run.execute("COMMIT");
@@ -319,6 +327,11 @@
 
     /** Begins a new epoch: what earlier ones left open has no end that anybody told. Gives the number of such tasks. */
     long beginEpoch(long now) throws IOException {
+        return beginEpoch(now, (task, engine) -> { });
+    }
+
+    /** The same, and tells each forward that was left out, by task and engine. */
+    long beginEpoch(long now, BiConsumer<String, String> left) throws IOException {
         return atomically("epoch", () -> {
             try (Statement run = db.createStatement()) {
                 epoch = 1 + number(run, "SELECT max(number) FROM epoch");
@@ -332,6 +345,16 @@
                         open.add(new long[] {found.getLong(1), found.getLong(2)});
                     }
                 }
+                try (PreparedStatement out = db.prepareStatement("SELECT e.task, f.engine FROM forward f JOIN entry e ON e.epoch ="
+                        + " f.epoch AND e.seq = f.seq WHERE f.epoch = ? AND f.seq = ? AND f.outcome = ''")) {
+                    for (long[] one : open) {
+                        try (ResultSet found = set(out, one[0], one[1]).executeQuery()) {
+                            while (found.next()) {
+                                left.accept(found.getString(1), found.getString(2));
+                            }
+                        }
+                    }
+                }
                 long at = position(db);
                 try (PreparedStatement forward = db.prepareStatement("UPDATE forward SET outcome = '" + Use.UNKNOWN
                                 + "', wasted = 1 WHERE epoch = ? AND seq = ? AND outcome = ''");
@@ -400,6 +423,11 @@
                                 one.endedAt(), one.end().name(), one.bytes(), one.earningsMilli(),
                                 one.complete() ? (Long) (at + 1) : null).executeUpdate();
                         at += one.complete() ? 1 : 0;
+                    } else if (line instanceof Line.Told one) {
+                        try (PreparedStatement put = db.prepareStatement("INSERT OR IGNORE INTO told VALUES(?, ?, ?, ?)")) {
+                            set(put, one.run().engine(), one.run().task(), one.run().work(), one.run().done() ? 1 : 0)
+                                    .executeUpdate();
+                        }
                     } else if (line instanceof Line.Missing one) {
                         Gap gap = one.gap();
                         set(missing, epoch, gap.number(), gap.firstSequence(), gap.lastSequence(), gap.from(), gap.until(),
@@ -536,6 +564,21 @@
         return all;
     }
 
+    /** What engines said after starts. */
+    public List<Reconciliation.Run> told() throws IOException {
+        return reading(() -> {
+            List<Reconciliation.Run> all = new ArrayList<>();
+            try (Statement run = reader.createStatement();
+                    ResultSet found = run.executeQuery("SELECT engine, task, work, done FROM told")) {
+                while (found.next()) {
+                    all.add(new Reconciliation.Run(found.getString(1), found.getString(2), found.getLong(3),
+                            found.getInt(4) != 0));
+                }
+            }
+            return all;
+        });
+    }
+
     public List<Closed> closed() throws IOException {
         return reading(() -> {
             List<Closed> all = new ArrayList<>();
--- a/src/main/java/tansytrack/operator/OperatorFile.java
+++ b/src/main/java/tansytrack/operator/OperatorFile.java
@@ -34,7 +34,7 @@
     private static final int LONGEST_DECIMAL = 24;
 
     /** The ledger's section; times in nanoseconds. */
-    public record LedgerSection(Path folder, boolean afterCommit, boolean intentsFirst, long mostWait, long commitEvery,
+    public record LedgerSection(Path folder, boolean afterCommit, boolean intentsFirst, boolean bounces, long mostWait, long commitEvery,
             int mostUnwritten, Periods periods,
             Rates rates, Closing closing, List<QuotaLine> quotas, String billingText) { }
 
@@ -128,7 +128,8 @@
             quotas.add(new QuotaLine(quota.getTenant(), quota.getTasks(), quota.getWorkSeconds() * 1_000_000_000L));
         }
         return new LedgerSection(Path.of(from.getFolder()), from.getAnswers() == Ledger.Wait.AFTER_COMMIT,
-                from.getForwards() == Ledger.Wait.AFTER_COMMIT, wait * MS, every * MS,
+                from.getForwards() == Ledger.Wait.AFTER_COMMIT, from.getWhenFull() == Ledger.WhenFull.BOUNCE,
+                wait * MS, every * MS,
                 most, periods, rates(billing, from.getWaste() == Ledger.Waste.TENANT, billingPlace),
                 new Closing(periods, billing.getGraceHours() * HOUR), quotas,
                 TextFormat.printer().emittingSingleLine(true).printToString(billing) + " waste: " + from.getWaste());
--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -96,6 +96,7 @@
             try {
                 InetSocketAddress at = sockets.listen(wanted, manager::accepted);
                 channel.ask();
+                inbox.add(manager::inquire);
                 Event.info("listening", config.name() + " listens at " + at.getHostString() + ':' + at.getPort(),
                         "manager", config.name(), "address", at.getHostString() + ':' + at.getPort());
                 return at;
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -62,6 +62,7 @@
     private final ArrayDeque<OpenTask> finished = new ArrayDeque<>();
     private final ArrayDeque<Runnable> later = new ArrayDeque<>();
     private int sessionNumber;
+    private boolean admitted = true;                        // as the module was last told
     private int owed;                                       // answers
     private boolean told;                                   // the module has heard something and not yet decided
 
@@ -120,6 +121,15 @@
         return engines.size();
     }
 
+    /** Asks what became of the forwards that the life before left out; the engines are known by then. */
+    public void inquire() {
+        new Inquiry(this, timers, watch).start(watch.left());
+    }
+
+    EngineLines engine(String id) {
+        return engines.get(id);
+    }
+
     /** The manager is to end, and no answer given after that time will count. */
     public void stopping(long until) {
         told = true;
@@ -217,6 +227,10 @@
         counters.add("tasks.taken");
         watch.taken(timers.now(), offer);
         told = true;
+        if (watch.admits() != admitted) {
+            admitted = !admitted;
+            module.admit(timers.now(), admitted);
+        }
         module.task(timers.now(), offer);
     }
 
--- a/src/main/java/tansytrack/state/TaskWatch.java
+++ b/src/main/java/tansytrack/state/TaskWatch.java
@@ -1,5 +1,7 @@
 package tansytrack.state;
 
+import java.util.Collection;
+import java.util.List;
 import tansytrack.api.Outcome;
 import tansytrack.api.TaskOffer;
 
@@ -9,11 +11,19 @@
     /** How a task stopped being owed an answer. */
     enum End { HANDLED, BOUNCED, ABORTED, ABANDONED, TIME_UP }
 
+    /** A forward that the life before left out. */
+    record Left(String task, String engine) { }
+
     /** Hears nothing. */
     TaskWatch NONE = new TaskWatch() { };
 
     default void taken(long now, TaskOffer offer) { }
 
+    /** May new tasks come in, as far as what must be kept of them can be? */
+    default boolean admits() {
+        return true;
+    }
+
     /** A forward is to go out, by running go, once, here or a moment later in the loop. */
     default void sent(long now, String task, int index, String engine, long memoryMb, Runnable go) {
         go.run();
@@ -27,6 +37,14 @@
         say.run();
     }
 
+    /** What engines are to be asked about, once, after the start. */
+    default Collection<Left> left() {
+        return List.of();
+    }
+
+    /** What an engine said of it: ended, with its work, or given up now. */
+    default void told(Left about, boolean ended, long work) { }
+
     /** Nothing comes any more; what is still to be given is given. Called by the loop's thread at its end. */
     default void close() { }
 }
--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -369,4 +369,13 @@
         manager.list(true, small("e")).take("x short a").decide().atOnce(big("e"), "t short a");
         assertThat(manager.did("forward")).containsExactly("forward x e", "forward t e");
     }
+
+    @Test
+    void whileNothingIsLetInWhatComesIsBouncedAndWhatCameGoesOn() {
+        Manager manager = new Manager().list(true, small("e")).take("in short a").decide();
+        manager.admit(false).take("out short a").decide();
+        assertThat(manager.did).anyMatch(one -> one.startsWith("forward in")).anyMatch(one -> one.startsWith("bounce out"));
+        manager.admit(true).take("again short a").decide();
+        assertThat(manager.did).noneMatch(one -> one.startsWith("bounce again"));
+    }
 }
--- a/src/test/java/tansytrack/Manager.java
+++ b/src/test/java/tansytrack/Manager.java
@@ -144,6 +144,11 @@
     }
 
     /** It is told to end; answers count for so many milliseconds more. */
+    Manager admit(boolean open) {
+        module().admit(now, open);
+        return this;
+    }
+
     Manager stop(long ms) {
         module().stopping(now, now + ms * MS);
         return decide();
--- a/src/test/java/tansytrack/ledger/BookTest.java
+++ b/src/test/java/tansytrack/ledger/BookTest.java
@@ -92,6 +92,22 @@
         assertThat(flow.answeredUndurable()).isEqualTo(1);
     }
 
+    @Test
+    void tasksAreLetInWhileTheirLinesHaveRoom() {
+        Outflow wide = new Outflow(7, 12, MS);
+        assertThat(wide.admits(0)).isTrue();
+        assertThat(wide.admits(1)).isTrue();
+        assertThat(wide.admits(2)).isFalse();
+        for (int i = 1; i <= 13; i++) {
+            wide.offer(i, bounced(i));
+            assertThat(wide.admits(0)).as("with %d lines", i).isEqualTo(i <= 7);
+        }
+        wide.durable(12);
+        assertThat(wide.admits(0)).as("a gap is open").isFalse();
+        assertThat(wide.idle(20)).hasSize(1);
+        assertThat(wide.admits(0)).isTrue();
+    }
+
     @Test
     void withAGapOpenNothingWaits() {
         for (int i = 1; i <= 5; i++) {
--- a/src/test/java/tansytrack/ledger/disk/RecorderTest.java
+++ b/src/test/java/tansytrack/ledger/disk/RecorderTest.java
@@ -114,6 +114,21 @@
         assertThat(read().entries()).hasSize(2);
     }
 
+    @Test
+    void whereTheFileSaysSoNoTaskIsLetInThatCouldNotBeKept() throws IOException, InterruptedException {
+        Recorder recorder = start("most_unwritten: 64 when_full: BOUNCE");
+        fault = "full";
+        while (recorder.admits()) {
+            task(recorder);
+        }
+        assertThat(tasks).isEqualTo(20);
+        fault = "";
+        until(recorder::admits);
+        recorder.close();
+        assertThat(read().entries()).hasSize(20);
+        assertThat(read().gaps()).isEmpty();
+    }
+
     @Test
     void refusalsNeverWaitAndTheEndReleasesWhatDoes() throws IOException {
         Recorder recorder = start("answers: AFTER_COMMIT most_wait_ms: 10000");
--- a/src/test/java/tansytrack/ledger/disk/StoreTest.java
+++ b/src/test/java/tansytrack/ledger/disk/StoreTest.java
@@ -23,6 +23,7 @@
 import tansytrack.ledger.Gap;
 import tansytrack.ledger.Line;
 import tansytrack.ledger.Merged;
+import tansytrack.ledger.Reconciliation;
 import tansytrack.operator.OperatorFile;
 
 /** The ledger on a disk that fails at every step, and managers that die in between. */
@@ -85,7 +86,12 @@
             assertThat(store.openTasks()).isEqualTo(3);
         }
         try (Store store = Store.forManager(ledger(), "m", Faults.NONE)) {
-            assertThat(store.beginEpoch(2)).isEqualTo(3);
+            List<String> left = new ArrayList<>();
+            assertThat(store.beginEpoch(2, (task, engine) -> left.add(task + " " + engine))).isEqualTo(3);
+            assertThat(left).containsExactly("t2 e0", "t5 e1", "t8 e0");
+            Reconciliation.Run run = new Reconciliation.Run("e0", "t2", 7, true);
+            store.write(List.of(new Line.Told(run), new Line.Told(run)));
+            assertThat(store.told()).containsExactly(run);
             assertThat(store.epoch()).isEqualTo(2);
             assertThat(store.openTasks()).isZero();
             assertThat(entries(store)).hasSize(9).filteredOn(one -> one.end() == End.UNRESOLVED).hasSize(3)
@@ -119,10 +125,12 @@
         String file = "jdbc:sqlite:" + ledger().resolve("ledger.sqlite");
         try (var db = DriverManager.getConnection(file); var run = db.createStatement()) {
             run.execute("ALTER TABLE closed DROP COLUMN billing");
+            run.execute("DROP TABLE told");
             run.execute("PRAGMA user_version = 1");
         }
         try (Store store = Store.forCommand(ledger(), Faults.NONE)) {
             assertThat(store.closed()).isEmpty();
+            assertThat(store.told()).isEmpty();
         }
         try (var db = DriverManager.getConnection(file); var run = db.createStatement()) {
             run.execute("PRAGMA user_version = 99");
