--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -124,11 +124,11 @@
         long until = System.nanoTime() + START_PATIENCE;
         Service service;
         try {
-            WatchMaker watch = operator == null ? WatchMaker.NONE : Installed.watch(operator);
             ConfigFile file = new ConfigFile(path);
             // Before all else: SIGHUP would end a JVM that has nothing for it.
             Rereading rereading = new Rereading(file);
             HangUp.take(rereading::signalled);
+            WatchMaker watch = operator == null ? WatchMaker.NONE : Installed.watch(operator);
             service = started(file.read(until), watch);
             service.listen(until);
             rereading.to(service::reread);
