Load generator, first slice: open loop, made beforehand, latency from the intended time

Change: lab.load (shapes that add and multiply, mixes, schedules by seed, latencies, when a run is void, what clients do), lab load FILE; in the crash experiment a kill waits for the start before it, as on two busy cores it met a manager on its way up.

--- a/src/main/java/tansytrack/LabCommands.java
+++ b/src/main/java/tansytrack/LabCommands.java
@@ -11,6 +11,7 @@
 import org.kohsuke.args4j.spi.SubCommands;
 import tansytrack.lab.Laboratory;
 import tansytrack.lab.LedgerBench;
+import tansytrack.lab.LoadCommand;
 import tansytrack.lab.StandIns;
 import tansytrack.settings.Unusable;
 
@@ -21,14 +22,15 @@
 
     /** The group. */
     public static final class Group extends Main.Command {
-        @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class, usage = "engines, run or ledger-bench")
+        @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class, usage = "engines, run, load or ledger-bench")
         @SubCommands({@SubCommand(name = "engines", impl = Engines.class), @SubCommand(name = "run", impl = Run.class),
+            @SubCommand(name = "load", impl = Load.class),
             @SubCommand(name = "ledger-bench", impl = Bench.class)})
         private Main.Command command;
 
         @Override
         String about() {
-            return "lab: stand-ins and experiments on loopback. Commands: engines, run, ledger-bench.";
+            return "lab: stand-ins and experiments on loopback. Commands: engines, run, load, ledger-bench.";
         }
 
         @Override
@@ -100,6 +102,39 @@
         }
     }
 
+    /** An open-loop load. */
+    public static final class Load extends Main.Command {
+        @Argument(required = true, metaVar = "FILE", usage = "the load (protobuf text format, lab.proto)")
+        private String file;
+        @Option(name = "--to", metaVar = "ADDRESS", required = true, usage = "a manager's listener, on loopback")
+        private String to;
+        @Option(name = "--seed", metaVar = "N", usage = "of the schedule")
+        private long seed = 1;
+        @Option(name = "--out", metaVar = "FOLDER", usage = "where results are left; absent: a new temporary folder")
+        private String out;
+
+        @Override
+        String about() {
+            return "lab load: sends a load made beforehand, each task at its intended time, and counts latency from that time.\n"
+                    + "Exit code 1: a claim is not held, or the generator fell behind and the run is void; 2: the file cannot be used.";
+        }
+
+        @Override
+        int run() {
+            try {
+                Path where = out == null ? Files.createTempDirectory("tansytrack-lab") : Path.of(out);
+                boolean held = LoadCommand.run(file, to, seed, where, System.out);
+                System.out.println("results in " + where);
+                return held ? 0 : LedgerCommands.DIFFERS;
+            } catch (IOException | Unusable e) {
+                System.err.println("tansytrack: " + e.getMessage());
+                return LedgerCommands.UNUSABLE;
+            } catch (InterruptedException e) {
+                return LedgerCommands.DIFFERS;
+            }
+        }
+    }
+
     /** The ledger's measurement. */
     public static final class Bench extends Main.Command {
         @Option(name = "--folder", metaVar = "FOLDER", required = true, usage = "a new folder for its ledgers")
--- a/src/main/java/tansytrack/lab/LedgerRun.java
+++ b/src/main/java/tansytrack/lab/LedgerRun.java
@@ -153,9 +153,11 @@
         ManagerProcess of = managers.get(fault.getManager());
         try {
             if (fault.getKind() == Fault.Kind.KILL_MANAGER) {
-                of.kill();
-                pause(fault.getForMs());
-                of.start();
+                synchronized (of) {             // a kill waits until the start before it is over
+                    of.kill();
+                    pause(fault.getForMs());
+                    of.start();
+                }
                 synchronized (this) {
                     managersKilled++;
                 }
--- a/src/test/java/tansytrack/ArchitectureTest.java
+++ b/src/test/java/tansytrack/ArchitectureTest.java
@@ -44,7 +44,7 @@
 
     @Test
     void whatDecidesTouchesNothingOutside() {
-        ArchRuleDefinition.noClasses().that().resideInAnyPackage("tansytrack.ledger", "tansytrack.api", "tansytrack.parts")
+        ArchRuleDefinition.noClasses().that().resideInAnyPackage("tansytrack.ledger", "tansytrack.lab.load", "tansytrack.api", "tansytrack.parts")
                 .or().haveFullyQualifiedName("tansytrack.Decide")
                 .should().dependOnClassesThat().resideInAnyPackage("java.io", "java.nio..", "java.net..", "java.sql..",
                         "java.util.concurrent..", "org.tinylog..", "org.sqlite..", "com.google.protobuf..",
