--- a/src/test/java/tansytrack/service/RestartTest.java
+++ b/src/test/java/tansytrack/service/RestartTest.java
@@ -140,6 +140,22 @@
         }
     }
 
+    /** Told from the others by its trace or the machine's words: no file or address is blamed for it. */
+    @ParameterizedTest
+    @ValueSource(ints = {12, 20})
+    void withoutDescriptorsTheCauseIsNamed(int descriptors) throws IOException, InterruptedException {
+        replace(config("m"));
+        ProcessBuilder made = new ProcessBuilder("sh", "-c", "ulimit -n " + descriptors + "; exec \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "tansytrack.Main", "serve").redirectErrorStream(true);
+        made.environment().put("ROUTER_CONFIG", file().toString());
+        process = made.start();
+        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertThat(process.waitFor()).isNotZero();
+        assertThat(said).containsAnyOf("Too many open files", "NoClassDefFoundError", "ClassNotFoundException",
+                "UnsatisfiedLinkError").doesNotContain("cut off", "in use");
+    }
+
     @Test
     void sigtermWhileTheFileIsWaitedForEndsItAndNothingOfTheFileIsTakenOver() throws IOException,
             InterruptedException {
