Without a ledger nothing asks engines at a start, and no bytes are summed up for it

Need: read once more, the start loaded the inquiry's class, and each handled task added up its pages, also where nobody listens.

Change: engines are asked only where something was left out; a forward's own count of bytes is used; admission is asked before the task counts as taken.

Measured: ManagerTest, RecorderTest, DecideTest green.

--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -123,7 +123,9 @@
 
     /** Asks what became of the forwards that the life before left out; the engines are known by then. */
     public void inquire() {
-        new Inquiry(this, timers, watch).start(watch.left());
+        if (!watch.left().isEmpty()) {
+            new Inquiry(this, timers, watch).start(watch.left());
+        }
     }
 
     EngineLines engine(String id) {
@@ -225,12 +227,12 @@
         owed++;
         tasks.put(task.id, task);
         counters.add("tasks.taken");
-        watch.taken(timers.now(), offer);
         told = true;
         if (watch.admits() != admitted) {
             admitted = !admitted;
             module.admit(timers.now(), admitted);
         }
+        watch.taken(timers.now(), offer);
         module.task(timers.now(), offer);
     }
 
@@ -302,8 +304,7 @@
         watch.ended(timers.now(), task.id, forward.index, outcome, cost, memory, served);
         if (served) {
             PgSession session = task.session;
-            over(task, TaskWatch.End.HANDLED, pages.stream().mapToLong(page -> page.length).sum(),
-                    () -> session.rows(COLUMNS, pages));
+            over(task, TaskWatch.End.HANDLED, forward.bytes(), () -> session.rows(COLUMNS, pages));
         }
         boolean over = task.answered();
         forget(task);
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -68,6 +68,11 @@
         path = "/o/" + task.id;
     }
 
+    /** Of the pages that it has brought so far. */
+    int bytes() {
+        return bytes;
+    }
+
     /** Sets until when it may take. */
     void due(long by) {
         until = by;
