Ledger: bounced tasks leave the room of those let in; slow disks and JSON lines tested

Need: read once more, docs/ledger.md promised that with when_full: BOUNCE nothing let in goes unrecorded. What was bounced at the door took that room itself: with 100 bounced tasks the ends of those let in were lost in a gap (the new test, without the change).

A failure of the writing thread that is no failure of the disk is said and tried again, too, instead of ending it unseen. Tests that the issue's hard cases lacked: a disk slow by seconds, JSON lines and an unusable operators' file with a real process.

--- a/src/main/java/tansytrack/ledger/Outflow.java
+++ b/src/main/java/tansytrack/ledger/Outflow.java
@@ -38,8 +38,13 @@
 
     /** The lines to hand over now: this one, with a gap before it where one is open, or none. */
     public List<Line> offer(long now, Line line) {
+        return offer(now, line, 0);
+    }
+
+    /** The same for a line that must leave the room which so many open tasks may yet need: that of one which was bounced. */
+    public List<Line> offer(long now, Line line, int openTasks) {
         boolean gap = gapLines > 0;
-        if (handed - durable + (gap ? 2 : 1) > mostUnwritten) {
+        if (handed - durable + (gap ? 2 : 1) + (long) LINES_A_TASK * openTasks > mostUnwritten) {
             if (!gap) {
                 gapFrom = now;
                 gapFirst = line.sequence();
--- a/src/main/java/tansytrack/ledger/disk/Recorder.java
+++ b/src/main/java/tansytrack/ledger/disk/Recorder.java
@@ -120,7 +120,8 @@
 
     @Override
     public void answered(long now, String task, TaskWatch.End end, long bytes, Runnable say) {
-        hand(now, book.answered(now, task, tansytrack.ledger.End.valueOf(end.name()), bytes));
+        Line line = book.answered(now, task, tansytrack.ledger.End.valueOf(end.name()), bytes);
+        hand(outflow.offer(now, line, bounces && end == TaskWatch.End.BOUNCED ? book.openTasks() : 0));
         if (!afterCommit || end != TaskWatch.End.HANDLED) {
             say.run();                      // what was given up is told at once, whatever the disk does
             return;
@@ -225,7 +226,7 @@
                         Event.info("ledger.disk.well", "ledger: the disk takes lines again");
                     }
                     failing = false;
-                } catch (IOException e) {
+                } catch (IOException | RuntimeException e) {
                     if (!failing) {
                         Event.error("ledger.disk.fails", "ledger: " + e.getMessage() + "; tried again every " + AGAIN / MS
                                 + " ms, tasks go on", "cause", e.getMessage());
--- a/src/test/java/tansytrack/ledger/disk/RecorderTest.java
+++ b/src/test/java/tansytrack/ledger/disk/RecorderTest.java
@@ -15,6 +15,7 @@
 import tansytrack.api.Grade;
 import tansytrack.api.Outcome;
 import tansytrack.api.TaskOffer;
+import tansytrack.ledger.End;
 import tansytrack.ledger.Gap;
 import tansytrack.ledger.Merged;
 import tansytrack.operator.OperatorFile;
@@ -43,9 +44,20 @@
                     if (fault.equals("full") && step.startsWith("lines")) {
                         throw new IOException("no space left on device");
                     }
+                    if (fault.equals("slow") && step.equals("lines commit")) {
+                        pause();
+                    }
                 });
     }
 
+    private static void pause() {
+        try {
+            Thread.sleep(2000);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void task(Recorder to) {
         String id = "t" + ++tasks;
         to.taken(timers.now(), new TaskOffer(id, "g", "a", null, 0, 0, 0, 0));
@@ -129,6 +141,57 @@
         assertThat(read().gaps()).isEmpty();
     }
 
+    /** What is bounced meanwhile must not take the room that those let in may yet need. */
+    @Test
+    void tasksThatWereLetInAreKeptHoweverManyAreBounced() throws IOException, InterruptedException {
+        Recorder recorder = start("most_unwritten: 64 when_full: BOUNCE");
+        fault = "full";
+        int open = 0;
+        for (; recorder.admits(); open++) {
+            recorder.taken(timers.now(), new TaskOffer("in" + open, "g", "a", null, 0, 0, 0, 0));
+            recorder.sent(timers.now(), "in" + open, 0, "e", 8, () -> { });
+        }
+        for (int i = 0; i < 100; i++) {
+            recorder.taken(timers.now(), new TaskOffer("out" + i, "g", "a", null, 0, 0, 0, 0));
+            recorder.answered(timers.now(), "out" + i, TaskWatch.End.BOUNCED, 0, () -> { });
+        }
+        for (int i = 0; i < open; i++) {
+            recorder.ended(timers.now(), "in" + i, 0, Outcome.OK, 5, 1, true);
+            recorder.answered(timers.now(), "in" + i, TaskWatch.End.HANDLED, 10, () -> { });
+        }
+        fault = "";
+        until(() -> recorder.unwritten() == 0);
+        recorder.close();
+        assertThat(open).isGreaterThan(5);
+        for (long number = 1; number <= open; number++) {
+            assertThat(read().entries().get(new Merged.Key("m", 1, number))).singleElement()
+                    .satisfies(one -> assertThat(one.end()).isEqualTo(End.HANDLED));
+        }
+        assertThat(read().holes()).isEmpty();
+    }
+
+    @Test
+    void aDiskThatIsSlowBySecondsHoldsUpNoTaskForLongerThanAllowedAndLosesNothing() throws IOException,
+            InterruptedException {
+        Recorder recorder = start("answers: AFTER_COMMIT most_wait_ms: 50");
+        fault = "slow";
+        long from = System.nanoTime();
+        task(recorder);
+        Thread.sleep(100);                              // the commit of the first is on its way
+        for (int i = 0; i < 20; i++) {
+            task(recorder);
+        }
+        assertThat(System.nanoTime() - from).as("the loop never waited").isLessThan(1_000 * MS);
+        timers.now(timers.now() + 50 * MS);
+        timers.run();
+        assertThat(said).filteredOn(one -> one.startsWith("answered")).hasSize(21);
+        fault = "";
+        until(() -> recorder.unwritten() == 0);
+        recorder.close();
+        assertThat(read().entries()).hasSize(21);
+        assertThat(read().gaps()).isEmpty();
+    }
+
     @Test
     void refusalsNeverWaitAndTheEndReleasesWhatDoes() throws IOException {
         Recorder recorder = start("answers: AFTER_COMMIT most_wait_ms: 10000");
--- a/src/test/java/tansytrack/service/RestartTest.java
+++ b/src/test/java/tansytrack/service/RestartTest.java
@@ -22,6 +22,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import tansytrack.settings.Unusable;
+import tansytrack.wire.Json;
+import tansytrack.wire.Junk;
 
 /** Starts and signals while the file or the address is not yet what it will be a moment later; real processes. */
 class RestartTest {
@@ -64,10 +66,11 @@
         }
     }
 
-    private void serve() throws IOException {
+    private void serve(String... more) throws IOException {
         ProcessBuilder made = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
                 "tansytrack.Main", "serve").redirectErrorStream(true);
+        made.command().addAll(List.of(more));
         made.environment().put("ROUTER_CONFIG", file().toString());
         process = made.start();
         log = process.inputReader(StandardCharsets.UTF_8);
@@ -156,6 +159,29 @@
                 "UnsatisfiedLinkError").doesNotContain("cut off", "in use");
     }
 
+    @Test
+    void anOperatorsFileChoosesLogLinesThatAreObjects() throws IOException, InterruptedException, Junk {
+        replace(config("m"));
+        Path operator = Files.writeString(folder.resolve("operator.textproto"), "log { form: JSON_LINES }");
+        serve("--operator", operator.toString());
+        String line = line("listens at");
+        signal("TERM");
+        assertThat(Json.map(Json.read(line.getBytes(StandardCharsets.UTF_8)), "a line")).containsEntry("event", "listening")
+                .containsEntry("manager", "m").containsEntry("level", "INFO");
+        assertThat(line("\"event\":\"counters\"")).contains("\"channel.failed\":\"");
+        assertThat(process.waitFor()).isEqualTo(TERMINATED);
+    }
+
+    @Test
+    void anOperatorsFileThatCannotBeUsedStartsNothing() throws IOException, InterruptedException {
+        replace(config("m"));
+        Path operator = Files.writeString(folder.resolve("operator.textproto"), "ledger { folder: 'x'\n commit_every_ms: -1 }");
+        serve("--operator", operator.toString());
+        assertThat(line("tansytrack: ")).contains("operator.textproto:2:2: commit_every_ms: '-1'; allowed: 1 to 1000");
+        assertThat(process.waitFor()).isEqualTo(2);
+        assertThat(folder.resolve("x")).doesNotExist();
+    }
+
     @Test
     void sigtermWhileTheFileIsWaitedForEndsItAndNothingOfTheFileIsTakenOver() throws IOException,
             InterruptedException {
