Read once more: one reader, one quoter, one guard for the lab and the ledger's commands

Need: the change had written some things twice: JSON strings three times (one of them not quoting at all), loopback addresses, text files and bounds in the lab twice, the wrapper that ends with code 2 four times, the reading of a bill twice, memory held twice (once in binary floating point), a batch's head read by opening it again.

Change: each once (JsonLinesWriter.quoted, lab.TextFile, Main.Guarded and Main.Group, Billing.filled, Entry.held, Forms.read). A line without a number no longer widens a gap to all numbers, which hid holes (BookTest fails without it).

--- a/src/main/java/tansytrack/LabCommands.java
+++ b/src/main/java/tansytrack/LabCommands.java
@@ -13,6 +13,7 @@
 import tansytrack.lab.LedgerBench;
 import tansytrack.lab.LoadCommand;
 import tansytrack.lab.StandIns;
+import tansytrack.lab.proto.Experiment;
 import tansytrack.settings.Unusable;
 
 /** The command group `lab`: stand-ins and experiments, all on loopback. */
@@ -21,7 +22,7 @@
     private LabCommands() { }
 
     /** The group. */
-    public static final class Group extends Main.Command {
+    public static final class Group extends Main.Group {
         @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class, usage = "engines, run, load or ledger-bench")
         @SubCommands({@SubCommand(name = "engines", impl = Engines.class), @SubCommand(name = "run", impl = Run.class),
             @SubCommand(name = "load", impl = Load.class),
@@ -37,15 +38,34 @@
         Main.Command inner() {
             return command;
         }
+    }
+
+    /** Plays a file with a seed and leaves results. */
+    abstract static class Playing extends Main.Guarded {
+        @Option(name = "--seed", metaVar = "N", usage = "of the first run")
+        private long seed = 1;
+        @Option(name = "--out", metaVar = "FOLDER", usage = "where results are left; absent: a new temporary folder")
+        private String out;
+
+        /** Whether all that was claimed holds. */
+        abstract boolean played(long from, Path to) throws IOException, InterruptedException;
 
         @Override
-        int run() throws IOException {
-            return command.run();
+        final int work() throws IOException {
+            Path to = out == null ? Files.createTempDirectory("tansytrack-lab") : Path.of(out);
+            try {
+                boolean held = played(seed, to);
+                System.out.println("results in " + to);
+                return held ? 0 : LedgerCommands.DIFFERS;
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return LedgerCommands.DIFFERS;
+            }
         }
     }
 
     /** Stand-ins for what a configuration names. */
-    public static final class Engines extends Main.Command {
+    public static final class Engines extends Main.Guarded {
         @Argument(required = true, metaVar = "FILE", usage = "the configuration whose engines and command channel are stood in for")
         private String file;
         @Option(name = "--work-ms", metaVar = "N", usage = "work on a task, in milliseconds")
@@ -57,61 +77,46 @@
         }
 
         @Override
-        int run() {
+        int work() throws IOException {
+            StandIns.of(file, work, System.out);
             try {
-                StandIns.of(file, work, System.out);
                 Thread.sleep(Long.MAX_VALUE);
-                return 0;
-            } catch (IOException | Unusable e) {
-                System.err.println("tansytrack: " + file + ": " + e.getMessage());
-                return LedgerCommands.UNUSABLE;
             } catch (InterruptedException e) {
-                return 0;
+                Thread.currentThread().interrupt();
             }
+            return 0;
         }
     }
 
     /** An experiment. */
-    public static final class Run extends Main.Command {
+    public static final class Run extends Playing {
         @Argument(required = true, metaVar = "FILE", usage = "the experiment (protobuf text format, lab.proto)")
         private String file;
-        @Option(name = "--seed", metaVar = "N", usage = "of the first run")
-        private long seed = 1;
-        @Option(name = "--out", metaVar = "FOLDER", usage = "where results are left; absent: a new temporary folder")
-        private String out;
 
         @Override
         String about() {
-            return "lab run: plays an experiment and judges its claims. Exit code 1: one is not held; 2: the file cannot be used.";
+            return "lab run: plays an experiment and judges its claims. Exit code 1: one is not held, or a run ended early; 2: the file\n"
+                    + "cannot be used.";
         }
 
         @Override
-        int run() {
+        boolean played(long from, Path to) throws IOException, InterruptedException {
+            Experiment experiment = Laboratory.read(file);
             try {
-                Path to = out == null ? Files.createTempDirectory("tansytrack-lab") : Path.of(out);
-                boolean held = Laboratory.run(Laboratory.read(file), seed, to, System.out);
-                System.out.println("results in " + to);
-                return held ? 0 : LedgerCommands.DIFFERS;
-            } catch (Unusable e) {
-                System.err.println("tansytrack: " + e.getMessage());
-                return LedgerCommands.UNUSABLE;
-            } catch (Exception e) {
+                return Laboratory.run(experiment, from, to, System.out);
+            } catch (IOException e) {
                 System.err.println("tansytrack: the experiment ended early: " + e);
-                return LedgerCommands.DIFFERS;
+                return false;
             }
         }
     }
 
     /** An open-loop load. */
-    public static final class Load extends Main.Command {
+    public static final class Load extends Playing {
         @Argument(required = true, metaVar = "FILE", usage = "the load (protobuf text format, lab.proto)")
         private String file;
         @Option(name = "--to", metaVar = "ADDRESS", required = true, usage = "a manager's listener, on loopback")
         private String to;
-        @Option(name = "--seed", metaVar = "N", usage = "of the schedule")
-        private long seed = 1;
-        @Option(name = "--out", metaVar = "FOLDER", usage = "where results are left; absent: a new temporary folder")
-        private String out;
 
         @Override
         String about() {
@@ -120,23 +125,13 @@
         }
 
         @Override
-        int run() {
-            try {
-                Path where = out == null ? Files.createTempDirectory("tansytrack-lab") : Path.of(out);
-                boolean held = LoadCommand.run(file, to, seed, where, System.out);
-                System.out.println("results in " + where);
-                return held ? 0 : LedgerCommands.DIFFERS;
-            } catch (IOException | Unusable e) {
-                System.err.println("tansytrack: " + e.getMessage());
-                return LedgerCommands.UNUSABLE;
-            } catch (InterruptedException e) {
-                return LedgerCommands.DIFFERS;
-            }
+        boolean played(long from, Path out) throws IOException, InterruptedException {
+            return LoadCommand.run(file, to, from, out, System.out);
         }
     }
 
     /** The ledger's measurement. */
-    public static final class Bench extends Main.Command {
+    public static final class Bench extends Main.Guarded {
         @Option(name = "--folder", metaVar = "FOLDER", required = true, usage = "a new folder for its ledgers")
         private String folder;
         @Option(name = "--entries", metaVar = "N", usage = "entries, as fast as the disk takes them")
@@ -151,11 +146,10 @@
         }
 
         @Override
-        int run() throws IOException {
+        int work() throws IOException {
             Path to = Path.of(folder);
             if (Files.exists(to)) {
-                System.err.println("tansytrack: --folder '" + folder + "' exists; allowed: a new one");
-                return LedgerCommands.UNUSABLE;
+                throw new Unusable("--folder '" + folder + "' exists; allowed: a new one");
             }
             LedgerBench bench = new LedgerBench(System.out);
             bench.throughput(to.resolve("full"), entries);
--- a/src/main/java/tansytrack/LedgerCommands.java
+++ b/src/main/java/tansytrack/LedgerCommands.java
@@ -32,6 +32,7 @@
 import tansytrack.ledger.disk.Faults;
 import tansytrack.ledger.disk.LedgerFiles;
 import tansytrack.ledger.disk.Store;
+import tansytrack.log.JsonLinesWriter;
 import tansytrack.operator.OperatorFile;
 import tansytrack.settings.Unusable;
 
@@ -39,12 +40,11 @@
 public final class LedgerCommands {
 
     static final int DIFFERS = 1;               // it was done, and what was found is not as it should be
-    static final int UNUSABLE = 2;
 
     private LedgerCommands() { }
 
     /** The group. */
-    public static final class Group extends Main.Command {
+    public static final class Group extends Main.Group {
         @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class,
                 usage = "show, periods, close, correct, export, ack, merge, reconcile, resolve or verify")
         @SubCommands({@SubCommand(name = "show", impl = Show.class), @SubCommand(name = "periods", impl = PeriodList.class),
@@ -65,37 +65,20 @@
         Main.Command inner() {
             return command;
         }
-
-        @Override
-        int run() throws IOException {
-            return command.run();
-        }
     }
 
-    /** A command that says what is wrong in one line. */
-    abstract static class One extends Main.Command {
+    /** A command that prints rows. */
+    abstract static class One extends Main.Guarded {
         @Option(name = "--json", usage = "print for programs: one JSON object a line")
         boolean json;
 
         PrintStream out = System.out;
 
-        abstract int work() throws IOException;
-
-        @Override
-        int run() {
-            try {
-                return work();
-            } catch (IOException | Unusable | IllegalArgumentException e) {
-                System.err.println("tansytrack: " + e.getMessage());
-                return UNUSABLE;
-            }
-        }
-
         /** One row, by column. */
         void row(Map<String, Object> columns) {
             if (json) {
-                out.println(columns.entrySet().stream().map(one -> quoted(one.getKey()) + ':' + (one.getValue() instanceof Long
-                        || one.getValue() instanceof Boolean ? one.getValue().toString() : quoted(one.getValue().toString())))
+                out.println(columns.entrySet().stream().map(one -> JsonLinesWriter.quoted(one.getKey()) + ':' + (one.getValue() instanceof Long
+                        || one.getValue() instanceof Boolean ? one.getValue().toString() : JsonLinesWriter.quoted(one.getValue().toString())))
                         .collect(Collectors.joining(",", "{", "}")));
             } else {
                 rows.add(columns.values().stream().map(Object::toString).toList());
@@ -129,14 +112,6 @@
             names = null;
         }
 
-        private static String quoted(String text) {
-            StringBuilder made = new StringBuilder("\"");
-            for (char c : text.toCharArray()) {
-                made.append(c == '"' || c == '\\' ? "\\" + c : c < ' ' ? String.format("\\u%04x", (int) c) : String.valueOf(c));
-            }
-            return made.append('"').toString();
-        }
-
         static Map<String, Object> columns(Object... pairs) {
             Map<String, Object> made = new java.util.LinkedHashMap<>();
             for (int i = 0; i < pairs.length; i += 2) {
--- a/src/main/java/tansytrack/Main.java
+++ b/src/main/java/tansytrack/Main.java
@@ -10,12 +10,13 @@
 import org.kohsuke.args4j.spi.SubCommands;
 import tansytrack.adapter.Adapter;
 import tansytrack.service.Service;
+import tansytrack.settings.Unusable;
 
 /** The command line. */
 public final class Main {
 
     private static final String PROGRAM = "java -jar tansytrack.jar ";
-    private static final int USAGE = 2;
+    static final int UNUSABLE = 2;
 
     @Argument(required = true, metaVar = "COMMAND", usage = "serve, adapter, check, rehearse, ledger, lab or version",
             handler = SubCommandHandler.class)
@@ -36,13 +37,39 @@
 
         abstract int run() throws IOException;
 
-        /** The command within, in a group. */
-        Command inner() {
-            return null;
+        /** The one whose help is asked for, or that is to run. */
+        Command asked() {
+            return this;
+        }
+    }
+
+    /** Commands under one name. */
+    abstract static class Group extends Command {
+        abstract Command inner();
+
+        @Override
+        final Command asked() {
+            return super.help ? this : inner().asked();
         }
 
-        private Command asked() {
-            return help || inner() == null ? this : inner().asked();
+        @Override
+        final int run() throws IOException {
+            return inner().run();
+        }
+    }
+
+    /** A command that says in one line what cannot be used, and ends with code 2. */
+    abstract static class Guarded extends Command {
+        abstract int work() throws IOException;
+
+        @Override
+        final int run() {
+            try {
+                return work();
+            } catch (IOException | Unusable | IllegalArgumentException e) {
+                System.err.println("tansytrack: " + e.getMessage());
+                return UNUSABLE;
+            }
         }
     }
 
@@ -139,7 +166,7 @@
         } catch (CmdLineException e) {
             System.err.println("tansytrack: " + e.getMessage());
             System.err.println("usage: " + PROGRAM + "serve | adapter | check [FILE] | rehearse [FILE] | ledger ... | lab ... | version   (each with --help)");
-            return USAGE;
+            return UNUSABLE;
         }
         Command asked = main.command.asked();
         if (asked.help) {
--- a/src/main/java/tansytrack/lab/Laboratory.java
+++ b/src/main/java/tansytrack/lab/Laboratory.java
@@ -1,9 +1,7 @@
 package tansytrack.lab;
 
-import com.google.protobuf.TextFormat;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -13,6 +11,7 @@
 import java.util.TreeSet;
 import tansytrack.lab.proto.Experiment;
 import tansytrack.lab.proto.Fault;
+import tansytrack.log.JsonLinesWriter;
 import tansytrack.settings.Unusable;
 
 /** Runs an experiment: as many runs as its file says, a figure each, then its claims over all of them. */
@@ -21,23 +20,15 @@
     private Laboratory() { }
 
     public static Experiment read(String file) {
-        Experiment.Builder made = Experiment.newBuilder();
-        try {
-            TextFormat.merge(Files.readString(Path.of(file), StandardCharsets.UTF_8), made);
-        } catch (TextFormat.ParseException e) {
-            throw new Unusable(file + ':' + e.getMessage());
-        } catch (IOException e) {
-            throw new Unusable(file + ": cannot be read: " + e);
-        }
-        Experiment read = made.build();
-        bounded(file, "managers", read.getManagers(), 1, 16);
-        bounded(file, "engines", read.getEngines(), 1, 64);
-        bounded(file, "clients", read.getClients(), 1, 256);
-        bounded(file, "seconds", read.getSeconds(), 1, 3600);
-        bounded(file, "runs", read.getRuns(), 1, 1000);
-        bounded(file, "least_work_ms", read.getLeastWorkMs(), 0, 10000);
+        Experiment read = TextFile.parsed(file, TextFile.text(file), Experiment.newBuilder()).build();
+        TextFile.bounded(file, "managers", read.getManagers(), 1, 16);
+        TextFile.bounded(file, "engines", read.getEngines(), 1, 64);
+        TextFile.bounded(file, "clients", read.getClients(), 1, 256);
+        TextFile.bounded(file, "seconds", read.getSeconds(), 1, 3600);
+        TextFile.bounded(file, "runs", read.getRuns(), 1, 1000);
+        TextFile.bounded(file, "least_work_ms", read.getLeastWorkMs(), 0, 10000);
         for (Fault fault : read.getFaultsList()) {
-            bounded(file, "faults.manager", fault.getManager(), 0, read.getManagers() - 1);
+            TextFile.bounded(file, "faults.manager", fault.getManager(), 0, read.getManagers() - 1);
         }
         if (read.getClaimsCount() == 0) {
             throw new Unusable(file + ": claims: missing; allowed: one and more");
@@ -45,14 +36,8 @@
         return read;
     }
 
-    private static void bounded(String file, String field, int value, int least, int most) {
-        if (value < least || value > most) {
-            throw new Unusable(file + ": " + field + ": '" + value + "'; allowed: " + least + " to " + most);
-        }
-    }
-
     /** Plays all runs; true where every claim holds. Figures of several runs are their worst: the sum of what must not be. */
-    public static boolean run(Experiment experiment, long seed, Path out, PrintStream to) throws Exception {
+    public static boolean run(Experiment experiment, long seed, Path out, PrintStream to) throws IOException, InterruptedException {
         Files.createDirectories(out);
         List<Map<String, Double>> all = new ArrayList<>();
         for (int i = 0; i < experiment.getRuns(); i++) {
@@ -87,11 +72,11 @@
             csv.append('\n');
         }
         Files.writeString(out.resolve("result.csv"), csv);
-        StringBuilder json = new StringBuilder("{\"name\":\"" + experiment.getName() + "\",\"seed\":" + seed + ",\"runs\":" + all.size()
+        StringBuilder json = new StringBuilder("{\"name\":" + JsonLinesWriter.quoted(experiment.getName()) + ",\"seed\":" + seed + ",\"runs\":" + all.size()
                 + ",\"claims\":[");
         for (int i = 0; i < judged.size(); i++) {
             Claims.Judged one = judged.get(i);
-            json.append(i > 0 ? "," : "").append("{\"figure\":\"").append(one.figure()).append("\",\"bound\":\"").append(one.bound())
+            json.append(i > 0 ? "," : "").append("{\"figure\":").append(JsonLinesWriter.quoted(one.figure())).append(",\"bound\":\"").append(one.bound())
                     .append("\",\"measured\":\"").append(one.measured()).append("\",\"held\":").append(one.held()).append('}');
         }
         Files.writeString(out.resolve("summary.json"), json.append("]}\n"));
--- a/src/main/java/tansytrack/lab/LedgerRun.java
+++ b/src/main/java/tansytrack/lab/LedgerRun.java
@@ -32,7 +32,7 @@
     private long exportsKilled;
     private long managersKilled;
     private volatile boolean over;
-    private volatile Exception failure;
+    private volatile IOException failure;
 
     LedgerRun(Experiment experiment, long seed, Path folder) throws IOException {
         this.experiment = experiment;
@@ -54,7 +54,7 @@
     }
 
     /** Plays it, and gives its figures. */
-    Map<String, Double> play() throws Exception {
+    Map<String, Double> play() throws IOException, InterruptedException {
         for (ManagerProcess one : managers) {
             one.start();
         }
@@ -142,8 +142,10 @@
             try {
                 of.export().waitFor();
                 check.look(managers);
-            } catch (IOException | InterruptedException e) {
+            } catch (IOException e) {
                 failure = e;
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
             }
         }
     }
@@ -170,8 +172,10 @@
                     exportsKilled += running ? 1 : 0;
                 }
             }
-        } catch (IOException | InterruptedException e) {
+        } catch (IOException e) {
             failure = e;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
--- a/src/main/java/tansytrack/lab/LoadCommand.java
+++ b/src/main/java/tansytrack/lab/LoadCommand.java
@@ -2,13 +2,11 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import tansytrack.lab.load.Latencies;
-import tansytrack.settings.Unusable;
 
 /** Plays a load file against a listener on loopback and judges its claims. */
 public final class LoadCommand {
@@ -18,7 +16,7 @@
     /** True where the run is not void and every claim holds. */
     public static boolean run(String name, String to, long seed, Path out, PrintStream told) throws IOException, InterruptedException {
         LoadFile file = LoadFile.read(name);
-        OpenLoop loop = new OpenLoop(file, address(to), seed);
+        OpenLoop loop = new OpenLoop(file, TextFile.loopback("--to", to), seed);
         loop.play();
         Map<String, Double> figures = loop.figures();
         Files.createDirectories(out);
@@ -38,17 +36,4 @@
         judged.forEach(one -> told.printf("%-34s %-14s %-14s %s%n", one.figure(), one.bound(), one.measured(), one.held() ? "held" : "NOT HELD"));
         return judged.stream().allMatch(Claims.Judged::held);
     }
-
-    private static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        try {
-            InetSocketAddress at = new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-            if (!at.isUnresolved() && at.getAddress().isLoopbackAddress()) {
-                return at;
-            }
-        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
-            // said below
-        }
-        throw new Unusable("--to '" + text + "'; allowed: a loopback address with a port, as in 127.0.0.1:6565");
-    }
 }
--- a/src/main/java/tansytrack/lab/LoadFile.java
+++ b/src/main/java/tansytrack/lab/LoadFile.java
@@ -1,10 +1,5 @@
 package tansytrack.lab;
 
-import com.google.protobuf.TextFormat;
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
 import tansytrack.lab.load.Behaviour;
 import tansytrack.lab.load.Mix;
@@ -31,21 +26,11 @@
     }
 
     static LoadFile read(String file) {
-        try {
-            return of(file, Files.readString(Path.of(file), StandardCharsets.UTF_8));
-        } catch (IOException e) {
-            throw new Unusable(file + ": cannot be read: " + e);
-        }
+        return of(file, TextFile.text(file));
     }
 
     static LoadFile of(String file, String text) {
-        Load.Builder made = Load.newBuilder();
-        try {
-            TextFormat.merge(text, made);
-        } catch (TextFormat.ParseException e) {
-            throw new Unusable(file + ':' + e.getMessage());
-        }
-        LoadFile read = new LoadFile(file, made.build());
+        LoadFile read = new LoadFile(file, TextFile.parsed(file, text, Load.newBuilder()).build());
         read.check();
         return read;
     }
@@ -70,10 +55,7 @@
     }
 
     private void bounded(String field, double value, double least, double most) {
-        if (!(value >= least && value <= most)) {
-            throw new Unusable(file + ": " + field + ": '" + Claims.shown(value) + "'; allowed: " + Claims.shown(least) + " to "
-                    + Claims.shown(most));
-        }
+        TextFile.bounded(file, field, value, least, most);
     }
 
     private Shape shape() {
--- a/src/main/java/tansytrack/lab/StandIns.java
+++ b/src/main/java/tansytrack/lab/StandIns.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import tansytrack.settings.Unusable;
 import tansytrack.wire.Json;
@@ -17,14 +15,14 @@
 
     public static void of(String file, int workMs, PrintStream out) throws IOException {
         try {
-            Map<String, Object> all = Json.map(Json.read(Files.readAllBytes(Path.of(file))), "the configuration");
-            StandInChannel channel = new StandInChannel(address(all.get("channel"), "channel"));
+            Map<String, Object> all = Json.map(Json.read(TextFile.text(file).getBytes(StandardCharsets.UTF_8)), "the configuration");
+            StandInChannel channel = new StandInChannel(TextFile.loopback("channel", Json.text(all.get("channel"), "channel")));
             for (Object event : Json.list(Json.map(all.get("known"), "known").get("cmds"), "cmds")) {
                 Map<String, Object> nodes = Json.map(Json.map(event, "an event").get("nodes"), "nodes");
                 for (Object member : Json.list(nodes.get("members"), "members")) {
                     Map<String, Object> one = Json.map(member, "a member");
                     StandInEngine engine = new StandInEngine(Json.text(one.get("id"), "id"),
-                            address(one.get("host_port"), "host_port"), workMs, workMs);
+                            TextFile.loopback("host_port", Json.text(one.get("host_port"), "host_port")), workMs, workMs);
                     out.println(engine.name() + " at " + engine.address());
                 }
                 // The numbers of the file's own events are taken; those who have them are told nothing more.
@@ -32,21 +30,7 @@
             }
             out.println("command channel at " + channel.address());
         } catch (Junk e) {
-            throw new Unusable(e.getMessage());
+            throw new Unusable(file + ": " + e.getMessage());
         }
     }
-
-    private static InetSocketAddress address(Object value, String field) throws Junk {
-        String text = Json.text(value, field);
-        int colon = text.lastIndexOf(':');
-        try {
-            InetSocketAddress at = new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-            if (!at.isUnresolved() && at.getAddress().isLoopbackAddress()) {
-                return at;
-            }
-        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
-            // said below
-        }
-        throw new Junk(field + ": '" + text + "' is no loopback address with a port");
-    }
 }
--- a/src/main/java/tansytrack/ledger/Entry.java
+++ b/src/main/java/tansytrack/ledger/Entry.java
@@ -1,5 +1,6 @@
 package tansytrack.ledger;
 
+import java.math.BigDecimal;
 import java.util.List;
 
 /**
@@ -9,6 +10,15 @@
 public record Entry(long epoch, long sequence, String task, String tenant, String grade, long takenAt, long endedAt,
         End end, long bytes, long earningsMilli, List<Use> uses) {
 
+    /** Memory granted times time in MB-nanoseconds, with or without what was wasted. */
+    public BigDecimal held(boolean withWaste) {
+        BigDecimal held = BigDecimal.ZERO;
+        for (Use use : uses) {
+            held = withWaste || !use.wasted() ? held.add(use.held()) : held;
+        }
+        return held;
+    }
+
     /** Work in nanoseconds, with or without what was wasted. */
     public long work(boolean withWaste) {
         long work = 0;
--- a/src/main/java/tansytrack/ledger/Outflow.java
+++ b/src/main/java/tansytrack/ledger/Outflow.java
@@ -47,11 +47,13 @@
         if (handed - durable + (gap ? 2 : 1) + (long) LINES_A_TASK * openTasks > mostUnwritten) {
             if (!gap) {
                 gapFrom = now;
-                gapFirst = line.sequence();
-                gapLast = line.sequence();
+                gapFirst = 0;
+                gapLast = 0;
+            }
+            if (line.sequence() > 0) {          // what is told of an earlier life has no number in this one
+                gapFirst = gapFirst == 0 ? line.sequence() : Math.min(gapFirst, line.sequence());
+                gapLast = Math.max(gapLast, line.sequence());
             }
-            gapFirst = Math.min(gapFirst, line.sequence());
-            gapLast = Math.max(gapLast, line.sequence());
             gapLines++;
             return List.of();
         }
--- a/src/main/java/tansytrack/ledger/Rates.java
+++ b/src/main/java/tansytrack/ledger/Rates.java
@@ -50,15 +50,8 @@
             return BigDecimal.ZERO;
         }
         BigDecimal sum = entry.end() == End.HANDLED ? rate.perTask : BigDecimal.ZERO;
-        BigDecimal held = BigDecimal.ZERO;
-        for (Use use : entry.uses()) {
-            if (wasteBilled || !use.wasted()) {
-                held = held.add(use.endedAt() == 0 ? BigDecimal.ZERO
-                        : BigDecimal.valueOf(use.grantedMb()).multiply(BigDecimal.valueOf(use.endedAt() - use.sentAt())));
-            }
-        }
         return sum.add(part(rate.perWorkSecond, BigDecimal.valueOf(entry.work(wasteBilled)), NS_A_SECOND))
-                .add(part(rate.perGbSecond, held, MB_NS_A_GB_SECOND))
+                .add(part(rate.perGbSecond, entry.held(wasteBilled), MB_NS_A_GB_SECOND))
                 .add(part(rate.perMb, BigDecimal.valueOf(entry.bytes()), BYTES_A_MB));
     }
 
--- a/src/main/java/tansytrack/ledger/disk/Billing.java
+++ b/src/main/java/tansytrack/ledger/disk/Billing.java
@@ -24,20 +24,14 @@
 
     private Billing() { }
 
-    /** Gives entries alone to someone who wants no more. */
-    private abstract static class Entries implements Store.Lines {
-        @Override
-        public void amendment(long position, Amendment amendment) { }
-
-        @Override
-        public void gap(long position, Gap gap) { }
-    }
-
     public static Bill bill(Store store, Periods periods, Rates rates, String period) throws IOException {
         long upTo = store.closed().stream().filter(one -> one.period().equals(period)).mapToLong(Store.Closed::upTo).findAny()
                 .orElse(0);
-        Bill bill = new Bill(period, periods, rates, upTo);
-        store.read(1, Long.MAX_VALUE, new Entries() {
+        return filled(store, new Bill(period, periods, rates, upTo));
+    }
+
+    private static Bill filled(Store store, Bill bill) throws IOException {
+        store.read(1, Long.MAX_VALUE, new Store.Lines() {
             @Override
             public void entry(long position, Entry entry) {
                 bill.take(position, entry);
@@ -54,7 +48,7 @@
     /** Complete tasks by period. */
     public static Map<String, Long> counts(Store store, Periods periods) throws IOException {
         Map<String, Long> counts = new TreeMap<>();
-        store.read(1, Long.MAX_VALUE, new Entries() {
+        store.read(1, Long.MAX_VALUE, new Store.Lines() {
             @Override
             public void entry(long position, Entry entry) {
                 counts.merge(periods.of(entry.takenAt()), 1L, Long::sum);
@@ -66,13 +60,7 @@
     public static Store.Closed close(Store store, OperatorFile.LedgerSection section, String period, String author, long now)
             throws IOException {
         long upTo = store.last();
-        Bill bill = new Bill(period, section.periods(), section.rates(), upTo);
-        store.read(1, upTo, new Entries() {
-            @Override
-            public void entry(long position, Entry entry) {
-                bill.take(position, entry);
-            }
-        });
+        Bill bill = filled(store, new Bill(period, section.periods(), section.rates(), upTo));
         Store.Closed closed = new Store.Closed(period, upTo, now, author, hash(bill), section.billingText());
         store.close(closed);
         return closed;
@@ -103,7 +91,7 @@
     /** Writes an amendment for each entry that the statements resolve; gives those written. */
     public static List<Amendment> resolve(Store store, Resolutions by, String author, long now) throws IOException {
         List<Amendment> wanted = new ArrayList<>();
-        store.read(1, Long.MAX_VALUE, new Entries() {
+        store.read(1, Long.MAX_VALUE, new Store.Lines() {
             @Override
             public void entry(long position, Entry entry) {
                 Amendment one = by.of(entry, author, now);
--- a/src/main/java/tansytrack/ledger/disk/Forms.java
+++ b/src/main/java/tansytrack/ledger/disk/Forms.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 import org.apache.commons.csv.CSVFormat;
 import org.apache.commons.csv.CSVPrinter;
 import tansytrack.ledger.Amendment;
@@ -59,13 +60,9 @@
 
         @Override
         public void entry(long at, Entry one) throws IOException {
-            BigDecimal held = BigDecimal.ZERO;
-            for (Use use : one.uses()) {
-                held = held.add(BigDecimal.valueOf(use.held()));
-            }
             csv.printRecord(number, at, "entry", manager, one.epoch(), one.sequence(), one.task(), one.tenant(), one.grade(),
                     one.takenAt(), one.endedAt(), one.end(), one.bytes(), one.earningsMilli(), one.uses().size(), one.work(true),
-                    one.work(true) - one.work(false), held.toBigInteger(), "", "", "", "", "");
+                    one.work(true) - one.work(false), one.held(true), "", "", "", "", "");
         }
 
         @Override
@@ -116,12 +113,13 @@
         }
     }
 
-    /** Reads an exported batch in protobuf; gives its head. */
-    static BatchHead read(InputStream from, Store.Lines to) throws IOException {
+    /** Reads an exported batch in protobuf, for whoever wants that manager's lines; gives its head. */
+    static BatchHead read(InputStream from, Function<String, Store.Lines> wants) throws IOException {
         BatchHead head = BatchHead.parseDelimitedFrom(from);
         if (head == null || head.getManager().isEmpty() || head.getLines() < 1) {
             throw new IOException("is no exported batch");
         }
+        Store.Lines to = wants.apply(head.getManager());
         for (long i = 0; i < head.getLines(); i++) {
             Line line = Line.parseDelimitedFrom(from);
             if (line == null) {
--- a/src/main/java/tansytrack/ledger/disk/LedgerFiles.java
+++ b/src/main/java/tansytrack/ledger/disk/LedgerFiles.java
@@ -12,12 +12,10 @@
 import java.util.stream.Stream;
 import org.apache.commons.csv.CSVFormat;
 import org.apache.commons.csv.CSVRecord;
-import tansytrack.ledger.Amendment;
 import tansytrack.ledger.Entry;
 import tansytrack.ledger.Gap;
 import tansytrack.ledger.Merged;
 import tansytrack.ledger.Reconciliation;
-import tansytrack.ledger.proto.BatchHead;
 
 /** Ledgers, exported batches and engines' statements, read from where they are. */
 public final class LedgerFiles {
@@ -53,23 +51,13 @@
     private static void batch(Path file, Merged all) throws IOException {
         try (InputStream in = new BufferedInputStream(Files.newInputStream(file), 1 << 16)) {
             Merged one = new Merged();
-            Forms.read(in, into(one, head(file)));
+            Forms.read(in, manager -> into(one, manager));
             all.add(one);                   // only once it was read whole
         } catch (IOException e) {
             throw new IOException(file + ": " + e.getMessage(), e);
         }
     }
 
-    private static String head(Path file) throws IOException {
-        try (InputStream in = Files.newInputStream(file)) {
-            BatchHead head = BatchHead.parseDelimitedFrom(in);
-            if (head == null) {
-                throw new IOException("is empty");
-            }
-            return head.getManager();
-        }
-    }
-
     private static Store.Lines into(Merged all, String manager) {
         return new Store.Lines() {
             @Override
@@ -77,9 +65,6 @@
                 all.add(manager, entry);
             }
 
-            @Override
-            public void amendment(long position, Amendment amendment) { }
-
             @Override
             public void gap(long position, Gap gap) {
                 all.add(manager, gap);
--- a/src/main/java/tansytrack/ledger/disk/Recorder.java
+++ b/src/main/java/tansytrack/ledger/disk/Recorder.java
@@ -42,6 +42,7 @@
     private final boolean bounces;                          // where there is no room for what a task brings
     private final long commitEvery;
     private final Map<String, Grade> grades = new HashMap<>();
+    private final List<TaskWatch.Left> left;
     private final Bookkeeper book = new Bookkeeper(this::earned);
     private final Outflow outflow;
     private final SpscArrayQueue<Line> queue;
@@ -50,8 +51,6 @@
     private volatile boolean ending;
     private volatile long lastEffort;
 
-    private final List<TaskWatch.Left> left;
-
     private Recorder(OperatorFile.LedgerSection section, Store store, List<TaskWatch.Left> left, List<Grade> known,
             Timers timers, Consumer<Runnable> inbox) {
         this.store = store;
@@ -241,7 +240,8 @@
                     continue;
                 }
             } else if (last) {
-                outflowWritten(written);
+                // The loop is in close() and takes no notes any more, so the count is set here; join() orders it.
+                outflow.durable(written);
                 break;
             }
             if (queue.size() < BATCH / 2 && !last && (!afterCommit && !intentsFirst || queue.isEmpty())) {
@@ -254,9 +254,4 @@
             Event.error("ledger.disk.fails", "ledger: " + e.getMessage(), "cause", e.getMessage());
         }
     }
-
-    /** The loop is in close() and takes no notes any more, so the count is set here; join() orders it. */
-    private void outflowWritten(long written) {
-        outflow.durable(written);
-    }
 }
--- a/src/main/java/tansytrack/ledger/disk/Store.java
+++ b/src/main/java/tansytrack/ledger/disk/Store.java
@@ -78,13 +78,13 @@
     public record Batch(long number, long first, long last, String form, String sha, long size, long sealedAt,
             long placedAt, long ackedAt) { }
 
-    /** Reads lines in the order of their positions. */
+    /** Reads lines in the order of their positions; what is not overridden is passed over. */
     public interface Lines {
-        void entry(long position, Entry entry) throws IOException;
+        default void entry(long position, Entry entry) throws IOException { }
 
-        void amendment(long position, Amendment amendment) throws IOException;
+        default void amendment(long position, Amendment amendment) throws IOException { }
 
-        void gap(long position, Gap gap) throws IOException;
+        default void gap(long position, Gap gap) throws IOException { }
     }
 
     private final Path folder;
@@ -325,12 +325,10 @@
 
     // ---- The running manager's side ----
 
-    /** Begins a new epoch: what earlier ones left open has no end that anybody told. Gives the number of such tasks. */
-    long beginEpoch(long now) throws IOException {
-        return beginEpoch(now, (task, engine) -> { });
-    }
-
-    /** The same, and tells each forward that was left out, by task and engine. */
+    /**
+     * Begins a new epoch: what earlier ones left open has no end that anybody told. Gives the number of such tasks, and tells
+     * each forward that was left out, by task and engine.
+     */
     long beginEpoch(long now, BiConsumer<String, String> left) throws IOException {
         return atomically("epoch", () -> {
             try (Statement run = db.createStatement()) {
@@ -400,6 +398,7 @@
                             + " bytes = excluded.bytes, earnings = excluded.earnings, pos = excluded.pos");
                     PreparedStatement complete = db.prepareStatement("UPDATE entry SET pos = ? WHERE epoch = ? AND seq = ?"
                             + " AND pos IS NULL AND ended IS NOT NULL");
+                    PreparedStatement told = db.prepareStatement("INSERT OR IGNORE INTO told VALUES(?, ?, ?, ?)");
                     PreparedStatement missing = db.prepareStatement("INSERT INTO gap VALUES(?, ?, ?, ?, ?, ?, ?, ?, ?)")) {
                 for (Line line : lines) {
                     if (line instanceof Line.Sent one) {
@@ -424,10 +423,8 @@
                                 one.complete() ? (Long) (at + 1) : null).executeUpdate();
                         at += one.complete() ? 1 : 0;
                     } else if (line instanceof Line.Told one) {
-                        try (PreparedStatement put = db.prepareStatement("INSERT OR IGNORE INTO told VALUES(?, ?, ?, ?)")) {
-                            set(put, one.run().engine(), one.run().task(), one.run().work(), one.run().done() ? 1 : 0)
-                                    .executeUpdate();
-                        }
+                        set(told, one.run().engine(), one.run().task(), one.run().work(), one.run().done() ? 1 : 0)
+                                .executeUpdate();
                     } else if (line instanceof Line.Missing one) {
                         Gap gap = one.gap();
                         set(missing, epoch, gap.number(), gap.firstSequence(), gap.lastSequence(), gap.from(), gap.until(),
@@ -485,10 +482,7 @@
     }
 
     private void readAll(long first, long last, Lines to) throws SQLException, IOException {
-        TreeMap<Long, Object> others = new TreeMap<>();
-        for (Amendment one : amendmentsAt(first, last).values()) {
-            others.put(positionOf(one), one);
-        }
+        TreeMap<Long, Object> others = new TreeMap<>(amendmentsAt(first, last));
         try (PreparedStatement ask = reader.prepareStatement("SELECT epoch, number, first, last, from_at, until_at, lines, cause,"
                 + " pos FROM gap WHERE pos BETWEEN ? AND ?"); ResultSet found = set(ask, first, last).executeQuery()) {
             while (found.next()) {
@@ -538,25 +532,18 @@
         }
     }
 
-    private long positionOf(Amendment one) throws SQLException {
-        try (PreparedStatement ask = reader.prepareStatement("SELECT pos FROM amendment WHERE number = ?");
-                ResultSet found = set(ask, one.number()).executeQuery()) {
-            found.next();
-            return found.getLong(1);
-        }
-    }
-
     public List<Amendment> amendments() throws IOException {
         return reading(() -> List.copyOf(amendmentsAt(0, Long.MAX_VALUE).values()));
     }
 
+    /** By position, which is also their order by number. */
     private TreeMap<Long, Amendment> amendmentsAt(long first, long last) throws SQLException {
         TreeMap<Long, Amendment> all = new TreeMap<>();
         try (PreparedStatement ask = reader.prepareStatement("SELECT number, period, tenant, amount, author, reason, corrects, at,"
-                + " withdraws FROM amendment WHERE pos BETWEEN ? AND ? ORDER BY number");
+                + " withdraws, pos FROM amendment WHERE pos BETWEEN ? AND ?");
                 ResultSet found = set(ask, first, last).executeQuery()) {
             while (found.next()) {
-                all.put(found.getLong(1), new Amendment(found.getLong(1), found.getString(2), found.getString(3),
+                all.put(found.getLong(10), new Amendment(found.getLong(1), found.getString(2), found.getString(3),
                         new BigDecimal(found.getString(4)), found.getString(5), found.getString(6), found.getString(7),
                         found.getLong(8), found.getInt(9) != 0));
             }
--- a/src/main/java/tansytrack/log/JsonLinesWriter.java
+++ b/src/main/java/tansytrack/log/JsonLinesWriter.java
@@ -58,27 +58,25 @@
     }
 
     private static void put(StringBuilder line, String name, String value) {
-        line.append(line.length() > 1 ? "," : "");
-        quote(line, name);
-        line.append(':');
-        quote(line, value);
+        line.append(line.length() > 1 ? "," : "").append(quoted(name)).append(':').append(quoted(value));
     }
 
-    private static void quote(StringBuilder line, String text) {
-        line.append('"');
+    /** A text as a JSON string. */
+    public static String quoted(String text) {
+        StringBuilder made = new StringBuilder(text.length() + 2).append('"');
         for (int i = 0; i < text.length(); i++) {
             char c = text.charAt(i);
             if (c == '"' || c == '\\') {
-                line.append('\\').append(c);
+                made.append('\\').append(c);
             } else if (c == '\n') {
-                line.append("\\n");
+                made.append("\\n");
             } else if (c < ' ') {
-                line.append(String.format("\\u%04x", (int) c));
+                made.append(String.format("\\u%04x", (int) c));
             } else {
-                line.append(c);
+                made.append(c);
             }
         }
-        line.append('"');
+        return made.append('"').toString();
     }
 
     @Override
--- a/src/main/java/tansytrack/operator/OperatorFile.java
+++ b/src/main/java/tansytrack/operator/OperatorFile.java
@@ -41,12 +41,10 @@
     /** Use in a period that is worth a warning; 0: no bound. */
     public record QuotaLine(String tenant, long tasks, long work) { }
 
-    private final String file;
     private final LedgerSection ledger;
     private final boolean jsonLines;
 
-    private OperatorFile(String file, boolean jsonLines, LedgerSection ledger) {
-        this.file = file;
+    private OperatorFile(boolean jsonLines, LedgerSection ledger) {
         this.jsonLines = jsonLines;
         this.ledger = ledger;
     }
@@ -61,10 +59,6 @@
         return jsonLines;
     }
 
-    public String file() {
-        return file;
-    }
-
     public static OperatorFile read(String file) {
         String text;
         try {
@@ -85,7 +79,7 @@
         }
         Operator all = made.build();
         Place root = new Place(file, places.build());
-        return new OperatorFile(file, all.getLog().getForm() == Log.Form.JSON_LINES, all.hasLedger() ? ledger(all.getLedger(),
+        return new OperatorFile(all.getLog().getForm() == Log.Form.JSON_LINES, all.hasLedger() ? ledger(all.getLedger(),
                 root.in(Operator.getDescriptor().findFieldByName("ledger"), 0)) : null);
     }
 
--- a/src/main/java/tansytrack/service/ConfigFile.java
+++ b/src/main/java/tansytrack/service/ConfigFile.java
@@ -32,8 +32,8 @@
         this.path = Path.of(path);
     }
 
-    /** A configuration that was read whole, with its addresses. */
-    record Whole(Config config, InetSocketAddress listen, InetSocketAddress channel, String from) { }
+    /** A configuration that was read whole, where its channel is, and what was read. */
+    record Whole(Config config, InetSocketAddress channel, String from) { }
 
     /** It cannot be used, but may be whole a moment later. */
     static final class Unsettled extends IOException {
@@ -98,7 +98,8 @@
         }
         try {
             Config config = Config.of(Json.read(bytes));
-            return new Whole(config, address("listen", config.listen()), address("channel", config.channel()), what);
+            address("listen", config.listen());
+            return new Whole(config, address("channel", config.channel()), what);
         } catch (Junk e) {
             throw unusable(what, e, e.cutOff(), before, after, bytes.length);
         } catch (Unusable e) {
--- a/src/test/java/tansytrack/ledger/BookTest.java
+++ b/src/test/java/tansytrack/ledger/BookTest.java
@@ -64,6 +64,19 @@
         assertThat(flow.unwritten()).isEqualTo(4);
     }
 
+    @Test
+    void aLineWithoutANumberDoesNotWidenTheGap() {
+        for (int i = 1; i <= 4; i++) {
+            flow.offer(i, bounced(i));
+        }
+        Line told = new Line.Told(new Reconciliation.Run("e", "t", 1, true));
+        flow.offer(5, told);
+        flow.offer(6, bounced(5));
+        flow.offer(7, told);
+        flow.durable(4);
+        assertThat(flow.idle(8)).containsExactly(new Line.Missing(new Gap(7, 1, 5, 5, 5, 8, 3, "the disk did not keep up")));
+    }
+
     @Test
     void anOpenGapGoesOutWithoutAFurtherTask() {
         for (int i = 1; i <= 5; i++) {
--- a/src/test/java/tansytrack/ledger/disk/StoreTest.java
+++ b/src/test/java/tansytrack/ledger/disk/StoreTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -20,7 +21,6 @@
 import tansytrack.ledger.Bookkeeper;
 import tansytrack.ledger.End;
 import tansytrack.ledger.Entry;
-import tansytrack.ledger.Gap;
 import tansytrack.ledger.Line;
 import tansytrack.ledger.Merged;
 import tansytrack.ledger.Reconciliation;
@@ -29,6 +29,8 @@
 /** The ledger on a disk that fails at every step, and managers that die in between. */
 class StoreTest {
 
+    private static final BiConsumer<String, String> NOBODY = (task, engine) -> { };
+
     @TempDir
     Path folder;
     private final Bookkeeper book = new Bookkeeper((grade, end, time) -> 0);
@@ -67,12 +69,6 @@
             public void entry(long position, Entry entry) {
                 all.add(entry);
             }
-
-            @Override
-            public void amendment(long position, Amendment amendment) { }
-
-            @Override
-            public void gap(long position, Gap gap) { }
         });
         return all;
     }
@@ -80,7 +76,7 @@
     @Test
     void whatALifeLeftOpenIsUnresolvedInTheNextAndNeverDropped() throws IOException {
         try (Store store = Store.forManager(ledger(), "m", Faults.NONE)) {
-            assertThat(store.beginEpoch(1)).isZero();
+            assertThat(store.beginEpoch(1, NOBODY)).isZero();
             store.write(tasks(0, 9));
             assertThat(store.last()).isEqualTo(6);
             assertThat(store.openTasks()).isEqualTo(3);
@@ -141,7 +137,7 @@
     @Test
     void aTornTailCostsTheUnsyncedTailAlone() throws IOException {
         try (Store store = Store.forManager(ledger(), "m", Faults.NONE)) {
-            store.beginEpoch(1);
+            store.beginEpoch(1, NOBODY);
             store.write(tasks(0, 30));
             store.write(tasks(30, 30));
             // As after a power cut: the files as they are on the disk, the log cut within its last transaction.
@@ -153,7 +149,7 @@
         try (Store store = Store.forManager(folder.resolve("torn"), "m", Faults.NONE)) {
             assertThat(store.damage()).isNull();
             assertThat(store.last()).isEqualTo(20);
-            assertThat(store.beginEpoch(2)).isEqualTo(10);
+            assertThat(store.beginEpoch(2, NOBODY)).isEqualTo(10);
         }
     }
 
@@ -181,12 +177,12 @@
         for (boolean more = true; more; steps++) {
             Path here = folder.resolve("n" + steps);
             try (Store store = Store.forManager(here, "m", Faults.NONE)) {
-                store.beginEpoch(1);
+                store.beginEpoch(1, NOBODY);
                 store.write(tasks(steps * 1000, 30));
             }
             Broken faults = new Broken(steps);
             try (Store store = Store.forManager(here, "m", faults)) {
-                store.beginEpoch(2);
+                store.beginEpoch(2, NOBODY);
                 store.write(new ArrayList<>(new StoreTest().tasks(0, 9)));
                 new Exporter(store, here.resolve("out"), faults).run("protobuf", 25, 5);
             } catch (IOException e) {
@@ -194,7 +190,7 @@
             }
             more = faults.broke;
             try (Store store = Store.forManager(here, "m", Faults.NONE)) {
-                store.beginEpoch(3);
+                store.beginEpoch(3, NOBODY);
                 new Exporter(store, here.resolve("out"), Faults.NONE).run("protobuf", 25, 6);
                 List<Store.Batch> batches = store.batches();
                 long next = 1;
@@ -218,7 +214,7 @@
     @ValueSource(strings = {"protobuf", "csv"})
     void aNumberAlwaysHasTheSameBytes(String form) throws IOException {
         try (Store store = Store.forManager(ledger(), "m", Faults.NONE)) {
-            store.beginEpoch(1);
+            store.beginEpoch(1, NOBODY);
             store.write(tasks(0, 30));
             store.amend(new Amendment(0, "2026-02", "a", new java.math.BigDecimal("-1.25"), "me", "a, \"b\"", "", 9, false));
             Exporter exporter = new Exporter(store, out(), Faults.NONE);
@@ -239,7 +235,7 @@
     @Test
     void aDamagedBatchIsNamedAndTheOthersAreRead() throws IOException {
         try (Store store = Store.forManager(ledger(), "m", Faults.NONE)) {
-            store.beginEpoch(1);
+            store.beginEpoch(1, NOBODY);
             store.write(tasks(0, 30));
             new Exporter(store, out(), Faults.NONE).run("protobuf", 10, 5);
         }
@@ -257,7 +253,7 @@
         OperatorFile.LedgerSection section = OperatorFile.of("f", "ledger { folder: '" + ledger() + "' billing { period: DAY"
                 + " rates { per_task: '0.10' } } }").ledger();
         try (Store store = Store.forManager(ledger(), "m", Faults.NONE)) {
-            store.beginEpoch(1);
+            store.beginEpoch(1, NOBODY);
             store.write(tasks(0, 30));
             new Exporter(store, out(), Faults.NONE).run("csv", 10, 5);
             Billing.close(store, section, "1970-01-01", "me", 7);
