--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -80,7 +80,7 @@
     private final Map<String, Tenant> tenants = new TreeMap<>();
     private final Gate gate = new Gate();
     private long now;
-    private boolean shut;                                 // nothing new is let in, as what must be kept of it cannot be
+    private boolean shut;                                 // nothing new is let in: it could not be kept
 
     public Decide(Settings settings, Actions actions) {
         set = settings;
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -98,6 +98,16 @@
         return null;
     }
 
+    /**
+     * How long a call that can wait should, so that it finds a connection which is free but rests: 0 where one has rested
+     * or none is free. Guards against a new connection for each further call of a task, right behind the answer to the
+     * one before; it costs that call the rest at most.
+     */
+    long rests() {
+        Idle first = idle.peek();
+        return first == null ? 0 : Math.max(0, first.since + REST - timers.now());
+    }
+
     /** Makes a call on a free connection or a new one; null where there are no descriptors left. */
     HttpLine call(String method, String path, String fields, byte[] body, HttpLine.Caller by) {
         trim();
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -38,6 +38,7 @@
     private static final int SPARE_DESCRIPTORS = 64;        // files of the program itself, its listener and channel,
                                                             // and clients that come while all others are in use
     private static final int LAST_DESCRIPTORS = 24;         // of those: with no more left no client is taken in
+    private static final long LONGEST_LAG = 3000 * MS;      // a call leaves so long before its connection is closed as idle
     private static final long ROUND = 500 * MS;             // between rounds over sessions and idle connections
     private static final String[] COLUMNS = {"c1", "c2", "c3"};
     private static final String FAILED = "58000";           // no refusal: it promises nothing
@@ -72,7 +73,8 @@
         this.watch = watch;
         this.timers = timers;
         this.sockets = sockets;
-        limits = new EngineLines.Limits(config.connectTime(), config.idleTime() / 2);
+        limits = new EngineLines.Limits(config.connectTime(),
+                Math.max(config.idleTime() / 2, config.idleTime() - LONGEST_LAG));
         descriptors(config.mostDescriptors());
         intake = new Intake(config.settings().grades().stream().map(Grade::name).collect(toSet()),
                 config.settings().tenants().stream().map(Settings.Tenant::name).collect(toSet()));
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -103,6 +103,15 @@
         }
     }
 
+    private void askRested(String what) {
+        long rests = engine.rests();
+        if (over || cancelled || rests == 0) {
+            ask(what);
+        } else {
+            callTimer = timers.at(timers.now() + rests, () -> ask(what));
+        }
+    }
+
     private void called(HttpLine by) {
         line = by;
         calledAt = timers.now();
@@ -141,7 +150,7 @@
             } else {
                 String next = "/" + pages.size();
                 // Not within this call: the connection that brought the answer is free only behind it.
-                manager.later(() -> ask(next));
+                manager.later(() -> askRested(next));
             }
         } else if (again && asking != null && (wasSilent || !notRun)) {
             // Not known after a break. Not an error: that would say it runs no more, and a key would not rest.
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -332,6 +332,19 @@
         assertThat(service.descriptors()).isZero();
     }
 
+    /** Guards against a new connection for each question and page: a hundred managers add up, and each one costs work. */
+    @ParameterizedTest
+    @CsvSource({"late, 4", "pages, 3"})
+    void furtherCallsOfATaskGoOnTheConnectionOfTheFirst(String statement, int calls) throws IOException {
+        engine.open.clear();
+        try (Client client = new Client(at).started()) {
+            assertThat(client.ask(Client.task("safe", "00000000000000a7", statement))).contains("SELECT");
+        }
+        assertThat(engine.calls.stream().filter(call -> call.contains("/o")).count()).isEqualTo(calls);
+        // The command channel has a connection to the same stand-in, and may have opened it only just now.
+        assertThat(engine.open.size()).isBetween(1, 2);
+    }
+
     @ParameterizedTest(name = "{0}, {1}")
     @CsvSource(delimiter = '|', value = {
         "safe | ok | a,b,c;,,;SELECT 2 | 1", "safe | late | 1,2,3;SELECT 1 | 1",
