A manager that starts asks the channel before it listens: no list older than its start

Cause: Service.listen opened the door before channel.ask. Ruled out by the trace: failed or silent calls to the channel, configurations not taken, late lists at running managers.

Change: Service.catchUp asks with a block of 1 ms and turns the loop until the answer is in, 500 ms at most; then it listens. Test: ServiceTest.aManagerThatStartsKnowsWhatWasToldMeanwhileBeforeItServes, fails without it.

--- a/src/main/java/tansytrack/service/Channel.java
+++ b/src/main/java/tansytrack/service/Channel.java
@@ -20,6 +20,7 @@
 
     private static final long MS = 1_000_000L;
     private static final long BLOCK = 1000;             // short, so that a silent connection is soon noticed
+    private static final long AT_ONCE = 1;              // the first one: what has come since the known list was written
     private static final long SILENT = 500 * MS;        // over the block: then the connection is given up
     private static final long PAUSE = 50 * MS;          // before a new connection after one that failed
 
@@ -35,6 +36,7 @@
     private long askedAt;
     private int failures;                               // running
     private boolean complained;
+    private boolean current;                            // it has answered since the start
 
     Channel(Sockets sockets, Timers timers, InetSocketAddress address, Manager manager) {
         this.sockets = sockets;
@@ -113,13 +115,19 @@
         }
     }
 
+    /** Does the manager know what the channel had to tell by now, and not only what its file held at the start? */
+    boolean current() {
+        return current;
+    }
+
     void ask() {
         if (line == null) {
             line = new HttpLine(sockets, address, LONGEST, this);
         }
         askedAt = timers.now();
-        timer = timers.at(askedAt + BLOCK * MS + SILENT, this::silent);
-        line.call("GET", "/cmd/next?resume=" + cursor + "&block=" + BLOCK, "", new byte[0], this);
+        long block = current ? BLOCK : AT_ONCE;
+        timer = timers.at(askedAt + block * MS + SILENT, this::silent);
+        line.call("GET", "/cmd/next?resume=" + cursor + "&block=" + block, "", new byte[0], this);
     }
 
     void close() {
@@ -144,7 +152,8 @@
         take(Json.read(answer.body()));
         timer.cancel();
         // Guards against a channel that answers at once with nothing: asking it again at once would never end.
-        boolean early = cursor == before && timers.now() - askedAt < PAUSE;
+        boolean early = current && cursor == before && timers.now() - askedAt < PAUSE;
+        current = true;
         failures = 0;
         complained = false;
         manager.counters().add("channel.answers");
--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -45,6 +45,7 @@
     private static final String IN_USE = "in use";          // the machine's words for EADDRINUSE
     private static final long BIND_PAUSE = 50 * MS;
     private static final long START_PATIENCE = 5000 * MS;   // for the file and the address of the start together
+    private static final long FIRST_NEWS = 500 * MS;        // what the channel's first answer is waited for
     private static final long POLL = 10 * MS;               // between looks whether all is answered
 
     private final LinkedBlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
@@ -92,10 +93,10 @@
     InetSocketAddress listen(long until) throws IOException, Junk {
         InetSocketAddress wanted = address(config.listen());
         boolean said = false;
+        catchUp();
         while (true) {
             try {
                 InetSocketAddress at = sockets.listen(wanted, manager::accepted);
-                channel.ask();
                 inbox.add(manager::inquire);
                 Event.info("listening", config.name() + " listens at " + at.getHostString() + ':' + at.getPort(),
                         "manager", config.name(), "address", at.getHostString() + ':' + at.getPort());
@@ -119,6 +120,26 @@
         }
     }
 
+    /**
+     * Asks the channel for what it has told since the file was written, before any client can come. Guards against sends to
+     * engines that were told to be draining while this process was starting: that takes a second, and the rule allows no more.
+     * Harm: where the channel is out of reach, the start takes longer by the time that it is waited for.
+     */
+    private void catchUp() throws IOException {
+        timers.now(clock.getAsLong());
+        long until = timers.now() + FIRST_NEWS;
+        timers.at(until, () -> { });                        // the loop naps no longer than that
+        channel.ask();
+        try {
+            while (!channel.current() && timers.now() < until) {
+                turn();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("told to end while starting", e);
+        }
+    }
+
     /** Serves until SIGTERM: 0, 2 for a configuration that cannot be used, 3 after a failure inside. */
     public static int serve(String path, String operator) {
         long until = System.nanoTime() + START_PATIENCE;
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -61,6 +62,7 @@
         volatile int asked;
         volatile int pagesAsked;
         volatile boolean mute;                  // to DELETE
+        volatile long firstDelay;               // ms that the first question for the list waits
 
         Engine() {
             try {
@@ -130,7 +132,12 @@
             if (call.startsWith("GET /cmd")) {
                 String told = list;
                 list = keepsList ? told : "";
-                return told.isEmpty() ? "silent" : say("200 OK", "", told);
+                boolean first = call.endsWith("&block=1");
+                if (first && firstDelay > 0) {
+                    LockSupport.parkNanos(firstDelay * 1_000_000L);
+                }
+                return !told.isEmpty() ? say("200 OK", "", told) : !first ? "silent"
+                        : say("200 OK", "", "{\"cursor\":0,\"cmds\":[]}");
             }
             if (call.startsWith("DELETE")) {
                 deleted.countDown();
@@ -644,6 +651,24 @@
         assertThat(asked).isBetween(2L, 25L);
     }
 
+    /** Guards against sends to an engine that was told to be draining while the manager started: it serves only behind that. */
+    @ParameterizedTest(name = "the channel''s first answer takes {0} ms: {1} calls to the engine")
+    @CsvSource({"0, 0", "200, 0", "1500, 1"})
+    void aManagerThatStartsKnowsWhatWasToldMeanwhileBeforeItServes(long delay, int calls) throws Exception {
+        end();
+        engine.calls.clear();
+        engine.firstDelay = delay;
+        engine.list = ("{'cursor':2,'cmds':[" + listed(2, "e", engine.address(), "draining") + "]}").replace('\'', '"');
+        long from = System.nanoTime();
+        start(config());
+        // A channel that is out of reach holds no start up for longer than this.
+        assertThat(System.nanoTime() - from).isLessThan(MINUTE * 1_000_000L);
+        try (Client client = new Client(at).started()) {
+            client.ask(Client.task("safe", "00000000000000a8", "ok"));
+        }
+        assertThat(engine.calls.stream().filter(call -> call.startsWith("POST")).count()).isEqualTo(calls);
+    }
+
     @Test
     void aFailureInsideTheDecisionsEndsItWithItsCause() throws Exception {
         Service failing = new Service(read(config()), (settings, actions) -> (Decisions) Proxy.newProxyInstance(
