--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -105,7 +105,7 @@
 
     private void askRested(String what) {
         long rests = engine.rests();
-        if (over || cancelled || rests == 0) {
+        if (rests == 0) {
             ask(what);
         } else {
             callTimer = timers.at(timers.now() + rests, () -> ask(what));
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -653,7 +653,7 @@
 
     /** Guards against sends to an engine that was told to be draining while the manager started: it serves only behind that. */
     @ParameterizedTest(name = "the channel''s first answer takes {0} ms: {1} calls to the engine")
-    @CsvSource({"0, 0", "200, 0", "1500, 1"})
+    @CsvSource({"0, 0", "200, 0", "10000, 1"})
     void aManagerThatStartsKnowsWhatWasToldMeanwhileBeforeItServes(long delay, int calls) throws Exception {
         end();
         engine.calls.clear();
@@ -661,8 +661,8 @@
         engine.list = ("{'cursor':2,'cmds':[" + listed(2, "e", engine.address(), "draining") + "]}").replace('\'', '"');
         long from = System.nanoTime();
         start(config());
-        // A channel that is out of reach holds no start up for longer than this.
-        assertThat(System.nanoTime() - from).isLessThan(MINUTE * 1_000_000L);
+        // A start does not wait for a channel that is out of reach.
+        assertThat(System.nanoTime() - from).isLessThan(10_000_000_000L);
         try (Client client = new Client(at).started()) {
             client.ask(Client.task("safe", "00000000000000a8", "ok"));
         }
