A forward counts as out from the send itself, not from a note behind it

Found by reading where two events of one batch cross. Decide.Engine.send told the gate by a note that a forward is out (Gate.sent: task.out, line.out); between the two a note of the same batch could end the task. A task of no known tenant, as at deployments that name no tenants, is routed at once: with a client that leaves in the batch of its task, Gate.finish found no forward to cancel and dropped the key's line, and the next task of the key was sent beside it (rule 5). And Engine.send did not look whether its task was over: sent all the same, or put back into a queue (rule 1). Now the send itself counts, and passes over what is over. Two cases in RulesTest, both red without the change.

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -534,19 +534,16 @@
             return null;
         }
 
-        private void sent(Forward forward) {
-            Task task = forward.task;
+        private void sent(Task task) {
             double wait = Math.min(now - lastGrant, 1000 * MS);
             spacing = waiting > 0 || now > task.wantedSince ? mean(spacing, wait, LEARN) : spacing;
             lastGrant = now;
-            if (task.forwards++ > 0) { further.add(now, 1); }
-            task.out.add(forward);
-            if (task.line != null) { task.line.out++; }
             if (task.tenant != null) { turn(); }        // the others had no turn
         }
 
         /** The re-check failed: back into the queue, within the budget that it has left. */
         private void back(Task task) {
+            if (task.over) { return; }
             if (now >= task.waitUntil || task.tenant == null) { refuse(task); } else { queue(task); }
         }
 
@@ -871,6 +868,7 @@
         }
 
         private void send(Task task) {
+            if (task.over) { return; }        // its client left, or it was answered, behind its turn
             if (!fits(task)) { gate.put(() -> gate.back(task)); return; }
             double memory = grant(task);
             if (levers.grants() || levers.priorities()) {
@@ -884,6 +882,10 @@
             signAt = out.isEmpty() ? now : signAt;
             sweptAt = out.isEmpty() ? now : sweptAt;
             out.add(forward);
+            // Here and not by a note: its end, or the next of its key, may be in the same batch and must find it out.
+            task.out.add(forward);
+            if (task.line != null) { task.line.out++; }
+            if (task.forwards++ > 0) { gate.further.add(now, 1); }
             count(task.grade.threads(), memory);
             threadsSince += task.grade.threads();
             if (warmth() < 1) { coldSends.add(now, (long) task.cost); }
@@ -891,7 +893,7 @@
             if (warm.size() > WARM_SETS) { warm.remove(warm.iterator().next()); }
             trialGap = Math.min(LONGEST_TRIAL_GAP, trialGap * 2);       // both are read only under suspicion
             trialAt = now + trialGap;
-            gate.put(() -> gate.sent(forward));
+            gate.put(() -> gate.sent(task));
         }
 
         // -- What it says --
--- a/src/test/java/tansytrack/Manager.java
+++ b/src/test/java/tansytrack/Manager.java
@@ -164,8 +164,21 @@
     }
 
     Manager leave(String task) {
+        return leaves(task).decide();
+    }
+
+    /** Its client leaves, and more news comes in the same batch. */
+    Manager leaves(String task) {
         module().abandoned(now, task);
-        return decide();
+        return this;
+    }
+
+    /** So many probes of it have ended, in the same batch as what follows. */
+    Manager probes(String engine, int count) {
+        for (int i = 0; i < count; i++) {
+            module().probed(now, engine, Outcome.FULL, null);
+        }
+        return this;
     }
 
     Manager probed(String engine, Outcome outcome, LoadReport report) {
--- a/src/test/java/tansytrack/RulesTest.java
+++ b/src/test/java/tansytrack/RulesTest.java
@@ -40,6 +40,8 @@
                 rule("1 nothing after the client left", m -> m.list(true, small("e"))
                         .take("t short a").decide().leave("t").end("t", 0, Outcome.CANCELLED).pass(2000),
                         "forward t e", "cancel t 0"),
+                rule("1 nothing for a task whose client left between its turn and its send", m -> m.list(true, small("e"))
+                        .probes("e", 9).take("t short -").leaves("t").decide().pass(2000)),
                 rule("1 an outcome said twice counts once", m -> m.list(true, small("e"))
                         .take("t short a").decide().end("t", 0, Outcome.OK).end("t", 0, Outcome.OK), "forward t e"),
                 rule("2 one-shot that may have run: aborted", m -> m.list(true, small("e"), small("f"))
@@ -84,6 +86,9 @@
                 rule("5 a key whose line was dropped in the same batch", m -> m.list(true, small("e"))
                         .take("t once a key=1").decide().take("u once a key=1").end("t", 0, Outcome.OK),
                         "forward t e", "forward u e"),
+                rule("5 a client leaves in the batch of its task: the next of its key waits for the forward", m -> m
+                        .list(true, small("e")).take("t once - key=1").leaves("t").take("u once - key=1").decide()
+                        .pass(500).end("t", 0, Outcome.CANCELLED).pass(375), "forward t e", "cancel t 0", "forward u e"),
                 rule("6 bound to a kind that is gone: never elsewhere", m -> m.list(true, small("e"))
                         .take("t bound a left=1000").decide().pass(300), "bounce t"),
                 rule("6 bound: also at a further forward", m -> m.list(true, small("e"), big("g"))
