A call that was handed to the sockets may have left, though not yet counted as written

Found by reading. HttpLine.closed told UNSENT where the session's count of written bytes had not moved; MINA's thread counts behind the write, and the loop closes a connection by itself when noise is on it (Connection.heard). Now all that was handed over counts where this side closed. PgSessionTest: what is read behind a session's end is not asked (held before too).

--- a/src/main/java/tansytrack/wire/Connection.java
+++ b/src/main/java/tansytrack/wire/Connection.java
@@ -41,6 +41,9 @@
     private boolean closing;
     private boolean over;
     private boolean refused;
+    private long handed;                            // bytes handed to the system so far, whether or not it has taken them
+    private long cameAt;                            // when it came up
+    private boolean shutByUs;                       // it was closed on this side, perhaps while the system was taking bytes
 
     Connection(Sockets sockets, int mostIn, int mostOut) {
         this.sockets = sockets;
@@ -71,10 +74,23 @@
         return session == null ? 0 : session.getWrittenBytes();
     }
 
+    /**
+     * Bytes that may have left so far. The system counts what it has taken only behind the write itself, on a thread of its
+     * own; so for a connection that was closed on this side all that was handed over counts, and the system's own count only
+     * where it was the one to say that the connection is over.
+     */
+    long left() {
+        return shutByUs ? handed : taken();
+    }
+
     public boolean up() {
         return session != null;
     }
 
+    long cameAt() {
+        return cameAt;
+    }
+
     public InetSocketAddress peer() {
         return session == null ? null : (InetSocketAddress) session.getRemoteAddress();
     }
@@ -97,6 +113,7 @@
             return;
         }
         session = with;
+        cameAt = sockets.time();
         flush();
     }
 
@@ -115,6 +132,7 @@
             owner.heard(at);
         } catch (Junk e) {
             sockets.junk(this, e);
+            shutByUs = true;
             drop();
         }
     }
@@ -134,7 +152,9 @@
         }
         if (out.size() > 0) {
             writing = true;
-            session.write(IoBuffer.wrap(out.take(Math.min(CHUNK, out.size()))));
+            byte[] bytes = out.take(Math.min(CHUNK, out.size()));
+            handed += bytes.length;
+            session.write(IoBuffer.wrap(bytes));
         } else if (closing) {
             close();
         }
--- a/src/main/java/tansytrack/wire/HttpLine.java
+++ b/src/main/java/tansytrack/wire/HttpLine.java
@@ -37,7 +37,7 @@
     private final Sockets sockets;
     private Caller caller;
     private long calledAt;
-    private long takenBefore;                   // bytes of earlier calls
+    private long leftBefore;                    // bytes of earlier calls
     private boolean fresh;                      // no answer has ever begun for the open call
 
     /** Answers with their heads may take half of the given bytes. */
@@ -53,14 +53,23 @@
         return to;
     }
 
+    Connection connection() {
+        return connection;
+    }
+
     public boolean up() {
         return connection.up();
     }
 
+    /** When the open call, or the last one, could leave: as it was made, or once the connection was up. */
+    public long begunAt() {
+        return Math.max(calledAt, connection.cameAt());
+    }
+
     public void call(String method, String path, String fields, byte[] body, Caller by) {
         caller = by;
         calledAt = sockets.time();
-        takenBefore = connection.taken();
+        leftBefore = connection.left();
         fresh = true;
         Http.call(connection.out, method, path, host, fields, body);
         connection.flush();
@@ -113,7 +122,7 @@
         holder.lost(this);
         if (to != null) {
             to.failed(connection.refused() ? Failure.REFUSED
-                    : connection.taken() == takenBefore ? Failure.UNSENT : Failure.BROKEN);
+                    : connection.left() == leftBefore ? Failure.UNSENT : Failure.BROKEN);
         }
     }
 
--- a/src/test/java/tansytrack/wire/PgSessionTest.java
+++ b/src/test/java/tansytrack/wire/PgSessionTest.java
@@ -121,4 +121,13 @@
         assertThat(queries).isEqualTo(1);
         assertThat(session.ended()).isEqualTo(ends);
     }
+
+    /** A query crosses the end of its session: read behind that it must not be sent on, as its answer could not leave. */
+    @Test
+    void whatIsReadBehindTheEndOfASessionIsNotAsked() {
+        send("yes", "");
+        session.end();
+        send("", "SELECT 1");
+        assertThat(queries).isZero();
+    }
 }
