Queries given up behind cut links, departed clients and SIGTERM: three crossings mended

Now only silence on connections that came up for the call counts; else 2.4 s must pass since the query was last asked for. The last question counts from when its connection was up, not from when it was made. - A client left while the connection for its starting call came up: where nothing may be cancelled, the call left all the same (up to 0.25 s later; the term is 0.1 s). Now such a call is taken back (OpenForward.unwanted), and the forward ends as never sent. - Service.reconfigure dropped a new configuration behind SIGTERM, though tasks are served for a second and more: the list is now followed until sessions close. SIGTERM is heard from before the first client can come; between listen and the hook it ended the program at once (not forced by a test). Checked and found kept: a silent watch is given up within 1.5 s and the drain behind it kept.

--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -63,6 +63,7 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private Config config;                                  // as last read
     private boolean stopping;
+    private boolean parting;                                // its sessions are closed: it needs no list any more
     private boolean stopped;
 
     /** Makes what listens to the tasks of one manager. */
@@ -167,21 +168,28 @@
     public static int serve(String path, String operator) {
         long until = System.nanoTime() + START_PATIENCE;
         Service service;
+        Rereading rereading;
         try {
             ConfigFile file = new ConfigFile(path);
             // Before all else: SIGHUP would end a JVM that has nothing for it.
-            Rereading rereading = new Rereading(file);
+            rereading = new Rereading(file);
             if (!HangUp.take(rereading::signalled)) {
                 new FileLooks(path, rereading::signalled).start();
             }
             Extras extras = operator == null ? Extras.NONE : Installed.extras(operator);
             service = started(file.read(until), extras);
+        } catch (IOException | Unusable e) {
+            return unusable(e);
+        }
+        // Before it listens: SIGTERM would end the program at once, with clients that have been accepted.
+        Runtime.getRuntime().addShutdownHook(new Thread(service::terminated, "stop"));
+        try {
             service.listen(until);
             rereading.to(service::reread);
-        } catch (IOException | Junk | Unusable e) {
+        } catch (IOException | Junk e) {
+            service.ended.countDown();
             return unusable(e);
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(service::terminated, "stop"));
         try {
             service.run();
         } catch (Throwable e) {
@@ -242,7 +250,7 @@
 
     /** What can change while tasks are open does; for the rest a line says that it takes a restart. */
     private void reconfigure(Config next, InetSocketAddress to) {
-        if (stopping) {
+        if (parting) {
             return;
         }
         manager.counters().add("configurations.read");
@@ -343,6 +351,7 @@
     private void endWhenIdle(long until) {
         boolean late = timers.now() > until;
         if (late || manager.idle()) {
+            parting = true;
             // What tells engines that nobody waits any more still goes out.
             channel.close();
             manager.close();
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -110,8 +110,12 @@
 
     /** Makes a call on a free connection or a new one; null where there are no descriptors left. */
     HttpLine call(String method, String path, String fields, byte[] body, HttpLine.Caller by) {
+        return call(method, path, fields, body, false, by);
+    }
+
+    private HttpLine call(String method, String path, String fields, byte[] body, boolean fresh, HttpLine.Caller by) {
         trim();
-        HttpLine line = rested();
+        HttpLine line = fresh ? null : rested();
         if (line == null) {
             if (sockets.open() >= limits.most) {
                 counters.add("calls.no_descriptor");
@@ -132,12 +136,15 @@
 
     /**
      * A call that nobody has to wait for: whatever becomes of it is said once, as whether it has come to the engine: it
-     * was answered, or has twice gone out whole on connections that stayed up. One that breaks is made again, as a
-     * connection may be reset before the call was read, and so is one that stays silent for the time that a connection
-     * may take to come up, as a call may never be taken up.
+     * was answered, or has twice gone out whole on connections that came up for it and stayed up. One that breaks is made
+     * again, as a connection may be reset before the call was read, and so is one that stays silent for the time that a
+     * connection may take to come up, as a call may never be taken up. Guards against taking the silence of a machine that
+     * is cut off for that of one that hangs: its old connections stay open and swallow all, but no new one comes up.
+     *
+     * @param fresh no connection that is open already is of use: the engine has been silent on one
      */
-    void aside(String method, String path, byte[] body, Consumer<Boolean> done) {
-        new Aside(method, path, body, done).start();
+    void aside(String method, String path, byte[] body, boolean fresh, Consumer<Boolean> done) {
+        new Aside(method, path, body, fresh, done).start();
     }
 
     private final class Aside implements HttpLine.Caller {
@@ -147,21 +154,24 @@
         private final Consumer<Boolean> done;
         private HttpLine line;
         private Timers.Timer timer;
+        private boolean fresh;
         private boolean written;
         private int tries;
-        private int silent;
+        private int silent;                     // whole calls without a word, on connections that came up for them
 
-        Aside(String method, String path, byte[] body, Consumer<Boolean> done) {
+        Aside(String method, String path, byte[] body, boolean fresh, Consumer<Boolean> done) {
             this.method = method;
             this.path = path;
             this.body = body;
+            this.fresh = fresh;
             this.done = done;
         }
 
         void start() {
             tries++;
             written = false;
-            line = call(method, path, "", body, this);
+            line = call(method, path, "", body, fresh, this);
+            fresh |= line != null && !line.up();
             timer = timers.at(timers.now() + (line == null ? 0 : limits.connectTime), this::late);
         }
 
@@ -190,7 +200,8 @@
             if (line != null) {
                 line.drop();
             }
-            silent += written ? 1 : 0;
+            silent += written && fresh ? 1 : 0;
+            fresh = true;
             if (written && silent < 2 && tries < TRIES) {
                 start();
             } else {
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -341,6 +341,7 @@
         counters.add(ENDED[end.ordinal()]);
         task.session.open(null);
         task.session = null;
+        task.forwards.forEach(OpenForward::unwanted);
         forget(task);
         watch.answered(timers.now(), task.id, end, bytes, say);
     }
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -212,6 +212,7 @@
      */
     @Override
     public void failed(HttpLine.Failure why) {
+        HttpLine on = line;
         quiet();
         if (over || cancelled) {
             return;
@@ -220,7 +221,7 @@
         broken++;
         if (why == HttpLine.Failure.BROKEN) {
             left = true;
-            askedAt = calledAt;
+            askedAt = on.begunAt();
         }
         boolean late = why == HttpLine.Failure.LATE || timers.now() - calledAt > HELD_OPEN + MARGIN;
         silent |= late && left;
@@ -249,6 +250,20 @@
         }
     }
 
+    /**
+     * Nobody waits for its task any more. Guards against a query that begins behind its client's back: a call whose
+     * connection is still coming up is taken back, also where nothing that runs can be cancelled.
+     */
+    void unwanted() {
+        if (!over && !cancelled && !left && (line == null || !line.up())) {
+            if (line != null) {
+                line.drop();
+            }
+            quiet();
+            manager.later(() -> end(Outcome.NEVER_SENT));
+        }
+    }
+
     /**
      * Its time is up. Guards against a key whose next task is sent beside this one: the client is answered at once, but
      * the forward stays out until it is given up for sure, as the call for that may not be taken up.
@@ -293,7 +308,7 @@
      * not know it, right behind a break, says nothing of that.
      */
     private void giveUp(Outcome outcome, boolean trusted, boolean proves) {
-        engine.aside("DELETE", path, EngineLines.NOTHING, gone -> {
+        engine.aside("DELETE", path, EngineLines.NOTHING, silent || stalled, gone -> {
             if (!gone || !trusted) {
                 timers.at(askedAt + UNASKED, () -> end(outcome));
             } else if (proves) {
@@ -306,7 +321,7 @@
 
     private void release() {
         if (line != null) {
-            askedAt = line.up() ? calledAt : askedAt;
+            askedAt = line.up() ? line.begunAt() : askedAt;
             line.drop();
         }
         quiet();
@@ -314,7 +329,7 @@
 
     void priority(int priority) {
         if (!over && !cancelled) {
-            engine.aside("PUT", path, Integer.toString(priority).getBytes(StandardCharsets.US_ASCII), gone -> { });
+            engine.aside("PUT", path, Integer.toString(priority).getBytes(StandardCharsets.US_ASCII), false, gone -> { });
         }
     }
 
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -195,7 +195,7 @@
     }
 
     /** A client's session. */
-    private static final class Client implements AutoCloseable {
+    static final class Client implements AutoCloseable {
         final Socket socket = new Socket();
         final DataInputStream in;
         int number;
@@ -286,8 +286,12 @@
     }
 
     private String config() {
+        return config(engine.address());
+    }
+
+    static String config(String engine) {
         return "{'name':'m','listen':'127.0.0.1:0','seed':'8c1f30d27a5be964','limits':{'sockets':256},'channel':'"
-                + engine.address() + "','known':{'cursor':1,'cmds':[" + listed(1, "e", engine.address(), "ready")
+                + engine + "','known':{'cursor':1,'cmds':[" + listed(1, "e", engine, "ready")
                 + "]},'settings':{'siblings':1,'skus':['k'],'extra':{'cpu_of_kind':[4],'memory_by_kind_mb':[1000],"
                 + "'memory_heeded':true,'ranks_heeded':true},'grades':[{'name':'safe','repeat':'idempotent',"
                 + "'objective_ms':100,'deadline_ms':300,'worth':1},{'name':'once','repeat':'at_most_once',"
@@ -296,13 +300,13 @@
                 + "'conn_idle_ms':30000,'retry_after':true,'max_retry_after_ms':500},'rules':{'turn_gap_ms':10}}}";
     }
 
-    private static String listed(int number, String id, String address, String phase) {
+    static String listed(int number, String id, String address, String phase) {
         return "{'cursor':" + number + ",'nodes':{'revision':" + number + ",'complete':" + (number == 1)
                 + ",'members':[{'id':'" + id + "','host_port':'" + address + "','phase':'" + phase
                 + "','flavor':'k','up_since_ms':0}]}}";
     }
 
-    private static Config read(String config) throws Junk {
+    static Config read(String config) throws Junk {
         return Config.of(Json.read(config.replace('\'', '"').getBytes(StandardCharsets.UTF_8)));
     }
 
