A deployment that names no tenants gets one queue for all its tasks, not none

Found while reading for one customer's settings showing in another's: Decide took every task of no named tenant for one of unknown origin, which the source never holds. Where the settings name no tenant all tasks now are of one. DecideTest: red without it (bounced for waiting). Deployments with tenants are not touched.

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -95,6 +95,7 @@
             rows.put(grade.name(), new Row(grade, markets.computeIfAbsent(bounds, key -> new Market(grade))));
         }
         settings.tenants().forEach(one -> tenants.put(one.name(), new Tenant(Math.max(one.share(), 0.001))));
+        if (tenants.isEmpty()) { tenants.put("", new Tenant(1)); }     // none is told apart: all are one
         actions.wake(SWEEP, "sweep");
     }
 
--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -33,6 +33,17 @@
         assertThat(manager.did("forward").subList(8, 10)).containsExactly("forward soon e", "forward late e");
     }
 
+    /** Guards against a deployment that names no tenants and so gets no queue: tasks are told apart by time left alone. */
+    @Test
+    void withoutTenantsAllShareOneQueue() {
+        Manager manager = new Manager();
+        manager.tenants = false;
+        manager.list(true, small("e")).takeAll(8, "x# short - left=19000");
+        manager.take("late short - left=9000").take("soon short - left=4000").decide();
+        manager.end("x0", 0, Outcome.OK).end("x1", 0, Outcome.OK);
+        assertThat(manager.did("forward").subList(8, 10)).containsExactly("forward soon e", "forward late e");
+    }
+
     @Test
     void turnsGoByWeight() {
         Manager manager = full();
