Slow answers are no pressure while our threads leave cores of our part idle

Cause: estimates are rough there and answers tell no cost; under a price those tasks get in whose cost is guessed too low, so that run over estimate looks slow (lookups: 6 times) on an idle engine; strain stays over the mark, the room at one thread, and the price on. At fault: Decide.Room.fits, which took latency for pressure whatever we had there. Now slow answers press only where our threads reach one a core of our part; a busy report, refusals and time-outs as before. Guards against any wrong measure of slowness; harms where others crowd an engine and nothing but latency tells it. DecideTest: red without it (1 of 8 sent).

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -217,9 +217,13 @@
         long halvedAt;
         long pressedUntil;
 
-        /** It binds only under pressure; our threads up to the first bound are that too. */
+        /**
+         * It binds only under pressure; our threads up to the first bound are that too. Slow answers are none while our
+         * threads leave cores of our part idle. Guards against a room that shrinks to one thread and stays there: under a
+         * price the tasks let in are those whose cost is guessed too low, which look slow on an idle engine.
+         */
         boolean fits(Grade grade, double able) {
-            boolean pressed = strain > WELL_ABOVE_BEST || now < pressedUntil;
+            boolean pressed = strain > WELL_ABOVE_BEST && threads >= able || now < pressedUntil;
             return !pressed && threads < able * THREADS_PER_CORE
                     || threads + grade.threads() <= Math.max(bound, grade.threads());
         }
--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -44,6 +44,16 @@
         assertThat(manager.did("forward").subList(8, 10)).containsExactly("forward soon e", "forward late e");
     }
 
+    /** Guards against a room that stays at one thread: slow answers say nothing of a crowd that is not there. */
+    @Test
+    void slowAnswersLeaveAThreadForEachCore() {
+        Manager manager = new Manager().list(true, small("e")).take("f short a").decide().pass(100).end("f", 0, Outcome.OK);
+        for (int i = 0; i < 12; i++) {
+            manager.take("s" + i + " short a").decide().pass(1500).end("s" + i, 0, Outcome.OK);
+        }
+        assertThat(manager.takeAll(8, "t# short a").did("forward t")).hasSize(4);
+    }
+
     @Test
     void turnsGoByWeight() {
         Manager manager = full();
