Cold engines: two roots and two for chance, and a part that grows after a manager's start

Found by reading: a restarted manager knows nothing of what its earlier life sent in the same window, and could give a cold engine its even part twice. Now COLD_CHANCE is 2, and the budget of an engine that is older than the manager grows over one window from the manager's start. RulesTest: 40 rounds each of 2, 30 and 200 managers with work of 100 to 900 ms stay at N + 2 roots of N + 2 or under; a restarted manager sends 0, 4, 8 tasks after 0, 0.5, 1 s (red without it: 7, 7, 8). Two cases there listed engines of 5 and 9 s to a manager born in that moment; they now let one window pass first, bounds as before.

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -41,7 +41,7 @@
     private static final long PRESSURE_LASTS = 1000 * MS;
     private static final double COLD_PART = 0.9;          // of the cold budget: the rest is for misjudgement
     private static final double COLD_DEVIATIONS = 4;      // kept clear of it where chance decides
-    private static final double COLD_CHANCE = 3;          // the rule's room for chance, in roots and in tasks
+    private static final double COLD_CHANCE = 2;          // the rule's room for chance, in roots and in tasks
     private static final double SMALL = 0.25;             // of our part of a market's memory: always let in
     private static final double PRIORITY_TOP = -0.7;      // ln of worth over the mean: the top priority
     private static final double PRIORITY_STEP = 1.1;      // and for each one under it
@@ -81,6 +81,7 @@
     private final Map<String, Tenant> tenants = new TreeMap<>();
     private final Gate gate = new Gate();
     private long now;
+    private long bornAt = -1;                             // when it was first told of engines
     private int siblings;                                 // managers that share the engines
     private boolean shut;                                 // nothing new is let in: it could not be kept
 
@@ -103,6 +104,7 @@
 
     public void engines(long at, boolean complete, List<EngineEntry> entries) {
         now = at;
+        bornAt = bornAt < 0 ? at : bornAt;
         Map<String, EngineEntry> named = new TreeMap<>();
         for (EngineEntry entry : entries) {
             named.put(entry.id(), entry);
@@ -218,9 +220,10 @@
         long pressedUntil;
 
         /**
-         * It binds only under pressure; our threads up to the first bound are that too. Slow answers are none while our
-         * threads leave cores of our part idle. Guards against a room that shrinks to one thread and stays there: under a
-         * price the tasks let in are those whose cost is guessed too low, which look slow on an idle engine.
+         * It binds only under pressure; our threads up to the first bound are that too. Slow answers are none
+         * while our threads leave cores of our part idle. Guards against a room that shrinks to one thread
+         * and stays there: under a price tasks get in whose cost is guessed too low, which look slow on an
+         * idle engine. Harms where others crowd it and nothing but latency tells.
          */
         boolean fits(Grade grade, double able) {
             boolean pressed = strain > WELL_ABOVE_BEST && threads >= able || now < pressedUntil;
@@ -772,7 +775,7 @@
         /** What it surely can do by now; one not reached may have started since, before any list tells. */
         private double warmth() {
             Settings.ColdRule rule = set.cold();
-            long start = Math.max(entry.startedAt(), unreachedAt);
+            long start = coldSince();
             if (rule == null || start <= 0 || now - start >= rule.warmAfter()) { return 1; }
             double age = Math.max(0, now - start) / (double) rule.warmAfter();
             return rule.startCapacity() + (1 - rule.startCapacity()) * age;
@@ -792,8 +795,16 @@
             return gate.meanCost > part ? part / 2 : part;
         }
 
+        private long coldSince() { return Math.max(entry.startedAt(), unreachedAt); }
+
+        /**
+         * Grows over a window where the engine is older than this manager. Guards against one that was
+         * restarted and gives again what its earlier life gave in that window; harms where all start at once.
+         */
         private double coldBudget() {
-            return COLD_PART * set.cold().multiple() * warmth() * cores * set.cold().window();
+            long window = set.cold().window();
+            double known = coldSince() >= bornAt ? 1 : Math.min(1, (now - bornAt) / (double) window);
+            return COLD_PART * set.cold().multiple() * warmth() * cores * window * known;
         }
 
         /** The chance that a task gets in when our part does not hold it; 0 where the draw failed. */
@@ -887,7 +898,7 @@
             signAt = out.isEmpty() ? now : signAt;
             sweptAt = out.isEmpty() ? now : sweptAt;
             out.add(forward);
-            // Here and not by a note: its end, or the next of its key, may be in the same batch and must find it out.
+            // Not by a note: its end, or the next of its key, may be in the same batch and must find it out.
             task.out.add(forward);
             if (task.line != null) { task.line.out++; }
             if (task.forwards++ > 0) { gate.further.add(now, 1); }
