What came on a connection during a stall is no answer to the next call; junk counted by reason

Found by reading: a connection rests 10 ms before its next call, as a second copy of its last answer may come some milliseconds late. Timers now tell since when the loop has got its time, and rest counts from there. EngineLinesTest stops the sockets' thread and forces it; red without it (the call goes out on the old connection). Harm: a call right behind a stall of 10 ms may open a connection. Also: malformed bytes are counted by reason (connections.junk.*, clients.malformed.* in SHOW STATS); a setting that is no number from 0 on is named with key, value and what is allowed; what fails inside while a start waits for the channel ends with code 3 like any failure inside, not 1.

--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -189,18 +189,25 @@
         } catch (IOException | Junk e) {
             service.ended.countDown();
             return unusable(e);
+        } catch (RuntimeException | Error e) {
+            return broken(e);
         }
         try {
             service.run();
         } catch (Throwable e) {
-            // Not swallowed, not waited out: what a half-told module would decide is worth nothing.
-            Logger.error(e, "a failure inside ends the workload manager");
-            Runtime.getRuntime().halt(FAILED);
+            return broken(e);
         }
         service.ended.countDown();
         return 0;
     }
 
+    /** Not swallowed, not waited out: what a half-told module would decide is worth nothing. */
+    private static int broken(Throwable why) {
+        Logger.error(why, "a failure inside ends the workload manager");
+        Runtime.getRuntime().halt(FAILED);
+        return FAILED;
+    }
+
     private static Service started(ConfigFile.Whole from, Extras extras) {
         try {
             return new Service(from.config(), Decide::new, extras);
@@ -302,9 +309,10 @@
 
     private void turn() throws InterruptedException {
         timers.now(clock.getAsLong());
-        Runnable note = inbox.poll(timers.idle(LONGEST_NAP), TimeUnit.NANOSECONDS);
+        long nap = timers.idle(LONGEST_NAP);
+        Runnable note = inbox.poll(nap, TimeUnit.NANOSECONDS);
         clock.lead();
-        timers.now(clock.getAsLong());
+        timers.slept(clock.getAsLong(), nap);
         for (int i = 0; note != null && i < MOST_NOTES; i++) {
             note.run();
             note = inbox.poll();
--- a/src/main/java/tansytrack/settings/Pairs.java
+++ b/src/main/java/tansytrack/settings/Pairs.java
@@ -12,6 +12,8 @@
 /** The start-up settings of one workload manager, from path=value pairs; unknown paths are skipped. */
 public final class Pairs {
 
+    private static final double MOST = 1e12;            // of any figure: times in nanoseconds stay in range
+
     private final Map<String, String> pairs = new HashMap<>();
 
     public void put(String pair) {
@@ -41,7 +43,7 @@
                     scope(pairs.get(g + "key_scope")), time(g + "window_ms"), time(g + "objective_ms"),
                     number(g + "aim_stretch", 0), time(g + "deadline_ms"), number(g + "worth", 0),
                     number(g + "late_worth", 0), flag(g + "serial_by_key"), set(g + "allowed_in"),
-                    set(g + "runs_on"), i < threads.size() ? (int) parse(threads.get(i)) : 1,
+                    set(g + "runs_on"), i < threads.size() ? (int) parse("extra.threads_by_class", threads.get(i)) : 1,
                     i < loads.size() && loads.get(i).equals("true"), i < waits.size() && waits.get(i).equals("true")));
         }
         List<Settings.Tenant> tenants = new ArrayList<>();
@@ -55,8 +57,8 @@
         List<String> cores = list("extra.cpu_of_kind");
         List<String> memory = list("extra.memory_by_kind_mb");
         for (int i = 0; i < names.size(); i++) {
-            kinds.put(names.get(i), new Settings.Kind(i < cores.size() ? (int) parse(cores.get(i)) : 0,
-                    i < memory.size() ? parse(memory.get(i)) : 0));
+            kinds.put(names.get(i), new Settings.Kind(i < cores.size() ? (int) parse("extra.cpu_of_kind", cores.get(i)) : 0,
+                    i < memory.size() ? parse("extra.memory_by_kind_mb", memory.get(i)) : 0));
         }
         Settings.Levers levers = new Settings.Levers(flag("policy_limits.may_probe"), flag("policy_limits.cancel"),
                 flag("policy_limits.parallel_tries"), flag("policy_limits.retry_after"),
@@ -96,19 +98,24 @@
 
     private double number(String path, double otherwise) {
         String value = pairs.get(path);
-        return value == null || value.isEmpty() || value.equals("-") ? otherwise : parse(value);
+        return value == null || value.isEmpty() || value.equals("-") ? otherwise : parse(path, value);
     }
 
     long time(String path) {
         return Math.round(number(path, 0) * 1e6);
     }
 
-    private static double parse(String value) {
+    private static double parse(String path, String value) {
+        double number;
         try {
-            return Double.parseDouble(value);
+            number = Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw new Unusable("setting '" + value + "' is not a number");
+            number = -1;
+        }
+        if (number >= 0 && number < MOST) {
+            return number;
         }
+        throw new Unusable("settings." + path + ": '" + value + "'; allowed: a number from 0 to under 1e12");
     }
 
     private Set<String> set(String path) {
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -86,11 +86,14 @@
         }
     }
 
-    /** The free connection that was used last, of those that have rested. */
+    /**
+     * The free connection that was used last, of those that have rested. Rest counts from the end of a stall: what came on it
+     * meanwhile may not have been read yet, and would pass for the answer to the next call.
+     */
     private HttpLine rested() {
         for (Iterator<Idle> last = idle.descendingIterator(); last.hasNext();) {
             Idle one = last.next();
-            if (timers.now() - one.since >= REST || sockets.open() >= limits.most) {
+            if (rests(one) <= 0 || sockets.open() >= limits.most) {
                 last.remove();
                 return one.line;
             }
@@ -105,7 +108,11 @@
      */
     long rests() {
         Idle first = idle.peek();
-        return first == null ? 0 : Math.max(0, first.since + REST - timers.now());
+        return first == null ? 0 : Math.max(0, rests(first));
+    }
+
+    private long rests(Idle one) {
+        return Math.max(one.since, timers.calmSince()) + REST - timers.now();
     }
 
     /** Makes a call on a free connection or a new one; null where there are no descriptors left. */
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -258,6 +258,7 @@
     private byte[] stats() {
         StringBuilder rows = new StringBuilder();
         counters.all().forEach((kind, count) -> row(rows, kind, count));
+        sockets.junk().forEach((reason, count) -> row(rows, "connections.junk." + reason, count));
         siblings.counts().forEach((kind, count) -> row(rows, kind, count));
         // The module's view beside what is on the sockets: they differ only by news that it has not yet been told.
         for (EngineView view : module.view(timers.now())) {
@@ -294,6 +295,11 @@
         }
     }
 
+    @Override
+    public void malformed(String why) {
+        counters.add("clients.malformed." + why.replace(' ', '_'));
+    }
+
     @Override
     public void over(PgSession session) {
         sessions.remove(session.number());
--- a/src/main/java/tansytrack/state/Timers.java
+++ b/src/main/java/tansytrack/state/Timers.java
@@ -5,8 +5,11 @@
 /** The present time, as the loop last read it, and all that is to happen later, in one order. */
 public final class Timers {
 
+    private static final long STALL = 10_000_000L;
+
     private final TreeSet<Timer> waiting = new TreeSet<>();
     private long now;
+    private long calmSince;
     private long count;
 
     /** Something to be done at a time, unless it is cancelled first. */
@@ -34,10 +37,22 @@
         return now;
     }
 
+    /** The loop has been at work since it read the time before. */
     public void now(long time) {
+        slept(time, 0);
+    }
+
+    /** Or it wanted to sleep so long since then. */
+    public void slept(long time, long nap) {
+        calmSince = time - now - nap >= STALL ? time : calmSince;
         now = time;
     }
 
+    /** Since when the loop has got the time that it needs; what else runs beside it may have got none before that either. */
+    long calmSince() {
+        return calmSince;
+    }
+
     public Timer at(long time, Runnable what) {
         Timer timer = new Timer(time, what);
         waiting.add(timer);
--- a/src/main/java/tansytrack/wire/Junk.java
+++ b/src/main/java/tansytrack/wire/Junk.java
@@ -15,6 +15,19 @@
         this.cutOff = cutOff;
     }
 
+    /** What was wrong, without the figures and words of this one case. */
+    String reason() {
+        StringBuilder reason = new StringBuilder();
+        for (char c : getMessage().toCharArray()) {
+            if (c == ':' || c == '\'' || Character.isDigit(c)) {
+                break;
+            }
+            reason.append(c);
+        }
+        String plain = reason.toString().strip().replace(' ', '_');
+        return plain.isEmpty() ? "other" : plain;
+    }
+
     /** Is all right as far as it goes, and only its end is missing? */
     public boolean cutOff() {
         return cutOff;
--- a/src/main/java/tansytrack/wire/PgSession.java
+++ b/src/main/java/tansytrack/wire/PgSession.java
@@ -18,6 +18,9 @@
         /** The session ends; a query may have been open. */
         void gone(PgSession session);
 
+        /** A client spoke what the protocol does not allow, or past a bound, and is closed. */
+        default void malformed(String why) { }
+
         /** Its connection has given back what it held. */
         void over(PgSession session);
 
@@ -120,7 +123,8 @@
 
     /** For a session that there is no room for. */
     public void refuse() {
-        fatal("53300", "too many connections");
+        error("FATAL", "53300", "too many connections");
+        end();
     }
 
     @Override
@@ -338,6 +342,7 @@
     }
 
     private void fatal(String code, String text) {
+        front.malformed(text.replaceAll(" [0-9.]+$", ""));
         error("FATAL", code, text);
         end();
     }
--- a/src/main/java/tansytrack/wire/Sockets.java
+++ b/src/main/java/tansytrack/wire/Sockets.java
@@ -5,6 +5,8 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.channels.spi.SelectorProvider;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -51,6 +53,7 @@
     private final NioSocketConnector connector = new NioSocketConnector(threads, processors);
     private Consumer<Connection> accepted;
     private int open;
+    private final Map<String, Long> junk = new TreeMap<>();
     private int unsaid;
     private long saidAt;
 
@@ -150,8 +153,14 @@
         open--;
     }
 
+    /** Connections closed for what came on them, by reason. */
+    public Map<String, Long> junk() {
+        return junk;
+    }
+
     /** Said once a second at most: bad peers must not take the time of the others. */
     void junk(Connection connection, Junk junk) {
+        this.junk.merge(junk.reason(), 1L, Long::sum);
         unsaid++;
         if (clock.getAsLong() - saidAt >= SAID_EVERY) {
             saidAt = clock.getAsLong();
