The mark of a stamped request goes on to engines; nothing begins behind a drain or its window

Clients of classes with a mark against repeats send once=..., which was dropped; real.json names it Idempotency-Key on the engines' side. Found by reading, mended: a starting call whose connection came up behind its engine's drain left all the same, up to 0.25 s behind the news (CrossingsTest, over real connections); one without a byte written was made again up to eight times, whatever had changed meanwhile; a repeat near the end of its window left as late as its connection came up (RulesTest).

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -364,7 +364,8 @@
             // The earliest that may have run: a later one may have ended while that one is still out.
             Forward first = out.isEmpty() || ran != null && ran.index < out.get(0).index ? ran : out.get(0);
             if (first == null || harmless()) { return true; }
-            long since = now - first.at + LONGEST_SWEEP;
+            // It leaves up to so much later, as the connection for it comes up.
+            long since = now - first.at + LONGEST_SWEEP + levers.connectTime();
             return grade.repeat() == Grade.Repeat.STAMPED && since < grade.repeatWindow()
                     && switch (grade.scope()) {
                         case ALL -> true;
--- a/src/main/java/tansytrack/api/Settings.java
+++ b/src/main/java/tansytrack/api/Settings.java
@@ -18,7 +18,7 @@
     /** What this deployment permits, and what its engines heed. */
     public record Levers(boolean probe, boolean cancel, boolean secondCopies, boolean comeBack, long longestComeBack,
             int mostForwards, boolean grants, double grantCap, boolean priorities, boolean tellsCost,
-            long progressEvery, boolean placesPriced) { }
+            long progressEvery, boolean placesPriced, long connectTime) { }
 
     /** No cold engine may be sent more than multiple times its present capacity for the window. */
     public record ColdRule(double startCapacity, long warmAfter, double multiple, long window) { }
--- a/src/main/java/tansytrack/settings/Pairs.java
+++ b/src/main/java/tansytrack/settings/Pairs.java
@@ -64,7 +64,8 @@
                 flag("policy_limits.parallel_tries"), flag("policy_limits.retry_after"),
                 time("policy_limits.max_retry_after_ms"), (int) number("policy_limits.max_attempts", 1),
                 flag("extra.memory_heeded"), number("extra.grant_cap", 0), flag("extra.ranks_heeded"),
-                flag("extra.tells_cost"), time("extra.progress_ms"), number("prices.cross_zone", 0) > 0);
+                flag("extra.tells_cost"), time("extra.progress_ms"), number("prices.cross_zone", 0) > 0,
+                time("policy_limits.connect_timeout_ms"));
         Settings.ColdRule cold = pairs.containsKey("rules.overload_factor")
                 ? new Settings.ColdRule(number("rules.start_capacity", 1), time("rules.ramp_time_ms"),
                         number("rules.overload_factor", 0), time("rules.fall_ms"))
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -28,6 +28,7 @@
     private final Map<HttpLine, Timers.Timer> coming = new IdentityHashMap<>();     // until up, or given up
     private InetSocketAddress address;
     int forwards;                           // out, as the connections hold them
+    boolean takes;                          // ready, as last listed: something new may begin there
     private boolean retired;                // gone from the list: what is out ends, nothing is kept
     private long retiredAt;
 
--- a/src/main/java/tansytrack/state/Intake.java
+++ b/src/main/java/tansytrack/state/Intake.java
@@ -41,6 +41,15 @@
                 at + Math.round(wait * MS), Math.round(cost * MS), memory, statement.group());
     }
 
+    /** The mark by which engines know a repeat, or null: passed on as it is, so it must be a plain word. */
+    static String stamp(Statement statement) throws Junk {
+        String stamp = statement.field("once");
+        if (stamp != null && !stamp.matches("[0-9A-Za-z_.-]{1,64}")) {
+            throw new Junk("field once: not a word of 1 to 64 letters and digits");
+        }
+        return stamp;
+    }
+
     private static String needed(Statement statement, String field) throws Junk {
         String value = statement.field(field);
         if (value == null || value.isEmpty()) {
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -1,5 +1,6 @@
 package tansytrack.state;
 
+import static java.util.stream.Collectors.toMap;
 import static java.util.stream.Collectors.toSet;
 
 import java.net.InetSocketAddress;
@@ -184,6 +185,12 @@
                 engines.get(entry.id()).retire();
             }
         }
+        Map<String, EngineEntry> named = entries.stream().collect(toMap(EngineEntry::id, one -> one, (one, other) -> other));
+        for (EngineLines engine : engines.values()) {
+            EngineEntry entry = named.get(engine.id);
+            engine.takes = entry == null ? engine.takes && !complete : entry.state() == EngineEntry.State.READY;
+        }
+        tasks.values().forEach(task -> task.forwards.forEach(OpenForward::undrained));
         told = true;
         module.engines(timers.now(), complete, entries);
     }
@@ -218,6 +225,7 @@
         counters.add("clients.queries");
         Statement statement;
         TaskOffer offer;
+        String stamp;
         try {
             statement = Statement.read(text);
             if (statement.is(SHOW_STATS)) {
@@ -229,6 +237,7 @@
                 return;
             }
             offer = intake.offer(statement, at);
+            stamp = Intake.stamp(statement);
             if (tasks.containsKey(offer.id())) {
                 throw new Junk("field id: a task with this id is open");
             }
@@ -237,7 +246,7 @@
             session.unusable(e.getMessage());
             return;
         }
-        OpenTask task = new OpenTask(offer.id(), offer.grade(), statement.body(), offer.cutOffAt(), session);
+        OpenTask task = new OpenTask(offer.id(), offer.grade(), statement.body(), offer.cutOffAt(), stamp, session);
         session.open(task);
         owed++;
         tasks.put(task.id, task);
@@ -347,7 +356,7 @@
         counters.add(ENDED[end.ordinal()]);
         task.session.open(null);
         task.session = null;
-        task.forwards.forEach(OpenForward::unwanted);
+        task.forwards.forEach(OpenForward::takeBack);
         forget(task);
         watch.answered(timers.now(), task.id, end, bytes, say);
     }
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -27,6 +27,7 @@
     private static final long OVERDUE = HELD_OPEN + 2 * MARGIN;     // a call without its answer by then has lost it
     private static final long OVERTAKEN = 100_000_000L;     // far more than a connection takes to come up and carry a call
     private static final int MOST_BROKEN = 8;               // calls in a row: one in four spoilt makes this one in 65,000
+    private static final long LATEST = 50_000_000L;         // a starting call is made again up to so long behind its decision
     private static final long PAUSE = 10_000_000L;          // before each further one, by how many came before
 
     final OpenTask task;
@@ -81,17 +82,13 @@
 
     /** Sends it, if it was not given up meanwhile; its end comes later, never within this call. */
     void start() {
-        if (task.answered()) {
-            manager.later(() -> end(Outcome.NEVER_SENT));
-        } else {
-            postOpen();
-        }
+        postOpen();
     }
 
     private void post() {
         long wait = Math.max(1, (until - timers.now()) / 1_000_000);
         String fields = "X-Req: " + task.id + "\r\nX-Class: " + task.grade + "\r\nX-Wait-Ms: " + wait + "\r\n"
-                + (task.memoryMb > 0 ? "Grant-Mb: " + task.memoryMb + "\r\n" : "") + "Rank: " + task.priority + "\r\n";
+                + (task.stamp == null ? "" : "Idempotency-Key: " + task.stamp + "\r\n") + (task.memoryMb > 0 ? "Grant-Mb: " + task.memoryMb + "\r\n" : "") + "Rank: " + task.priority + "\r\n";
         asking = null;
         called(engine.call("POST", "/o", fields, task.statement, this));
     }
@@ -244,17 +241,33 @@
         }
     }
 
+    /**
+     * Guards against a query that begins behind its time: this is no new decision, so it holds only while nobody could have
+     * decided otherwise. Else the module hears that nothing was sent, and decides again under all its rules.
+     */
     private void postOpen() {
-        if (!over && !cancelled) {
+        if (over || cancelled) {
+            return;
+        }
+        if (task.answered() || !engine.takes || timers.now() - at > LATEST) {
+            manager.later(() -> end(Outcome.NEVER_SENT));
+        } else {
             post();
         }
     }
 
+    /** The list has changed. Guards against a call that begins at an engine told to drain while its connection came up. */
+    void undrained() {
+        if (!engine.takes) {
+            takeBack();
+        }
+    }
+
     /**
-     * Nobody waits for its task any more. Guards against a query that begins behind its client's back: a call whose
-     * connection is still coming up is taken back, also where nothing that runs can be cancelled.
+     * It is not to begin any more. Guards against a query that begins behind its client's back: a call whose connection is
+     * still coming up is taken back, also where nothing that runs can be cancelled.
      */
-    void unwanted() {
+    void takeBack() {
         if (!over && !cancelled && !left && (line == null || !line.up())) {
             if (line != null) {
                 line.drop();
--- a/src/test/java/tansytrack/Manager.java
+++ b/src/test/java/tansytrack/Manager.java
@@ -23,6 +23,7 @@
     boolean cancels = true;
     boolean copies;
     boolean probes;
+    long connectTime;
     boolean tenants = true;                   // does the deployment name any?
     Settings.ColdRule cold;
     Settings.RationRule ration;
@@ -49,7 +50,8 @@
                     grade("bound", Grade.Repeat.HARMLESS, Grade.Scope.ALL, false, "big")),
                     tenants ? List.of(new Settings.Tenant("a", 0.75, 100), new Settings.Tenant("b", 0.25, 100)) : List.of(),
                     Map.of("small", new Settings.Kind(4, 1000), "big", new Settings.Kind(8, 2000)),
-                    new Settings.Levers(probes, cancels, copies, true, 500 * MS, 3, true, 0.5, true, true, 0, false),
+                    new Settings.Levers(probes, cancels, copies, true, 500 * MS, 3, true, 0.5, true, true, 0, false,
+                            connectTime),
                     1000 * MS, cold, 300 * MS, ration), this);
         }
         return module;
--- a/src/test/java/tansytrack/RulesTest.java
+++ b/src/test/java/tansytrack/RulesTest.java
@@ -55,6 +55,10 @@
                 rule("2 stamped within it: sent again", m -> m.list(true, small("e"))
                         .take("t stamp a").decide().pass(1000).end("t", 0, Outcome.ERROR),
                         "forward t e", "forward t e"),
+                rule("2 stamped near its end: a connection that comes up late would carry it past that", m -> {
+                    m.connectTime = 250 * MS;
+                    m.list(true, small("e")).take("t stamp a").decide().pass(4701).end("t", 0, Outcome.ERROR).pass(4000);
+                }, "forward t e", "bounce t"),
                 rule("2 stamped: the window runs from the first forward, also while that is still out", m -> {
                     m.copies = true;
                     m.list(true, small("e"), small("f")).take("t stamp a").decide().pass(3000).waits("t");
--- a/src/test/java/tansytrack/service/CrossingsTest.java
+++ b/src/test/java/tansytrack/service/CrossingsTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import tansytrack.service.ServiceTest.Client;
@@ -160,6 +161,37 @@
         }
     }
 
+    /** An engine is told to drain while the connection for a query to it comes up: the query must not begin there. */
+    @Test
+    void aConnectionThatComesUpBehindTheDrainCarriesNothing() throws Exception {
+        Peer engine = new Peer().full();
+        Peer channel = new Peer().accepting();
+        AtomicReference<String> news = new AtomicReference<>("{\"cursor\":1,\"cmds\":[]}");
+        Thread teller = new Thread(() -> {
+            try {
+                while (true) {
+                    channel.next(MINUTE).answer(Rehearsal.say("200 OK", "", news.get()));
+                }
+            } catch (Exception e) {
+                // the test is over
+            }
+        });
+        teller.setDaemon(true);
+        teller.start();
+        start(config(engine, channel));
+        try (Client client = new Client(at).started(); Client other = new Client(at).started()) {
+            client.send(Client.message('Q', Client.task("safe", "00000000000000a2", "ok")));
+            until(other, "engine.e.forwards.sockets,1;");
+            news.set(("{'cursor':2,'cmds':[" + ServiceTest.listed(2, "e", engine.address(), "draining") + "]}").replace('\'', '"'));
+            // Taken back as the news comes, and refused once its budget of a fifth of its time, 4 s, has passed.
+            until(other, "forwards.ended.NEVER_SENT,1;");
+            engine.accepting();
+            engine.cut = false;
+            assertThat(engine.next(2500)).isNull();
+            assertThat(client.answer()).startsWith("53300");
+        }
+    }
+
     /** A machine is cut off as a query is given up: old connections swallow the calls for that, and prove no end of the query. */
     @Test
     void oldConnectionsThatSwallowAllProveNoEnd() throws Exception {
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -482,6 +482,18 @@
         assertThat(engine.calls).contains("DELETE /o/00000000000000c1");
     }
 
+    /** Engines know a repeat by its client's mark: without it on every forward a stamped task is another one. */
+    @Test
+    void theMarkOfAStampedTaskGoesOnToTheEngine() throws IOException {
+        try (Client client = new Client(at).started()) {
+            String task = Client.task("safe", "00000000000000a5", "fullonce");
+            assertThat(client.ask(task.replace("mb=1", "mb=1,once=5d61c58d40d99d127e8b87ba5c575dda"))).isEqualTo("SELECT 0");
+            assertThat(client.ask(task.replace("mb=1", "mb=1,once=a b"))).startsWith("22023 field once: not a word");
+        }
+        assertThat(engine.calls.stream().filter(call -> call.startsWith("POST"))).hasSize(2)
+                .allSatisfy(post -> assertThat(post).contains("Idempotency-Key: 5d61c58d40d99d127e8b87ba5c575dda\r\n"));
+    }
+
     /** What costs a connection is counted by its reason, and costs nothing else. */
     @Test
     void malformedBytesAreCountedByReason() throws IOException {
