--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -82,7 +82,7 @@
 
     /** Sends it, if it was not given up meanwhile; its end comes later, never within this call. */
     void start() {
-        postOpen();
+        postOpen(Long.MAX_VALUE);
     }
 
     private void post() {
@@ -224,7 +224,7 @@
         silent |= late && left;
         if (!left) {
             if (why == HttpLine.Failure.UNSENT && broken < MOST_BROKEN) {
-                manager.later(this::postOpen);
+                manager.later(() -> postOpen(LATEST));
             } else {
                 end(Outcome.UNREACHED);         // the call itself never left: nothing ran
             }
@@ -245,11 +245,11 @@
      * Guards against a query that begins behind its time: this is no new decision, so it holds only while nobody could have
      * decided otherwise. Else the module hears that nothing was sent, and decides again under all its rules.
      */
-    private void postOpen() {
+    private void postOpen(long latest) {
         if (over || cancelled) {
             return;
         }
-        if (task.answered() || !engine.takes || timers.now() - at > LATEST) {
+        if (task.answered() || !engine.takes || timers.now() - at > latest) {
             manager.later(() -> end(Outcome.NEVER_SENT));
         } else {
             post();
