--- a/src/test/java/tansytrack/service/CrossingsTest.java
+++ b/src/test/java/tansytrack/service/CrossingsTest.java
@@ -135,8 +135,10 @@
     }
 
     private static String until(Client client, String said) throws IOException {
+        long end = System.nanoTime() + 20_000_000_000L;
         String told = client.ask("SHOW STATS");
         while (!told.contains(said)) {
+            assertThat(System.nanoTime()).as("waiting for %s", said).isLessThan(end);
             told = client.ask("SHOW STATS");
         }
         return told;
