Read once more: one reader of the connect time, engines told where listed, tests that share

The connect time was read twice, with a default in one of the two only; Settings.Levers has it now, default and all. Whether an engine takes anything new was reckoned by a second pass over each list; it is told where the engine is listed and retired. Mended in tests: Peer.accepting could end at once where a cut had been set before it, so that two crossings could have passed with nobody listening; the silent watch now does speak behind its time.

--- a/src/main/java/tansytrack/settings/Config.java
+++ b/src/main/java/tansytrack/settings/Config.java
@@ -8,9 +8,8 @@
 
 /** All that a workload manager is told when it starts; times in nanoseconds. */
 public record Config(String name, String listen, String channel, Object known, Settings settings,
-        List<String> columns, long connectTime, long idleTime, int mostDescriptors) {
+        List<String> columns, long idleTime, int mostDescriptors) {
 
-    private static final long CONNECT_TIME = 1_000_000_000L;    // where none is set: far more than a round trip
     private static final List<String> REPORTED = List.of("cpu_share", "busy_reqs", "pending", "x0", "x1");
     private static final Map<String, String> OTHER_NAMES = Map.of("util", "cpu_share", "inflight", "busy_reqs",
             "queue", "pending");
@@ -31,18 +30,21 @@
             throw new Unusable("limits.sockets is not a number");
         }
         Settings settings = pairs.settings(seed);
-        long connectTime = pairs.time("policy_limits.connect_timeout_ms");
         if (settings.grades().isEmpty()) {
             throw new Unusable("settings.grades is empty");
         }
         return new Config(text(all, "name"), text(all, "listen"), text(all, "channel"), all.get("known"), settings,
-                pairs.columns(), connectTime > 0 ? connectTime : CONNECT_TIME,
-                pairs.time("policy_limits.conn_idle_ms"), ((Number) sockets).intValue());
+                pairs.columns(), pairs.time("policy_limits.conn_idle_ms"), ((Number) sockets).intValue());
+    }
+
+    /** How long a connection to an engine may take to come up. */
+    public long connectTime() {
+        return settings.levers().connectTime();
     }
 
     /** The same manager elsewhere, with other engines. */
     public Config moved(String otherListen, String otherChannel, Object otherKnown) {
-        return new Config(name, otherListen, otherChannel, otherKnown, settings, columns, connectTime, idleTime,
+        return new Config(name, otherListen, otherChannel, otherKnown, settings, columns, idleTime,
                 mostDescriptors);
     }
 
@@ -53,7 +55,7 @@
             differ.add("listen");
         }
         // The seed is new with each start, so it says nothing of the settings.
-        if (!settings.equals(other.settings.withSeed(settings.seed())) || connectTime != other.connectTime
+        if (!settings.equals(other.settings.withSeed(settings.seed()))
                 || idleTime != other.idleTime || !columns.equals(other.columns)) {
             differ.add("settings");
         }
--- a/src/main/java/tansytrack/settings/Pairs.java
+++ b/src/main/java/tansytrack/settings/Pairs.java
@@ -12,6 +12,7 @@
 /** The start-up settings of one workload manager, from path=value pairs; unknown paths are skipped. */
 public final class Pairs {
 
+    private static final long CONNECT_TIME = 1_000_000_000L;    // where none is set: far more than a round trip
     private static final double MOST = 1e12;            // of any figure: times in nanoseconds stay in range
 
     private final Map<String, String> pairs = new HashMap<>();
@@ -60,12 +61,13 @@
             kinds.put(names.get(i), new Settings.Kind(i < cores.size() ? (int) parse("extra.cpu_of_kind", cores.get(i)) : 0,
                     i < memory.size() ? parse("extra.memory_by_kind_mb", memory.get(i)) : 0));
         }
+        long connectTime = time("policy_limits.connect_timeout_ms");
         Settings.Levers levers = new Settings.Levers(flag("policy_limits.may_probe"), flag("policy_limits.cancel"),
                 flag("policy_limits.parallel_tries"), flag("policy_limits.retry_after"),
                 time("policy_limits.max_retry_after_ms"), (int) number("policy_limits.max_attempts", 1),
                 flag("extra.memory_heeded"), number("extra.grant_cap", 0), flag("extra.ranks_heeded"),
                 flag("extra.tells_cost"), time("extra.progress_ms"), number("prices.cross_zone", 0) > 0,
-                time("policy_limits.connect_timeout_ms"));
+                connectTime > 0 ? connectTime : CONNECT_TIME);
         Settings.ColdRule cold = pairs.containsKey("rules.overload_factor")
                 ? new Settings.ColdRule(number("rules.start_capacity", 1), time("rules.ramp_time_ms"),
                         number("rules.overload_factor", 0), time("rules.fall_ms"))
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -28,7 +28,7 @@
     private final Map<HttpLine, Timers.Timer> coming = new IdentityHashMap<>();     // until up, or given up
     private InetSocketAddress address;
     int forwards;                           // out, as the connections hold them
-    boolean takes;                          // ready, as last listed: something new may begin there
+    private boolean takes;                  // ready, as last listed: something new may begin there
     private boolean retired;                // gone from the list: what is out ends, nothing is kept
     private long retiredAt;
 
@@ -54,8 +54,9 @@
         this.counters = counters;
     }
 
-    /** Its address, as listed; connections to an old one are of no use. */
-    void address(InetSocketAddress at) {
+    /** Its address, as listed, and whether anything new may begin there; connections to an old address are of no use. */
+    void listed(InetSocketAddress at, boolean ready) {
+        takes = ready;
         retired = false;
         if (!at.equals(address)) {
             dropIdle();
@@ -64,11 +65,16 @@
     }
 
     void retire() {
+        takes = false;
         retiredAt = retired ? retiredAt : timers.now();
         retired = true;
         dropIdle();
     }
 
+    boolean takes() {
+        return takes;
+    }
+
     /** It left the list so long ago that the module cannot have it in mind any more. */
     boolean forgotten(long after) {
         return retired && timers.now() - retiredAt > after;
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -1,6 +1,5 @@
 package tansytrack.state;
 
-import static java.util.stream.Collectors.toMap;
 import static java.util.stream.Collectors.toSet;
 
 import java.net.InetSocketAddress;
@@ -180,16 +179,11 @@
         for (EngineEntry entry : entries) {
             if (entry.state() != EngineEntry.State.GONE) {
                 engines.computeIfAbsent(entry.id(), id -> new EngineLines(id, sockets, timers, limits, counters))
-                        .address(addresses.get(entry.id()));
+                        .listed(addresses.get(entry.id()), entry.state() == EngineEntry.State.READY);
             } else if (engines.containsKey(entry.id())) {
                 engines.get(entry.id()).retire();
             }
         }
-        Map<String, EngineEntry> named = entries.stream().collect(toMap(EngineEntry::id, one -> one, (one, other) -> other));
-        for (EngineLines engine : engines.values()) {
-            EngineEntry entry = named.get(engine.id);
-            engine.takes = entry == null ? engine.takes && !complete : entry.state() == EngineEntry.State.READY;
-        }
         tasks.values().forEach(task -> task.forwards.forEach(OpenForward::undrained));
         told = true;
         module.engines(timers.now(), complete, entries);
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -88,7 +88,8 @@
     private void post() {
         long wait = Math.max(1, (until - timers.now()) / 1_000_000);
         String fields = "X-Req: " + task.id + "\r\nX-Class: " + task.grade + "\r\nX-Wait-Ms: " + wait + "\r\n"
-                + (task.stamp == null ? "" : "Idempotency-Key: " + task.stamp + "\r\n") + (task.memoryMb > 0 ? "Grant-Mb: " + task.memoryMb + "\r\n" : "") + "Rank: " + task.priority + "\r\n";
+                + (task.stamp == null ? "" : "Idempotency-Key: " + task.stamp + "\r\n")
+                + (task.memoryMb > 0 ? "Grant-Mb: " + task.memoryMb + "\r\n" : "") + "Rank: " + task.priority + "\r\n";
         asking = null;
         called(engine.call("POST", "/o", fields, task.statement, this));
     }
@@ -249,7 +250,7 @@
         if (over || cancelled) {
             return;
         }
-        if (task.answered() || !engine.takes || timers.now() - at > latest) {
+        if (task.answered() || !engine.takes() || timers.now() - at > latest) {
             manager.later(() -> end(Outcome.NEVER_SENT));
         } else {
             post();
@@ -258,7 +259,7 @@
 
     /** The list has changed. Guards against a call that begins at an engine told to drain while its connection came up. */
     void undrained() {
-        if (!engine.takes) {
+        if (!engine.takes()) {
             takeBack();
         }
     }
--- a/src/test/java/tansytrack/RulesTest.java
+++ b/src/test/java/tansytrack/RulesTest.java
@@ -149,23 +149,28 @@
         assertThat(manager.sentTo("e")).isEqualTo(most);
     }
 
+    /** So many managers, each with the seed behind the one before it, are told of an engine that has just started. */
+    private static int sentByAll(int siblings, long seed, int tasks, long cost) {
+        int sent = 0;
+        for (int i = 0; i < siblings; i++) {
+            Manager manager = new Manager();
+            manager.seed = seed + i;
+            manager.siblings = siblings;
+            manager.cold = new Settings.ColdRule(0.3, 10_000 * MS, 2, 1000 * MS);
+            manager.list(true, engine("e", "small", 0, State.READY, 100_000)).takeAll(tasks, "t# short a cost=" + cost);
+            sent += (int) manager.sentTo("e");
+        }
+        return sent;
+    }
+
     /** The fleet's budget of N calls, and beyond it 2 roots of N and 2, with few managers and with many. */
     @ParameterizedTest(name = "4 cold: {0} managers, work of {1} ms")
     @CsvSource({"2, 100", "2, 300", "30, 100", "30, 300", "30, 900", "200, 300"})
     void beyondTheBudgetOfTheFleetIsOnlyChance(int siblings, long cost) {
         double budget = 2 * 0.3 * 4 * 1000 / cost;
         for (int round = 0; round < 40; round++) {
-            int sent = 0;
-            for (int i = 0; i < siblings; i++) {
-                Manager manager = new Manager();
-                manager.seed = 1000 * round + i;
-                manager.siblings = siblings;
-                manager.cold = new Settings.ColdRule(0.3, 10_000 * MS, 2, 1000 * MS);
-                manager.list(true, engine("e", "small", 0, State.READY, 100_000));
-                manager.takeAll(30, "t# short a cost=" + cost);
-                sent += (int) manager.sentTo("e");
-            }
-            assertThat((double) sent).as("round %s", round).isLessThanOrEqualTo(budget + 2 * Math.sqrt(budget) + 2);
+            double sent = sentByAll(siblings, 1000L * round, 30, cost);
+            assertThat(sent).as("round %s", round).isLessThanOrEqualTo(budget + 2 * Math.sqrt(budget) + 2);
         }
     }
 
@@ -193,15 +198,7 @@
         int rounds = 40;
         double all = 0;
         for (int round = 0; round < rounds; round++) {
-            int sent = 0;
-            for (int i = 0; i < 200; i++) {
-                Manager manager = new Manager();
-                manager.seed = 1000 * round + i;
-                manager.siblings = 200;
-                manager.cold = new Settings.ColdRule(0.3, 10_000 * MS, 2, 1000 * MS);
-                manager.list(true, engine("e", "small", 0, State.READY, 100_000)).takeAll(3, "t# short a cost=300");
-                sent += (int) manager.sentTo("e");
-            }
+            int sent = sentByAll(200, 1000L * round, 3, 300);
             assertThat(sent).isLessThan(8 + 2 * 2 + 2);
             all += sent * 0.3 / rounds;
         }
--- a/src/test/java/tansytrack/service/CrossingsTest.java
+++ b/src/test/java/tansytrack/service/CrossingsTest.java
@@ -28,10 +28,9 @@
     private static final String NOT_OVER = Rehearsal.say("202 Accepted", "", "");
 
     private final List<AutoCloseable> open = new ArrayList<>();
+    private ServiceTest.Running running;
     private Service service;
-    private Thread loop;
     private InetSocketAddress at;
-    private Throwable failure;
 
     /** A call that has come whole, and the connection that it may be answered on. */
     private record Call(Socket on, String text) {
@@ -45,7 +44,6 @@
     private final class Peer {
         final ServerSocket socket;
         final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
-        private final List<Socket> fillers = new ArrayList<>();
         private volatile boolean cut;
 
         Peer() throws IOException {
@@ -57,7 +55,9 @@
             return "127.0.0.1:" + socket.getLocalPort();
         }
 
+        /** From now on, or again, connections to it come up. */
         Peer accepting() {
+            cut = false;
             new Thread(() -> {
                 try {
                     while (!cut) {
@@ -93,30 +93,22 @@
                     Socket one = new Socket();
                     open.add(one);
                     one.connect(socket.getLocalSocketAddress(), 300);
-                    fillers.add(one);
                 }
             } catch (SocketTimeoutException e) {
                 return this;
             }
         }
 
-        /** The next call that is none to the command channel, or null when none comes in that time. */
+        /** The next call, or null when none comes in that time. */
         Call next(long within) throws InterruptedException {
             return calls.poll(within, TimeUnit.MILLISECONDS);
         }
     }
 
     private void start(String config) throws Exception {
-        service = new Service(ServiceTest.read(config));
-        at = service.listen();
-        loop = new Thread(() -> {
-            try {
-                service.run();
-            } catch (Throwable e) {
-                failure = e;
-            }
-        });
-        loop.start();
+        running = new ServiceTest.Running(config);
+        service = running.service;
+        at = running.at;
     }
 
     private static String config(Peer engine, Peer channel) {
@@ -125,13 +117,13 @@
 
     @AfterEach
     void stop() throws Exception {
-        service.terminate();
-        loop.join(MINUTE);
-        for (AutoCloseable one : open) {
-            one.close();
+        try {
+            running.end();
+        } finally {
+            for (AutoCloseable one : open) {
+                one.close();
+            }
         }
-        assertThat(failure).isNull();
-        assertThat(loop.isAlive()).isFalse();
     }
 
     private static String until(Client client, String said) throws IOException {
@@ -156,7 +148,6 @@
             }
             until(other, "clients.left,1;");
             engine.accepting();
-            engine.cut = false;
             // The machine tries a connection again a second later, and then it comes up.
             assertThat(engine.next(2500)).isNull();
             assertThat(until(other, "engine.e.forwards.sockets,0;")).contains("forwards.ended.NEVER_SENT,1;");
@@ -188,7 +179,6 @@
             // Taken back as the news comes, and refused once its budget of a fifth of its time, 4 s, has passed.
             until(other, "forwards.ended.NEVER_SENT,1;");
             engine.accepting();
-            engine.cut = false;
             assertThat(engine.next(2500)).isNull();
             assertThat(client.answer()).startsWith("53300");
         }
@@ -246,6 +236,12 @@
         assertThat(again.text()).startsWith("GET /cmd/next?resume=1&block=1000");
         assertThat(again.on()).isNotSameAs(silent.on());
         // What the silent one says now belongs to nothing any more.
+        try {
+            silent.answer(Rehearsal.say("200 OK", "", ("{'cursor':3,'cmds':[" + ServiceTest.listed(3, "e", engine.address(), "ready")
+                    + "]}").replace('\'', '"')));
+        } catch (IOException e) {
+            // it may be closed already
+        }
         again.answer(Rehearsal.say("200 OK", "", ("{'cursor':2,'cmds':[" + ServiceTest.listed(2, "e", engine.address(), "draining")
                 + "]}").replace('\'', '"')));
         assertThat(channel.next(MINUTE).text()).startsWith("GET /cmd/next?resume=2&");
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -43,10 +43,39 @@
     @TempDir
     Path folder;
     private final Engine engine = new Engine();
+    private Running running;
     private Service service;
-    private Thread loop;
     private InetSocketAddress at;
-    private Throwable failure;
+
+    /** A manager that listens, and the thread that its loop runs on. */
+    static final class Running {
+        final Service service;
+        final InetSocketAddress at;
+        private final Thread loop;
+        private volatile Throwable failure;
+
+        Running(String config) throws IOException, Junk {
+            service = new Service(read(config));
+            at = service.listen();
+            loop = new Thread(() -> {
+                try {
+                    service.run();
+                } catch (Throwable e) {
+                    failure = e;
+                }
+            });
+            loop.start();
+        }
+
+        /** Whatever was done to it, it ends when told to, and has given back every connection. */
+        void end() throws InterruptedException {
+            service.terminate();
+            loop.join(MINUTE);
+            assertThat(failure).isNull();
+            assertThat(loop.isAlive()).isFalse();
+            assertThat(service.descriptors()).isZero();
+        }
+    }
 
     /** An HTTP server that does as the statement says; the command channel too. */
     private static final class Engine implements AutoCloseable {
@@ -316,19 +345,11 @@
     }
 
     private void start(String config) throws IOException, Junk {
-        service = new Service(read(config));
-        at = service.listen();
-        loop = new Thread(() -> {
-            try {
-                service.run();
-            } catch (Throwable e) {
-                failure = e;
-            }
-        });
-        loop.start();
+        running = new Running(config);
+        service = running.service;
+        at = running.at;
     }
 
-    /** Whatever was done to it, it ends when told to, and has given back every connection. */
     @AfterEach
     void stop() throws IOException, InterruptedException {
         end();
@@ -336,11 +357,7 @@
     }
 
     private void end() throws InterruptedException {
-        service.terminate();
-        loop.join(MINUTE);
-        assertThat(failure).isNull();
-        assertThat(loop.isAlive()).isFalse();
-        assertThat(service.descriptors()).isZero();
+        running.end();
     }
 
     /** Guards against a new connection for each question and page: a hundred managers add up, and each one costs work. */
@@ -776,7 +793,8 @@
 
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {"'seed':'8c1f30d27a5be964' | 'seed':'xyz'", "'sockets':256 | 'sockets':'many'",
-        "'deadline_ms':300 | 'deadline_ms':'soon'", "'max_attempts':2 | 'max_attempts':-1", "'cpu_of_kind':[4] | 'cpu_of_kind':['x']", "'name':'m', | ''"})
+        "'deadline_ms':300 | 'deadline_ms':'soon'", "'max_attempts':2 | 'max_attempts':-1",
+        "'cpu_of_kind':[4] | 'cpu_of_kind':['x']", "'name':'m', | ''"})
     void anUnusableConfigurationIsSaidPlainly(String good, String bad) throws IOException {
         assertThatThrownBy(() -> read(config().replace(good, bad == null ? "" : bad))).isInstanceOf(Unusable.class);
         Path file = folder.resolve("config.json");
--- a/src/test/java/tansytrack/state/EngineLinesTest.java
+++ b/src/test/java/tansytrack/state/EngineLinesTest.java
@@ -88,7 +88,7 @@
             limits.most = 9;
             engine.setSoTimeout(10_000);
             EngineLines lines = new EngineLines("e", sockets, timers, limits, counters);
-            lines.address((InetSocketAddress) engine.getLocalSocketAddress());
+            lines.listed((InetSocketAddress) engine.getLocalSocketAddress(), true);
             lines.call("GET", "/one", caller());
             try (Socket first = engine.accept()) {
                 DataInputStream in = new DataInputStream(first.getInputStream());
