--- a/src/main/java/tansytrack/FleetCommands.java
+++ b/src/main/java/tansytrack/FleetCommands.java
@@ -18,96 +18,117 @@
 /** The command group `fleet`: what a running manager knows of the others. */
 public final class FleetCommands {
 
-    private static final int PATIENCE_MS = 3000;
+  private static final int PATIENCE_MS = 3000;
 
-    private FleetCommands() { }
+  private FleetCommands() {}
 
-    /** The group. */
-    public static final class All extends Group {
-        @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class, usage = "show")
-        @SubCommands({@SubCommand(name = "show", impl = Show.class)})
-        private Command command;
+  /** The group. */
+  public static final class All extends Group {
+    @Argument(
+        required = true,
+        metaVar = "COMMAND",
+        handler = SubCommandHandler.class,
+        usage = "show")
+    @SubCommands({@SubCommand(name = "show", impl = Show.class)})
+    private Command command;
 
-        @Override
-        public String about() {
-            return "fleet: what a running manager knows of the others. Commands: show.";
-        }
+    @Override
+    public String about() {
+      return "fleet: what a running manager knows of the others. Commands: show.";
+    }
 
-        @Override
-        protected Command inner() {
-            return command;
-        }
+    @Override
+    protected Command inner() {
+      return command;
     }
+  }
 
-    /** Asks one. */
-    public static final class Show extends Guarded {
-        @Argument(required = true, metaVar = "ADDRESS", usage = "the listener of a running manager, as in 127.0.0.1:6565")
-        private String at;
-        @Option(name = "--json", usage = "as a JSON object instead of a table")
-        private boolean json;
+  /** Asks one. */
+  public static final class Show extends Guarded {
+    @Argument(
+        required = true,
+        metaVar = "ADDRESS",
+        usage = "the listener of a running manager, as in 127.0.0.1:6565")
+    private String at;
 
-        @Override
-        public String about() {
-            return "fleet show: its members as that manager sees them, itself first. Exit code 1: it keeps in touch with nobody; 2: it\n"
-                    + "cannot be asked.";
-        }
+    @Option(name = "--json", usage = "as a JSON object instead of a table")
+    private boolean json;
 
-        @Override
-        protected int work() throws IOException {
-            int colon = at.lastIndexOf(':');
-            if (colon < 1 || !at.substring(colon + 1).matches("[0-9]{1,5}")) {
-                throw new Unusable("'" + at + "'; allowed: an address with a port, as in 127.0.0.1:6565");
-            }
-            LabClient.Answer answer;
-            try (LabClient client = new LabClient(new InetSocketAddress(at.substring(0, colon),
-                    Integer.parseInt(at.substring(colon + 1))), PATIENCE_MS)) {
-                answer = client.ask("SHOW FLEET");
-            } catch (IOException e) {
-                throw new IOException(at + " cannot be asked: " + e.getMessage(), e);
-            }
-            if (!answer.handled()) {
-                System.err.println("tansytrack: " + at + " keeps in touch with no others: its operators' file has no fleet section");
-                return DIFFERS;
-            }
-            System.out.print(json ? object(answer) : table(answer));
-            return 0;
-        }
+    @Override
+    public String about() {
+      return "fleet show: its members as that manager sees them, itself first. Exit code 1: it keeps in touch with nobody; 2: it\n"
+          + "cannot be asked.";
+    }
 
-        private static String table(LabClient.Answer answer) {
-            StringBuilder text = new StringBuilder();
-            int[] widths = new int[answer.columns().size()];
-            for (int i = 0; i < widths.length; i++) {
-                widths[i] = answer.columns().get(i).length();
-                for (List<String> row : answer.cells()) {
-                    widths[i] = Math.max(widths[i], row.get(i).length());
-                }
-            }
-            line(text, answer.columns(), widths);
-            answer.cells().forEach(row -> line(text, row, widths));
-            return text.toString();
-        }
+    @Override
+    protected int work() throws IOException {
+      int colon = at.lastIndexOf(':');
+      if (colon < 1 || !at.substring(colon + 1).matches("[0-9]{1,5}")) {
+        throw new Unusable("'" + at + "'; allowed: an address with a port, as in 127.0.0.1:6565");
+      }
+      LabClient.Answer answer;
+      try (LabClient client =
+          new LabClient(
+              new InetSocketAddress(
+                  at.substring(0, colon), Integer.parseInt(at.substring(colon + 1))),
+              PATIENCE_MS)) {
+        answer = client.ask("SHOW FLEET");
+      } catch (IOException e) {
+        throw new IOException(at + " cannot be asked: " + e.getMessage(), e);
+      }
+      if (!answer.handled()) {
+        System.err.println(
+            "tansytrack: "
+                + at
+                + " keeps in touch with no others: its operators' file has no fleet section");
+        return DIFFERS;
+      }
+      System.out.print(json ? object(answer) : table(answer));
+      return 0;
+    }
 
-        private static void line(StringBuilder text, List<String> cells, int[] widths) {
-            for (int i = 0; i < widths.length; i++) {
-                text.append(i > 0 ? "  " : "").append(i == widths.length - 1 ? cells.get(i)
-                        : String.format("%-" + widths[i] + "s", cells.get(i)));
-            }
-            text.append('\n');
+    private static String table(LabClient.Answer answer) {
+      StringBuilder text = new StringBuilder();
+      int[] widths = new int[answer.columns().size()];
+      for (int i = 0; i < widths.length; i++) {
+        widths[i] = answer.columns().get(i).length();
+        for (List<String> row : answer.cells()) {
+          widths[i] = Math.max(widths[i], row.get(i).length());
         }
+      }
+      line(text, answer.columns(), widths);
+      answer.cells().forEach(row -> line(text, row, widths));
+      return text.toString();
+    }
+
+    private static void line(StringBuilder text, List<String> cells, int[] widths) {
+      for (int i = 0; i < widths.length; i++) {
+        text.append(i > 0 ? "  " : "")
+            .append(
+                i == widths.length - 1
+                    ? cells.get(i)
+                    : String.format("%-" + widths[i] + "s", cells.get(i)));
+      }
+      text.append('\n');
+    }
 
-        private static String object(LabClient.Answer answer) {
-            StringBuilder text = new StringBuilder("{\"members\":[");
-            for (int i = 0; i < answer.rows(); i++) {
-                text.append(i > 0 ? "," : "").append('{');
-                for (int j = 0; j < answer.columns().size(); j++) {
-                    String cell = answer.cells().get(i).get(j);
-                    boolean figure = cell.matches("[0-9]{1,18}") && !answer.columns().get(j).matches("name|place|version|settings");
-                    text.append(j > 0 ? "," : "").append(JsonLinesWriter.quoted(answer.columns().get(j))).append(':')
-                            .append(figure ? cell : JsonLinesWriter.quoted(cell));
-                }
-                text.append('}');
-            }
-            return text.append("]}\n").toString();
+    private static String object(LabClient.Answer answer) {
+      StringBuilder text = new StringBuilder("{\"members\":[");
+      for (int i = 0; i < answer.rows(); i++) {
+        text.append(i > 0 ? "," : "").append('{');
+        for (int j = 0; j < answer.columns().size(); j++) {
+          String cell = answer.cells().get(i).get(j);
+          boolean figure =
+              cell.matches("[0-9]{1,18}")
+                  && !answer.columns().get(j).matches("name|place|version|settings");
+          text.append(j > 0 ? "," : "")
+              .append(JsonLinesWriter.quoted(answer.columns().get(j)))
+              .append(':')
+              .append(figure ? cell : JsonLinesWriter.quoted(cell));
         }
+        text.append('}');
+      }
+      return text.append("]}\n").toString();
     }
+  }
 }
--- a/src/main/java/tansytrack/LabCommands.java
+++ b/src/main/java/tansytrack/LabCommands.java
@@ -24,189 +24,234 @@
 /** The command group `lab`: stand-ins and experiments, all on loopback. */
 public final class LabCommands {
 
-    private LabCommands() { }
-
-    /** The group. */
-    public static final class All extends Group {
-        @Argument(required = true, metaVar = "COMMAND", handler = SubCommandHandler.class, usage = "engines, run, load, fleet, explore or ledger-bench")
-        @SubCommands({@SubCommand(name = "engines", impl = Engines.class), @SubCommand(name = "run", impl = Run.class),
-            @SubCommand(name = "load", impl = Load.class), @SubCommand(name = "fleet", impl = Fleet.class),
-            @SubCommand(name = "explore", impl = Explore.class),
-            @SubCommand(name = "ledger-bench", impl = Bench.class)})
-        private Command command;
-
-        @Override
-        public String about() {
-            return "lab: stand-ins and experiments on loopback. Commands: engines, run, load, fleet, explore, ledger-bench.";
-        }
-
-        @Override
-        protected Command inner() {
-            return command;
-        }
+  private LabCommands() {}
+
+  /** The group. */
+  public static final class All extends Group {
+    @Argument(
+        required = true,
+        metaVar = "COMMAND",
+        handler = SubCommandHandler.class,
+        usage = "engines, run, load, fleet, explore or ledger-bench")
+    @SubCommands({
+      @SubCommand(name = "engines", impl = Engines.class),
+      @SubCommand(name = "run", impl = Run.class),
+      @SubCommand(name = "load", impl = Load.class),
+      @SubCommand(name = "fleet", impl = Fleet.class),
+      @SubCommand(name = "explore", impl = Explore.class),
+      @SubCommand(name = "ledger-bench", impl = Bench.class)
+    })
+    private Command command;
+
+    @Override
+    public String about() {
+      return "lab: stand-ins and experiments on loopback. Commands: engines, run, load, fleet, explore, ledger-bench.";
+    }
+
+    @Override
+    protected Command inner() {
+      return command;
+    }
+  }
+
+  /** Plays a file with a seed and leaves results. */
+  abstract static class Playing extends Guarded {
+    @Option(name = "--seed", metaVar = "N", usage = "of the first run")
+    private long seed = 1;
+
+    @Option(
+        name = "--out",
+        metaVar = "FOLDER",
+        usage = "where results are left; absent: a new temporary folder")
+    private String out;
+
+    /** Whether all that was claimed holds. */
+    abstract boolean played(long from, Path to) throws IOException, InterruptedException;
+
+    @Override
+    protected final int work() throws IOException {
+      Path to = out == null ? Files.createTempDirectory("tansytrack-lab") : Path.of(out);
+      try {
+        boolean held = played(seed, to);
+        System.out.println("results in " + to);
+        return held ? 0 : DIFFERS;
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return DIFFERS;
+      }
+    }
+  }
+
+  /** Stand-ins for what a configuration names. */
+  public static final class Engines extends Guarded {
+    @Argument(
+        required = true,
+        metaVar = "FILE",
+        usage = "the configuration whose engines and command channel are stood in for")
+    private String file;
+
+    @Option(name = "--work-ms", metaVar = "N", usage = "work on a task, in milliseconds")
+    private int work = 20;
+
+    @Override
+    public String about() {
+      return "lab engines: stand-ins for the engines and the command channel that a configuration names, until ended.";
+    }
+
+    @Override
+    protected int work() throws IOException {
+      StandIns.of(file, work, System.out);
+      try {
+        Thread.sleep(Long.MAX_VALUE);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      return 0;
+    }
+  }
+
+  /** An experiment. */
+  public static final class Run extends Playing {
+    @Argument(
+        required = true,
+        metaVar = "FILE",
+        usage = "the experiment (protobuf text format, lab.proto)")
+    private String file;
+
+    @Override
+    public String about() {
+      return "lab run: plays an experiment and judges its claims. Exit code 1: one is not held, or a run ended early; 2: the file\n"
+          + "cannot be used.";
+    }
+
+    @Override
+    boolean played(long from, Path to) throws IOException, InterruptedException {
+      Experiment experiment = Laboratory.read(file);
+      try {
+        return Laboratory.run(experiment, from, to, System.out);
+      } catch (IOException e) {
+        System.err.println("tansytrack: the experiment ended early: " + e);
+        return false;
+      }
+    }
+  }
+
+  /** An open-loop load. */
+  public static final class Load extends Playing {
+    @Argument(
+        required = true,
+        metaVar = "FILE",
+        usage = "the load (protobuf text format, lab.proto)")
+    private String file;
+
+    @Option(
+        name = "--to",
+        metaVar = "ADDRESS",
+        required = true,
+        usage = "a manager's listener, on loopback")
+    private String to;
+
+    @Override
+    public String about() {
+      return "lab load: sends a load made beforehand, each task at its intended time, and counts latency from that time.\n"
+          + "Exit code 1: a claim is not held, or the generator fell behind and the run is void; 2: the file cannot be used.";
     }
 
-    /** Plays a file with a seed and leaves results. */
-    abstract static class Playing extends Guarded {
-        @Option(name = "--seed", metaVar = "N", usage = "of the first run")
-        private long seed = 1;
-        @Option(name = "--out", metaVar = "FOLDER", usage = "where results are left; absent: a new temporary folder")
-        private String out;
-
-        /** Whether all that was claimed holds. */
-        abstract boolean played(long from, Path to) throws IOException, InterruptedException;
-
-        @Override
-        protected final int work() throws IOException {
-            Path to = out == null ? Files.createTempDirectory("tansytrack-lab") : Path.of(out);
-            try {
-                boolean held = played(seed, to);
-                System.out.println("results in " + to);
-                return held ? 0 : DIFFERS;
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return DIFFERS;
-            }
-        }
+    @Override
+    boolean played(long from, Path out) throws IOException, InterruptedException {
+      return LoadCommand.run(file, to, from, out, System.out);
     }
+  }
 
-    /** Stand-ins for what a configuration names. */
-    public static final class Engines extends Guarded {
-        @Argument(required = true, metaVar = "FILE", usage = "the configuration whose engines and command channel are stood in for")
-        private String file;
-        @Option(name = "--work-ms", metaVar = "N", usage = "work on a task, in milliseconds")
-        private int work = 20;
-
-        @Override
-        public String about() {
-            return "lab engines: stand-ins for the engines and the command channel that a configuration names, until ended.";
-        }
-
-        @Override
-        protected int work() throws IOException {
-            StandIns.of(file, work, System.out);
-            try {
-                Thread.sleep(Long.MAX_VALUE);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            return 0;
-        }
+  /** The membership's measurement. */
+  public static final class Fleet extends Playing {
+    @Option(name = "--members", metaVar = "N,N", usage = "sizes to play")
+    private String members = "10,100,300";
+
+    @Option(name = "--loss", metaVar = "X,X", usage = "shares of letters lost")
+    private String loss = "0,0.1,0.3";
+
+    @Option(
+        name = "--runs",
+        metaVar = "N",
+        usage = "of each size and loss, each with the next seed")
+    private int runs = 5;
+
+    @Override
+    public String about() {
+      return "lab fleet: memberships in virtual time: how soon a killed member is known dead, how often the living are accused,\n"
+          + "bytes a second, how soon a place that was cut off comes together. Leaves a table and charts.";
     }
 
-    /** An experiment. */
-    public static final class Run extends Playing {
-        @Argument(required = true, metaVar = "FILE", usage = "the experiment (protobuf text format, lab.proto)")
-        private String file;
-
-        @Override
-        public String about() {
-            return "lab run: plays an experiment and judges its claims. Exit code 1: one is not held, or a run ended early; 2: the file\n"
-                    + "cannot be used.";
-        }
-
-        @Override
-        boolean played(long from, Path to) throws IOException, InterruptedException {
-            Experiment experiment = Laboratory.read(file);
-            try {
-                return Laboratory.run(experiment, from, to, System.out);
-            } catch (IOException e) {
-                System.err.println("tansytrack: the experiment ended early: " + e);
-                return false;
-            }
-        }
+    @Override
+    boolean played(long from, Path to) throws IOException {
+      return FleetTable.run(members, loss, runs, from, to, System.out);
     }
+  }
+
+  /** The search through states. */
+  public static final class Explore extends Guarded {
+    @Option(name = "--depth", metaVar = "N", usage = "choices in a row")
+    private int depth = 9;
 
-    /** An open-loop load. */
-    public static final class Load extends Playing {
-        @Argument(required = true, metaVar = "FILE", usage = "the load (protobuf text format, lab.proto)")
-        private String file;
-        @Option(name = "--to", metaVar = "ADDRESS", required = true, usage = "a manager's listener, on loopback")
-        private String to;
-
-        @Override
-        public String about() {
-            return "lab load: sends a load made beforehand, each task at its intended time, and counts latency from that time.\n"
-                    + "Exit code 1: a claim is not held, or the generator fell behind and the run is void; 2: the file cannot be used.";
-        }
-
-        @Override
-        boolean played(long from, Path out) throws IOException, InterruptedException {
-            return LoadCommand.run(file, to, from, out, System.out);
-        }
+    @Option(name = "--states", metaVar = "N", usage = "the most to look at")
+    private int states = 100_000;
+
+    @Override
+    public String about() {
+      return "lab explore: three memberships, every order, loss and doubling of letters, a cut, a kill, a restart, breadth first.\n"
+          + "Exit code 1: from some state they do not come to agree.";
     }
 
-    /** The membership's measurement. */
-    public static final class Fleet extends Playing {
-        @Option(name = "--members", metaVar = "N,N", usage = "sizes to play")
-        private String members = "10,100,300";
-        @Option(name = "--loss", metaVar = "X,X", usage = "shares of letters lost")
-        private String loss = "0,0.1,0.3";
-        @Option(name = "--runs", metaVar = "N", usage = "of each size and loss, each with the next seed")
-        private int runs = 5;
-
-        @Override
-        public String about() {
-            return "lab fleet: memberships in virtual time: how soon a killed member is known dead, how often the living are accused,\n"
-                    + "bytes a second, how soon a place that was cut off comes together. Leaves a table and charts.";
-        }
-
-        @Override
-        boolean played(long from, Path to) throws IOException {
-            return FleetTable.run(members, loss, runs, from, to, System.out);
-        }
+    @Override
+    protected int work() {
+      Explorer.Found found = new Explorer((to, letter) -> letter).explore(depth, states);
+      System.out.println(
+          found.states()
+              + " states, up to "
+              + found.depth()
+              + " choices deep; "
+              + (found.broken() == null
+                  ? "from each they come to agree"
+                  : "no agreement behind choices " + found.broken()));
+      return found.broken() == null ? 0 : DIFFERS;
     }
+  }
+
+  /** The ledger's measurement. */
+  public static final class Bench extends Guarded {
+    @Option(
+        name = "--folder",
+        metaVar = "FOLDER",
+        required = true,
+        usage = "a new folder for its ledgers")
+    private String folder;
+
+    @Option(name = "--entries", metaVar = "N", usage = "entries, as fast as the disk takes them")
+    private int entries = 200_000;
+
+    @Option(name = "--seconds", metaVar = "N", usage = "of each paced part")
+    private int seconds = 5;
 
-    /** The search through states. */
-    public static final class Explore extends Guarded {
-        @Option(name = "--depth", metaVar = "N", usage = "choices in a row")
-        private int depth = 9;
-        @Option(name = "--states", metaVar = "N", usage = "the most to look at")
-        private int states = 100_000;
-
-        @Override
-        public String about() {
-            return "lab explore: three memberships, every order, loss and doubling of letters, a cut, a kill, a restart, breadth first.\n"
-                    + "Exit code 1: from some state they do not come to agree.";
-        }
-
-        @Override
-        protected int work() {
-            Explorer.Found found = new Explorer((to, letter) -> letter).explore(depth, states);
-            System.out.println(found.states() + " states, up to " + found.depth() + " choices deep; "
-                    + (found.broken() == null ? "from each they come to agree" : "no agreement behind choices " + found.broken()));
-            return found.broken() == null ? 0 : DIFFERS;
-        }
+    @Override
+    public String about() {
+      return "lab ledger-bench: the loop's cost of a ledger's entry, durable entries a second, waits for the commit, a start after\n"
+          + "a kill. The larger ledger stays in FOLDER/full, to measure `ledger export` on.";
     }
 
-    /** The ledger's measurement. */
-    public static final class Bench extends Guarded {
-        @Option(name = "--folder", metaVar = "FOLDER", required = true, usage = "a new folder for its ledgers")
-        private String folder;
-        @Option(name = "--entries", metaVar = "N", usage = "entries, as fast as the disk takes them")
-        private int entries = 200_000;
-        @Option(name = "--seconds", metaVar = "N", usage = "of each paced part")
-        private int seconds = 5;
-
-        @Override
-        public String about() {
-            return "lab ledger-bench: the loop's cost of a ledger's entry, durable entries a second, waits for the commit, a start after\n"
-                    + "a kill. The larger ledger stays in FOLDER/full, to measure `ledger export` on.";
-        }
-
-        @Override
-        protected int work() throws IOException {
-            Path to = Path.of(folder);
-            if (Files.exists(to)) {
-                throw new Unusable("--folder '" + folder + "' exists; allowed: a new one");
-            }
-            LedgerBench bench = new LedgerBench(System.out);
-            bench.throughput(to.resolve("full"), entries);
-            for (String wait : List.of("AT_ONCE", "AFTER_COMMIT")) {
-                bench.paced(to.resolve(wait), 500, seconds, wait);
-            }
-            bench.restart(to.resolve("full"), to.resolve("copy"));
-            return 0;
-        }
+    @Override
+    protected int work() throws IOException {
+      Path to = Path.of(folder);
+      if (Files.exists(to)) {
+        throw new Unusable("--folder '" + folder + "' exists; allowed: a new one");
+      }
+      LedgerBench bench = new LedgerBench(System.out);
+      bench.throughput(to.resolve("full"), entries);
+      for (String wait : List.of("AT_ONCE", "AFTER_COMMIT")) {
+        bench.paced(to.resolve(wait), 500, seconds, wait);
+      }
+      bench.restart(to.resolve("full"), to.resolve("copy"));
+      return 0;
     }
+  }
 }
--- a/src/main/java/tansytrack/Main.java
+++ b/src/main/java/tansytrack/Main.java
@@ -15,120 +15,141 @@
 /** The command line. */
 public final class Main {
 
-    private static final String PROGRAM = "java -jar tansytrack.jar ";
-
-    @Argument(required = true, metaVar = "COMMAND", usage = "serve, adapter, check, rehearse, ledger, fleet, lab or version",
-            handler = SubCommandHandler.class)
-    @SubCommands({@SubCommand(name = "serve", impl = Serve.class), @SubCommand(name = "adapter", impl = Bench.class),
-        @SubCommand(name = "check", impl = Check.class), @SubCommand(name = "rehearse", impl = Rehearse.class),
-        @SubCommand(name = "ledger", impl = LedgerCommands.All.class), @SubCommand(name = "lab", impl = LabCommands.All.class),
-        @SubCommand(name = "fleet", impl = FleetCommands.All.class),
-        @SubCommand(name = "version", impl = Version.class)})
-    private Command command;
-
-    private Main() { }
-
-    /** The workload manager. */
-    public static final class Serve extends Command {
-        @Option(name = "--operator", metaVar = "FILE", usage = "the operators' file (protobuf text format): what is switched on besides")
-        private String operator;
-
-        @Override
-        public String about() {
-            return "serve: runs one workload manager as the file that ROUTER_CONFIG names says, until SIGTERM.\n"
-                    + "Exit code 2: the configuration cannot be used; 3: a failure inside.";
-        }
-
-        @Override
-        public int run() {
-            return Service.serve(System.getenv("ROUTER_CONFIG"), operator);
-        }
+  private static final String PROGRAM = "java -jar tansytrack.jar ";
+
+  @Argument(
+      required = true,
+      metaVar = "COMMAND",
+      usage = "serve, adapter, check, rehearse, ledger, fleet, lab or version",
+      handler = SubCommandHandler.class)
+  @SubCommands({
+    @SubCommand(name = "serve", impl = Serve.class),
+    @SubCommand(name = "adapter", impl = Bench.class),
+    @SubCommand(name = "check", impl = Check.class),
+    @SubCommand(name = "rehearse", impl = Rehearse.class),
+    @SubCommand(name = "ledger", impl = LedgerCommands.All.class),
+    @SubCommand(name = "lab", impl = LabCommands.All.class),
+    @SubCommand(name = "fleet", impl = FleetCommands.All.class),
+    @SubCommand(name = "version", impl = Version.class)
+  })
+  private Command command;
+
+  private Main() {}
+
+  /** The workload manager. */
+  public static final class Serve extends Command {
+    @Option(
+        name = "--operator",
+        metaVar = "FILE",
+        usage = "the operators' file (protobuf text format): what is switched on besides")
+    private String operator;
+
+    @Override
+    public String about() {
+      return "serve: runs one workload manager as the file that ROUTER_CONFIG names says, until SIGTERM.\n"
+          + "Exit code 2: the configuration cannot be used; 3: a failure inside.";
     }
 
-    /** The decisions on the simulator's wire. */
-    public static final class Bench extends Command {
-        @Override
-        public String about() {
-            return "adapter: the same decisions on the simulator's wire, on standard input and output.";
-        }
-
-        @Override
-        public int run() throws IOException {
-            return new Adapter(System.in, System.out, System.err).run();
-        }
+    @Override
+    public int run() {
+      return Service.serve(System.getenv("ROUTER_CONFIG"), operator);
     }
+  }
 
-    /** Reads a configuration. */
-    public static final class Check extends Command {
-        @Argument(metaVar = "FILE", usage = "the configuration; absent: the one that ROUTER_CONFIG names")
-        private String file = System.getenv("ROUTER_CONFIG");
-
-        @Option(name = "--operator", metaVar = "FILE", usage = "the operators' file, to be checked as well")
-        private String operator;
-
-        @Override
-        public String about() {
-            return "check: reads a configuration and says what is wrong with it. Exit code 2: it cannot be used.";
-        }
+  /** The decisions on the simulator's wire. */
+  public static final class Bench extends Command {
+    @Override
+    public String about() {
+      return "adapter: the same decisions on the simulator's wire, on standard input and output.";
+    }
 
-        @Override
-        public int run() {
-            return Service.check(file, operator, System.out);
-        }
+    @Override
+    public int run() throws IOException {
+      return new Adapter(System.in, System.out, System.err).run();
+    }
+  }
+
+  /** Reads a configuration. */
+  public static final class Check extends Command {
+    @Argument(
+        metaVar = "FILE",
+        usage = "the configuration; absent: the one that ROUTER_CONFIG names")
+    private String file = System.getenv("ROUTER_CONFIG");
+
+    @Option(
+        name = "--operator",
+        metaVar = "FILE",
+        usage = "the operators' file, to be checked as well")
+    private String operator;
+
+    @Override
+    public String about() {
+      return "check: reads a configuration and says what is wrong with it. Exit code 2: it cannot be used.";
     }
 
-    /** Runs the whole manager on loopback for a moment. */
-    public static final class Rehearse extends Command {
-        @Argument(metaVar = "FILE", usage = "the configuration; absent: the one that ROUTER_CONFIG names")
-        private String file = System.getenv("ROUTER_CONFIG");
-
-        @Override
-        public String about() {
-            return "rehearse: serves some made-up tasks on loopback with the settings of a configuration, and ends. The\n"
-                    + "build makes its class-data archive of this. Exit code 2: the configuration cannot be used.";
-        }
-
-        @Override
-        public int run() {
-            return Service.rehearse(file, System.out);
-        }
+    @Override
+    public int run() {
+      return Service.check(file, operator, System.out);
+    }
+  }
+
+  /** Runs the whole manager on loopback for a moment. */
+  public static final class Rehearse extends Command {
+    @Argument(
+        metaVar = "FILE",
+        usage = "the configuration; absent: the one that ROUTER_CONFIG names")
+    private String file = System.getenv("ROUTER_CONFIG");
+
+    @Override
+    public String about() {
+      return "rehearse: serves some made-up tasks on loopback with the settings of a configuration, and ends. The\n"
+          + "build makes its class-data archive of this. Exit code 2: the configuration cannot be used.";
     }
 
-    /** Names the version. */
-    public static final class Version extends Command {
-        @Override
-        public String about() {
-            return "version: names the program and its version.";
-        }
-
-        @Override
-        public int run() {
-            String version = Main.class.getPackage().getImplementationVersion();
-            System.out.println("tansytrack " + (version == null ? "(not packaged)" : version));
-            return 0;
-        }
+    @Override
+    public int run() {
+      return Service.rehearse(file, System.out);
     }
+  }
 
-    public static void main(String[] args) throws IOException {
-        System.exit(run(args));
+  /** Names the version. */
+  public static final class Version extends Command {
+    @Override
+    public String about() {
+      return "version: names the program and its version.";
     }
 
-    static int run(String... args) throws IOException {
-        Main main = new Main();
-        CmdLineParser parser = new CmdLineParser(main);
-        try {
-            parser.parseArgument(args);
-        } catch (CmdLineException e) {
-            System.err.println("tansytrack: " + e.getMessage());
-            System.err.println("usage: " + PROGRAM + "serve | adapter | check [FILE] | rehearse [FILE] | ledger ... | fleet ... | lab ... | version   (each with --help)");
-            return Command.UNUSABLE;
-        }
-        Command asked = main.command.asked();
-        if (asked.helpAsked()) {
-            System.out.println(asked.about());
-            new CmdLineParser(asked).printUsage(System.out);
-            return 0;
-        }
-        return asked.run();
+    @Override
+    public int run() {
+      String version = Main.class.getPackage().getImplementationVersion();
+      System.out.println("tansytrack " + (version == null ? "(not packaged)" : version));
+      return 0;
+    }
+  }
+
+  public static void main(String[] args) throws IOException {
+    System.exit(run(args));
+  }
+
+  static int run(String... args) throws IOException {
+    Main main = new Main();
+    CmdLineParser parser = new CmdLineParser(main);
+    try {
+      parser.parseArgument(args);
+    } catch (CmdLineException e) {
+      System.err.println("tansytrack: " + e.getMessage());
+      System.err.println(
+          "usage: "
+              + PROGRAM
+              + "serve | adapter | check [FILE] | rehearse [FILE] | ledger ... | fleet ... | lab ... | version   (each with --help)");
+      return Command.UNUSABLE;
+    }
+    Command asked = main.command.asked();
+    if (asked.helpAsked()) {
+      System.out.println(asked.about());
+      new CmdLineParser(asked).printUsage(System.out);
+      return 0;
     }
+    return asked.run();
+  }
 }
--- a/src/main/java/tansytrack/api/Actions.java
+++ b/src/main/java/tansytrack/api/Actions.java
@@ -1,21 +1,23 @@
 package tansytrack.api;
 
-/** What a workload manager can do. Times in nanoseconds; a time-out or pause of 0 means none stated. */
+/**
+ * What a workload manager can do. Times in nanoseconds; a time-out or pause of 0 means none stated.
+ */
 public interface Actions {
 
-    void forward(String task, String engine, long timeOut);
+  void forward(String task, String engine, long timeOut);
 
-    void bounce(String task, long pause);
+  void bounce(String task, long pause);
 
-    void abort(String task);
+  void abort(String task);
 
-    void provide(String task, long memoryMb, int priority);
+  void provide(String task, long memoryMb, int priority);
 
-    void probe(String engine);
+  void probe(String engine);
 
-    void cancel(String task, int index);
+  void cancel(String task, int index);
 
-    void wake(long in, String token);
+  void wake(long in, String token);
 
-    void log(String text);
+  void log(String text);
 }
--- a/src/main/java/tansytrack/command/Command.java
+++ b/src/main/java/tansytrack/command/Command.java
@@ -6,23 +6,24 @@
 /** A sub-command, with its help. */
 public abstract class Command {
 
-    /** Exit codes that all share: done, but something is missing or differs; and cannot be used. */
-    public static final int DIFFERS = 1;
-    public static final int UNUSABLE = 2;
+  /** Exit codes that all share: done, but something is missing or differs; and cannot be used. */
+  public static final int DIFFERS = 1;
 
-    @Option(name = "--help", aliases = "-h", help = true, usage = "say what this command does")
-    private boolean help;
+  public static final int UNUSABLE = 2;
 
-    public abstract String about();
+  @Option(name = "--help", aliases = "-h", help = true, usage = "say what this command does")
+  private boolean help;
 
-    public abstract int run() throws IOException;
+  public abstract String about();
 
-    public final boolean helpAsked() {
-        return help;
-    }
+  public abstract int run() throws IOException;
 
-    /** The one whose help is asked for, or that is to run. */
-    public Command asked() {
-        return this;
-    }
+  public final boolean helpAsked() {
+    return help;
+  }
+
+  /** The one whose help is asked for, or that is to run. */
+  public Command asked() {
+    return this;
+  }
 }
--- a/src/main/java/tansytrack/command/Group.java
+++ b/src/main/java/tansytrack/command/Group.java
@@ -5,15 +5,15 @@
 /** Commands under one name. */
 public abstract class Group extends Command {
 
-    protected abstract Command inner();
+  protected abstract Command inner();
 
-    @Override
-    public final Command asked() {
-        return helpAsked() ? this : inner().asked();
-    }
+  @Override
+  public final Command asked() {
+    return helpAsked() ? this : inner().asked();
+  }
 
-    @Override
-    public final int run() throws IOException {
-        return inner().run();
-    }
+  @Override
+  public final int run() throws IOException {
+    return inner().run();
+  }
 }
--- a/src/main/java/tansytrack/fleet/Member.java
+++ b/src/main/java/tansytrack/fleet/Member.java
@@ -6,14 +6,14 @@
 /** What is held of another member. */
 final class Member {
 
-    Word word;
-    long since;                             // it is held to be that
-    long suspectedAt;
-    final Set<String> accusers = new LinkedHashSet<>();     // of the present suspicion
-    final Numbers numbers = new Numbers();
+  Word word;
+  long since; // it is held to be that
+  long suspectedAt;
+  final Set<String> accusers = new LinkedHashSet<>(); // of the present suspicion
+  final Numbers numbers = new Numbers();
 
-    Member(Word word, long now) {
-        this.word = word;
-        since = now;
-    }
+  Member(Word word, long now) {
+    this.word = word;
+    since = now;
+  }
 }
--- a/src/main/java/tansytrack/fleet/Rules.java
+++ b/src/main/java/tansytrack/fleet/Rules.java
@@ -18,17 +18,40 @@
  * @param forgetAfter what is dead or has left is no longer known
  * @param seeds addresses to join by
  */
-public record Rules(long period, long timeout, int helpers, double least, double most, int datagram, int bytesASecond,
-        int mostMembers, int mostFacts, long exchangeEvery, long forgetAfter, List<String> seeds) {
+public record Rules(
+    long period,
+    long timeout,
+    int helpers,
+    double least,
+    double most,
+    int datagram,
+    int bytesASecond,
+    int mostMembers,
+    int mostFacts,
+    long exchangeEvery,
+    long forgetAfter,
+    List<String> seeds) {
 
-    private static final long MS = 1_000_000L;
+  private static final long MS = 1_000_000L;
 
-    public static Rules usual(List<String> seeds) {
-        return usual(seeds, 500 * MS, 16_384);
-    }
+  public static Rules usual(List<String> seeds) {
+    return usual(seeds, 500 * MS, 16_384);
+  }
 
-    /** With a probe in so long and so many bytes a second; the rest follows. */
-    public static Rules usual(List<String> seeds, long period, int bytesASecond) {
-        return new Rules(period, 3 * period / 10, 3, 4, 4, 1200, bytesASecond, 1024, 8192, 20 * period, 600_000 * MS, seeds);
-    }
+  /** With a probe in so long and so many bytes a second; the rest follows. */
+  public static Rules usual(List<String> seeds, long period, int bytesASecond) {
+    return new Rules(
+        period,
+        3 * period / 10,
+        3,
+        4,
+        4,
+        1200,
+        bytesASecond,
+        1024,
+        8192,
+        20 * period,
+        600_000 * MS,
+        seeds);
+  }
 }
--- a/src/main/java/tansytrack/fleet/Stage.java
+++ b/src/main/java/tansytrack/fleet/Stage.java
@@ -1,4 +1,8 @@
 package tansytrack.fleet;
 
 /** What a member says that it does. */
-public enum Stage { STARTING, SERVING, LEAVING }
+public enum Stage {
+  STARTING,
+  SERVING,
+  LEAVING
+}
--- a/src/main/java/tansytrack/fleet/Standing.java
+++ b/src/main/java/tansytrack/fleet/Standing.java
@@ -2,10 +2,13 @@
 
 /** What is held of a member, each overruling the one before it at the same incarnation. */
 public enum Standing {
-    ALIVE, SUSPECT, DEAD, LEFT;
+  ALIVE,
+  SUSPECT,
+  DEAD,
+  LEFT;
 
-    /** May it still be there? */
-    public boolean there() {
-        return this == ALIVE || this == SUSPECT;
-    }
+  /** May it still be there? */
+  public boolean there() {
+    return this == ALIVE || this == SUSPECT;
+  }
 }
--- a/src/main/java/tansytrack/fleet/View.java
+++ b/src/main/java/tansytrack/fleet/View.java
@@ -1,4 +1,7 @@
 package tansytrack.fleet;
 
-/** What decisions use of the fleet: members there, this one among them, in all and in its place; grows in number with each change. */
-public record View(long number, int there, int inPlace) { }
+/**
+ * What decisions use of the fleet: members there, this one among them, in all and in its place;
+ * grows in number with each change.
+ */
+public record View(long number, int there, int inPlace) {}
--- a/src/main/java/tansytrack/fleet/udp/FleetLink.java
+++ b/src/main/java/tansytrack/fleet/udp/FleetLink.java
@@ -29,282 +29,339 @@
 import tansytrack.state.Siblings;
 
 /**
- * The membership on datagrams: MINA's thread hands over what comes, bounded, and one thread owns the pure module. What the loop
- * wants to know lies ready for it; what it is to hear goes into its inbox.
+ * The membership on datagrams: MINA's thread hands over what comes, bounded, and one thread owns
+ * the pure module. What the loop wants to know lies ready for it; what it is to hear goes into its
+ * inbox.
  */
 public final class FleetLink implements Siblings {
 
-    private static final long MS = 1_000_000L;
-    private static final long SECOND = 1000 * MS;
-    private static final int MOST_WAITING = 4096;
-    private static final int LONGEST = 2048;                // a datagram; letters are shorter
-    private static final long LAST_WORDS = 200;             // ms that the end waits for the thread to say them
+  private static final long MS = 1_000_000L;
+  private static final long SECOND = 1000 * MS;
+  private static final int MOST_WAITING = 4096;
+  private static final int LONGEST = 2048; // a datagram; letters are shorter
+  private static final long LAST_WORDS = 200; // ms that the end waits for the thread to say them
 
-    private static final long FLUSH = 20;                   // ms
+  private static final long FLUSH = 20; // ms
 
-    private final Fleet fleet;
-    private final Reckoning reckoning;
-    private final String name;
-    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
-    private final Map<InetSocketAddress, String> names = new HashMap<>();
-    private final NioDatagramAcceptor socket = new NioDatagramAcceptor();
-    private final InetSocketAddress own;
-    private final MpscArrayQueue<Runnable> waiting = new MpscArrayQueue<>(MOST_WAITING);
-    private final IntConsumer siblings;
-    private final Thread thread = new Thread(this::run, "fleet");
-    private final Map<String, Long> counts = new TreeMap<>();
-    private volatile Map<String, Long> shownCounts = Map.of();
-    private volatile List<String[]> shown = List.of();
-    private volatile long overflow;
-    private volatile boolean over;
-    private long shownAt;
-    private long saidAt;
-    private int used = -1;
+  private final Fleet fleet;
+  private final Reckoning reckoning;
+  private final String name;
+  private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+  private final Map<InetSocketAddress, String> names = new HashMap<>();
+  private final NioDatagramAcceptor socket = new NioDatagramAcceptor();
+  private final InetSocketAddress own;
+  private final MpscArrayQueue<Runnable> waiting = new MpscArrayQueue<>(MOST_WAITING);
+  private final IntConsumer siblings;
+  private final Thread thread = new Thread(this::run, "fleet");
+  private final Map<String, Long> counts = new TreeMap<>();
+  private volatile Map<String, Long> shownCounts = Map.of();
+  private volatile List<String[]> shown = List.of();
+  private volatile long overflow;
+  private volatile boolean over;
+  private long shownAt;
+  private long saidAt;
+  private int used = -1;
 
-    private FleetLink(OperatorFile.FleetSection section, String name, String version, String settings, int configured, IntConsumer siblings) {
-        this.name = name;
-        this.siblings = siblings;
-        own = address(section.address());
-        List<String> seeds = new ArrayList<>();
-        boolean any = section.peers().stream().anyMatch(OperatorFile.PeerLine::seed);
-        for (OperatorFile.PeerLine peer : section.peers()) {
-            addresses.put(peer.name(), address(peer.address()));
-            names.put(address(peer.address()), peer.name());
-            if (peer.seed() || !any) {
-                seeds.add(peer.name());
-            }
-        }
-        Rules rules = Rules.usual(seeds, section.probeEvery(), section.mostBytes());
-        SecureRandom chance = new SecureRandom();
-        long life = chance.nextLong();
-        fleet = new Fleet(rules, Word.first(name, name, section.place(), life == 0 ? 1 : life, version, settings), chance.nextLong(),
-                System.nanoTime());
-        reckoning = new Reckoning(Math.max(section.peers().size(), configured - 1), section.settle());
+  private FleetLink(
+      OperatorFile.FleetSection section,
+      String name,
+      String version,
+      String settings,
+      int configured,
+      IntConsumer siblings) {
+    this.name = name;
+    this.siblings = siblings;
+    own = address(section.address());
+    List<String> seeds = new ArrayList<>();
+    boolean any = section.peers().stream().anyMatch(OperatorFile.PeerLine::seed);
+    for (OperatorFile.PeerLine peer : section.peers()) {
+      addresses.put(peer.name(), address(peer.address()));
+      names.put(address(peer.address()), peer.name());
+      if (peer.seed() || !any) {
+        seeds.add(peer.name());
+      }
     }
+    Rules rules = Rules.usual(seeds, section.probeEvery(), section.mostBytes());
+    SecureRandom chance = new SecureRandom();
+    long life = chance.nextLong();
+    fleet =
+        new Fleet(
+            rules,
+            Word.first(name, name, section.place(), life == 0 ? 1 : life, version, settings),
+            chance.nextLong(),
+            System.nanoTime());
+    reckoning = new Reckoning(Math.max(section.peers().size(), configured - 1), section.settle());
+  }
 
-    /**
-     * Binds and starts it. The number of managers to reckon by is said on its thread, whenever it is another; a file that names
-     * fewer than were configured lowers it by nobody.
-     */
-    public static FleetLink start(OperatorFile.FleetSection section, String name, String version, String settings, int configured,
-            IntConsumer siblings) throws IOException {
-        FleetLink link = new FleetLink(section, name, version, settings, configured, siblings);
-        link.socket.getSessionConfig().setReadBufferSize(LONGEST);
-        link.socket.setHandler(link.new Handler());
-        try {
-            link.socket.bind(link.own);
-        } catch (IOException e) {
-            link.socket.dispose();
-            throw new IOException("address " + section.address() + ": " + e.getMessage(), e);
-        }
-        link.thread.setDaemon(true);
-        link.thread.start();
-        Event.info("fleet", name + " speaks to " + section.peers().size() + " peers from " + section.address(), "manager", name,
-                "peers", section.peers().size(), "address", section.address());
-        return link;
+  /**
+   * Binds and starts it. The number of managers to reckon by is said on its thread, whenever it is
+   * another; a file that names fewer than were configured lowers it by nobody.
+   */
+  public static FleetLink start(
+      OperatorFile.FleetSection section,
+      String name,
+      String version,
+      String settings,
+      int configured,
+      IntConsumer siblings)
+      throws IOException {
+    FleetLink link = new FleetLink(section, name, version, settings, configured, siblings);
+    link.socket.getSessionConfig().setReadBufferSize(LONGEST);
+    link.socket.setHandler(link.new Handler());
+    try {
+      link.socket.bind(link.own);
+    } catch (IOException e) {
+      link.socket.dispose();
+      throw new IOException("address " + section.address() + ": " + e.getMessage(), e);
     }
+    link.thread.setDaemon(true);
+    link.thread.start();
+    Event.info(
+        "fleet",
+        name + " speaks to " + section.peers().size() + " peers from " + section.address(),
+        "manager",
+        name,
+        "peers",
+        section.peers().size(),
+        "address",
+        section.address());
+    return link;
+  }
 
-    private static InetSocketAddress address(String text) {
-        int colon = text.indexOf(':');
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-    }
-
-    /** Runs on MINA's thread: nothing here but handing over. */
-    private final class Handler extends IoHandlerAdapter {
-        @Override
-        public void messageReceived(IoSession session, Object message) {
-            IoBuffer buffer = (IoBuffer) message;
-            byte[] datagram = new byte[buffer.remaining()];
-            buffer.get(datagram);
-            InetSocketAddress from = (InetSocketAddress) session.getRemoteAddress();
-            String peer = names.get(from);
-            if (peer == null) {
-                // Guards against a flood from ever new addresses: MINA keeps something for each until it is closed.
-                session.closeNow();
-                hand(() -> refused("stranger", from, "its address is not that of a peer"));
-            } else {
-                hand(() -> came(from, peer, datagram));
-            }
-        }
+  private static InetSocketAddress address(String text) {
+    int colon = text.indexOf(':');
+    return new InetSocketAddress(
+        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+  }
 
-        @Override
-        public void exceptionCaught(IoSession session, Throwable cause) {
-            hand(() -> count("socket.failed"));
-        }
+  /** Runs on MINA's thread: nothing here but handing over. */
+  private final class Handler extends IoHandlerAdapter {
+    @Override
+    public void messageReceived(IoSession session, Object message) {
+      IoBuffer buffer = (IoBuffer) message;
+      byte[] datagram = new byte[buffer.remaining()];
+      buffer.get(datagram);
+      InetSocketAddress from = (InetSocketAddress) session.getRemoteAddress();
+      String peer = names.get(from);
+      if (peer == null) {
+        // Guards against a flood from ever new addresses: MINA keeps something for each until it is
+        // closed.
+        session.closeNow();
+        hand(() -> refused("stranger", from, "its address is not that of a peer"));
+      } else {
+        hand(() -> came(from, peer, datagram));
+      }
     }
 
-    /** Never waits: what is too much is counted and lost, as datagrams may be. */
-    private void hand(Runnable what) {
-        if (waiting.offer(what)) {
-            LockSupport.unpark(thread);
-        } else {
-            lostOne();
-        }
+    @Override
+    public void exceptionCaught(IoSession session, Throwable cause) {
+      hand(() -> count("socket.failed"));
     }
+  }
 
-    private synchronized void lostOne() {
-        overflow++;
+  /** Never waits: what is too much is counted and lost, as datagrams may be. */
+  private void hand(Runnable what) {
+    if (waiting.offer(what)) {
+      LockSupport.unpark(thread);
+    } else {
+      lostOne();
     }
+  }
 
-    // ---- The one thread ----
+  private synchronized void lostOne() {
+    overflow++;
+  }
 
-    private void run() {
-        try {
-            while (!over) {
-                for (Runnable next = waiting.poll(); next != null; next = waiting.poll()) {
-                    next.run();
-                }
-                long now = System.nanoTime();
-                if (fleet.due() <= now) {
-                    act(fleet.tick(now));
-                }
-                if (now - shownAt >= SECOND) {
-                    show(now);
-                }
-                if (waiting.isEmpty()) {
-                    LockSupport.parkNanos(Math.max(MS / 4, Math.min(fleet.due() - now, SECOND)));
-                }
-            }
-        } catch (RuntimeException | Error e) {
-            // The manager goes on alone: the number that was told last stays, which is the larger one.
-            Logger.error(e, "the membership ended with a failure; this manager goes on without it");
-        }
-    }
+  // ---- The one thread ----
 
-    private void came(InetSocketAddress from, String peer, byte[] datagram) {
-        Letter letter;
-        try {
-            letter = Forms.letter(datagram);
-        } catch (Forms.Unreadable e) {
-            refused("unreadable", from, e.getMessage());
-            return;
-        }
-        String who = letter.from().name();
-        if (!who.equals(peer) && !who.equals(name)) {
-            refused("misnamed", from, "it says it is '" + who + "', its address is that of '" + peer + "'");
-            return;
-        }
-        // Guards against managers that look dead to those whose files name fewer: only what is said of unknown ones is passed over.
-        List<Word> known = letter.words().stream().filter(word -> addresses.containsKey(word.name()) || word.name().equals(name)).toList();
-        if (known.size() < letter.words().size()) {
-            refused("unknown_name", from, "it speaks of a manager that is no peer here; the rest is taken");
+  private void run() {
+    try {
+      while (!over) {
+        for (Runnable next = waiting.poll(); next != null; next = waiting.poll()) {
+          next.run();
         }
-        count("letters");
-        act(fleet.heard(System.nanoTime(), peer, letter.with(known)));
-    }
-
-    /** Counted each time, said once a second at most, never answered. */
-    private void refused(String why, InetSocketAddress from, String said) {
-        count("refused." + why);
         long now = System.nanoTime();
-        if (now - saidAt >= SECOND) {
-            saidAt = now;
-            Logger.warn("fleet: a datagram from {} cannot be used: {}", from, said);
+        if (fleet.due() <= now) {
+          act(fleet.tick(now));
         }
-    }
-
-    private void act(List<Action> actions) {
-        for (Action action : actions) {
-            if (action instanceof Action.Send send) {
-                InetSocketAddress to = addresses.get(send.address());
-                if (to != null) {
-                    count("sent");
-                    socket.newSession(to, own).write(IoBuffer.wrap(Forms.bytes(send.letter())));
-                }
-            } else if (action instanceof Action.Changed changed) {
-                reckoning.changed(changed.after());
-                said(changed);
-                shownAt = 0;
-            } else if (action instanceof Action.Twin twin) {
-                Event.warn("fleet.twin", "another process uses the name '" + twin.name()
-                        + "' of this manager; give one of them another", "manager", twin.name());
-            }
+        if (now - shownAt >= SECOND) {
+          show(now);
         }
-        int next = reckoning.used(System.nanoTime(), fleet.view().there());
-        if (next != used) {
-            used = next;
-            siblings.accept(next);
+        if (waiting.isEmpty()) {
+          LockSupport.parkNanos(Math.max(MS / 4, Math.min(fleet.due() - now, SECOND)));
         }
+      }
+    } catch (RuntimeException | Error e) {
+      // The manager goes on alone: the number that was told last stays, which is the larger one.
+      Logger.error(e, "the membership ended with a failure; this manager goes on without it");
     }
+  }
 
-    private void said(Action.Changed changed) {
-        Word after = changed.after();
-        boolean was = changed.before() != null && changed.before().standing().there();
-        if (after.standing() == Standing.SUSPECT) {
-            count("suspicions");                            // not said: over bad links there are many, and most are refuted
-        } else if (was != after.standing().there() || changed.before().life() != after.life()) {
-            Event.info("fleet.member", "fleet: " + after.name() + " is " + after.standing().name().toLowerCase(java.util.Locale.ROOT)
-                    + (after.by().isEmpty() ? "" : ", says " + after.by()), "member", after.name(), "standing", after.standing(),
-                    "incarnation", after.incarnation());
-        }
+  private void came(InetSocketAddress from, String peer, byte[] datagram) {
+    Letter letter;
+    try {
+      letter = Forms.letter(datagram);
+    } catch (Forms.Unreadable e) {
+      refused("unreadable", from, e.getMessage());
+      return;
+    }
+    String who = letter.from().name();
+    if (!who.equals(peer) && !who.equals(name)) {
+      refused(
+          "misnamed", from, "it says it is '" + who + "', its address is that of '" + peer + "'");
+      return;
     }
+    // Guards against managers that look dead to those whose files name fewer: only what is said of
+    // unknown ones is passed over.
+    List<Word> known =
+        letter.words().stream()
+            .filter(word -> addresses.containsKey(word.name()) || word.name().equals(name))
+            .toList();
+    if (known.size() < letter.words().size()) {
+      refused(
+          "unknown_name", from, "it speaks of a manager that is no peer here; the rest is taken");
+    }
+    count("letters");
+    act(fleet.heard(System.nanoTime(), peer, letter.with(known)));
+  }
 
-    private void count(String what) {
-        counts.merge("fleet." + what, 1L, Long::sum);
+  /** Counted each time, said once a second at most, never answered. */
+  private void refused(String why, InetSocketAddress from, String said) {
+    count("refused." + why);
+    long now = System.nanoTime();
+    if (now - saidAt >= SECOND) {
+      saidAt = now;
+      Logger.warn("fleet: a datagram from {} cannot be used: {}", from, said);
     }
+  }
 
-    /** Lays ready what the loop may be asked for. */
-    private void show(long now) {
-        shownAt = now;
-        List<String[]> rows = new ArrayList<>();
-        rows.add(row(fleet.self(), 0));
-        for (Word word : fleet.others()) {
-            rows.add(row(word, (now - fleet.since(word.name())) / SECOND));
+  private void act(List<Action> actions) {
+    for (Action action : actions) {
+      if (action instanceof Action.Send send) {
+        InetSocketAddress to = addresses.get(send.address());
+        if (to != null) {
+          count("sent");
+          socket.newSession(to, own).write(IoBuffer.wrap(Forms.bytes(send.letter())));
         }
-        shown = List.copyOf(rows);
-        Map<String, Long> all = new TreeMap<>(counts);
-        fleet.counts().forEach((what, times) -> all.put("fleet." + what, times));
-        all.put("fleet.there", (long) fleet.view().there());
-        all.put("fleet.in_place", (long) fleet.view().inPlace());
-        all.put("fleet.reckoned", (long) Math.max(0, used));
-        all.put("fleet.health", (long) fleet.health());
-        all.put("fleet.facts", (long) fleet.facts().size());
-        all.put("fleet.facts_refused", fleet.facts().refused());
-        all.put("fleet.overflow", overflow);
-        shownCounts = Map.copyOf(all);
+      } else if (action instanceof Action.Changed changed) {
+        reckoning.changed(changed.after());
+        said(changed);
+        shownAt = 0;
+      } else if (action instanceof Action.Twin twin) {
+        Event.warn(
+            "fleet.twin",
+            "another process uses the name '"
+                + twin.name()
+                + "' of this manager; give one of them another",
+            "manager",
+            twin.name());
+      }
+    }
+    int next = reckoning.used(System.nanoTime(), fleet.view().there());
+    if (next != used) {
+      used = next;
+      siblings.accept(next);
     }
+  }
 
-    private String[] row(Word word, long since) {
-        return new String[] {word.name(), word.place(), word.standing().name(), word.stage().name(), Long.toString(since),
-            Long.toString(word.incarnation()), word.version(), word.settings(), Long.toString(fleet.facts().ownedBy(word.name()))};
+  private void said(Action.Changed changed) {
+    Word after = changed.after();
+    boolean was = changed.before() != null && changed.before().standing().there();
+    if (after.standing() == Standing.SUSPECT) {
+      count("suspicions"); // not said: over bad links there are many, and most are refuted
+    } else if (was != after.standing().there() || changed.before().life() != after.life()) {
+      Event.info(
+          "fleet.member",
+          "fleet: "
+              + after.name()
+              + " is "
+              + after.standing().name().toLowerCase(java.util.Locale.ROOT)
+              + (after.by().isEmpty() ? "" : ", says " + after.by()),
+          "member",
+          after.name(),
+          "standing",
+          after.standing(),
+          "incarnation",
+          after.incarnation());
     }
+  }
 
-    // ---- The loop's side ----
+  private void count(String what) {
+    counts.merge("fleet." + what, 1L, Long::sum);
+  }
 
-    @Override
-    public void serving() {
-        hand(() -> act(fleet.stage(System.nanoTime(), Stage.SERVING)));
+  /** Lays ready what the loop may be asked for. */
+  private void show(long now) {
+    shownAt = now;
+    List<String[]> rows = new ArrayList<>();
+    rows.add(row(fleet.self(), 0));
+    for (Word word : fleet.others()) {
+      rows.add(row(word, (now - fleet.since(word.name())) / SECOND));
     }
+    shown = List.copyOf(rows);
+    Map<String, Long> all = new TreeMap<>(counts);
+    fleet.counts().forEach((what, times) -> all.put("fleet." + what, times));
+    all.put("fleet.there", (long) fleet.view().there());
+    all.put("fleet.in_place", (long) fleet.view().inPlace());
+    all.put("fleet.reckoned", (long) Math.max(0, used));
+    all.put("fleet.health", (long) fleet.health());
+    all.put("fleet.facts", (long) fleet.facts().size());
+    all.put("fleet.facts_refused", fleet.facts().refused());
+    all.put("fleet.overflow", overflow);
+    shownCounts = Map.copyOf(all);
+  }
 
-    @Override
-    public void ending() {
-        hand(() -> act(fleet.stage(System.nanoTime(), Stage.LEAVING)));
-    }
+  private String[] row(Word word, long since) {
+    return new String[] {
+      word.name(),
+      word.place(),
+      word.standing().name(),
+      word.stage().name(),
+      Long.toString(since),
+      Long.toString(word.incarnation()),
+      word.version(),
+      word.settings(),
+      Long.toString(fleet.facts().ownedBy(word.name()))
+    };
+  }
 
-    @Override
-    public Map<String, Long> counts() {
-        return shownCounts;
-    }
+  // ---- The loop's side ----
 
-    @Override
-    public List<String[]> members() {
-        return shown;
-    }
+  @Override
+  public void serving() {
+    hand(() -> act(fleet.stage(System.nanoTime(), Stage.SERVING)));
+  }
 
-    /** Says that it leaves, and ends. */
-    @Override
-    public void close() {
-        hand(() -> {
-            act(fleet.leave(System.nanoTime()));
-            over = true;
+  @Override
+  public void ending() {
+    hand(() -> act(fleet.stage(System.nanoTime(), Stage.LEAVING)));
+  }
+
+  @Override
+  public Map<String, Long> counts() {
+    return shownCounts;
+  }
+
+  @Override
+  public List<String[]> members() {
+    return shown;
+  }
+
+  /** Says that it leaves, and ends. */
+  @Override
+  public void close() {
+    hand(
+        () -> {
+          act(fleet.leave(System.nanoTime()));
+          over = true;
         });
-        try {
-            thread.join(LAST_WORDS);
-            Thread.sleep(FLUSH);                            // MINA's thread writes behind this one
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        over = true;
-        socket.dispose();
+    try {
+      thread.join(LAST_WORDS);
+      Thread.sleep(FLUSH); // MINA's thread writes behind this one
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
+    over = true;
+    socket.dispose();
+  }
 }
--- a/src/main/java/tansytrack/lab/Claims.java
+++ b/src/main/java/tansytrack/lab/Claims.java
@@ -8,34 +8,42 @@
 /** What an experiment claims, held against the figures of a run. */
 public final class Claims {
 
-    /** One claim with what was measured; a figure that was not measured does not hold. */
-    public record Judged(String figure, String bound, String measured, boolean held) { }
+  /** One claim with what was measured; a figure that was not measured does not hold. */
+  public record Judged(String figure, String bound, String measured, boolean held) {}
 
-    private Claims() { }
+  private Claims() {}
 
-    public static List<Judged> judge(List<Claim> claims, Map<String, Double> figures) {
-        List<Judged> judged = new ArrayList<>();
-        for (Claim claim : claims) {
-            Double figure = figures.get(claim.getFigure());
-            boolean held = figure != null && switch (claim.getRelation()) {
+  public static List<Judged> judge(List<Claim> claims, Map<String, Double> figures) {
+    List<Judged> judged = new ArrayList<>();
+    for (Claim claim : claims) {
+      Double figure = figures.get(claim.getFigure());
+      boolean held =
+          figure != null
+              && switch (claim.getRelation()) {
                 case EQUAL -> figure == claim.getBound();
                 case AT_MOST -> figure <= claim.getBound();
                 case AT_LEAST -> figure >= claim.getBound();
                 default -> false;
-            };
-            String sign = switch (claim.getRelation()) {
-                case EQUAL -> "= ";
-                case AT_MOST -> "<= ";
-                default -> ">= ";
-            };
-            judged.add(new Judged(claim.getFigure(), sign + shown(claim.getBound()), figure == null ? "not measured"
-                    : shown(figure), held));
-        }
-        return judged;
+              };
+      String sign =
+          switch (claim.getRelation()) {
+            case EQUAL -> "= ";
+            case AT_MOST -> "<= ";
+            default -> ">= ";
+          };
+      judged.add(
+          new Judged(
+              claim.getFigure(),
+              sign + shown(claim.getBound()),
+              figure == null ? "not measured" : shown(figure),
+              held));
     }
+    return judged;
+  }
 
-    static String shown(double figure) {
-        return figure == Math.rint(figure) && Math.abs(figure) < 1e15 ? Long.toString((long) figure)
-                : String.format(java.util.Locale.ROOT, "%.3f", figure);
-    }
+  static String shown(double figure) {
+    return figure == Math.rint(figure) && Math.abs(figure) < 1e15
+        ? Long.toString((long) figure)
+        : String.format(java.util.Locale.ROOT, "%.3f", figure);
+  }
 }
--- a/src/main/java/tansytrack/lab/DatagramRelays.java
+++ b/src/main/java/tansytrack/lab/DatagramRelays.java
@@ -15,144 +15,158 @@
 import tansytrack.lab.world.Way;
 
 /**
- * Datagrams between managers, each way through a socket of its own: a manager knows each peer by the relay's address for the two,
- * and gets that peer's datagrams from there. What becomes of them follows the schedule of faults and a seed.
+ * Datagrams between managers, each way through a socket of its own: a manager knows each peer by
+ * the relay's address for the two, and gets that peer's datagrams from there. What becomes of them
+ * follows the schedule of faults and a seed.
  */
 final class DatagramRelays implements AutoCloseable {
 
-    private static final int LONGEST = 2048;
+  private static final int LONGEST = 2048;
 
-    private final Faults faults;
-    private final List<String> names;
-    private final List<String> places;
-    private final List<InetSocketAddress> managers;
-    private final Selector selector = Selector.open();
-    private final Leg[][] legs;                 // [whom it is known to][whom it stands for]
-    private final PriorityQueue<Late> late = new PriorityQueue<>();
-    private long order;
-    private volatile long start;
-    private volatile boolean over;
-    private long forwarded;
-    private long lost;
+  private final Faults faults;
+  private final List<String> names;
+  private final List<String> places;
+  private final List<InetSocketAddress> managers;
+  private final Selector selector = Selector.open();
+  private final Leg[][] legs; // [whom it is known to][whom it stands for]
+  private final PriorityQueue<Late> late = new PriorityQueue<>();
+  private long order;
+  private volatile long start;
+  private volatile boolean over;
+  private long forwarded;
+  private long lost;
 
-    private final class Leg {
-        final int at;
-        final int of;
-        final DatagramChannel channel;
-        final Way way;
+  private final class Leg {
+    final int at;
+    final int of;
+    final DatagramChannel channel;
+    final Way way;
 
-        Leg(int at, int of, long seed) throws IOException {
-            this.at = at;
-            this.of = of;
-            way = new Way(seed);
-            channel = DatagramChannel.open();
-            channel.configureBlocking(false);
-            channel.bind(new InetSocketAddress("127.21." + at + '.' + (of + 1), 0));
-            channel.register(selector, SelectionKey.OP_READ, this);
-        }
+    Leg(int at, int of, long seed) throws IOException {
+      this.at = at;
+      this.of = of;
+      way = new Way(seed);
+      channel = DatagramChannel.open();
+      channel.configureBlocking(false);
+      channel.bind(new InetSocketAddress("127.21." + at + '.' + (of + 1), 0));
+      channel.register(selector, SelectionKey.OP_READ, this);
     }
+  }
 
-    private record Late(long at, long order, Leg by, byte[] datagram) implements Comparable<Late> {
-        @Override
-        public int compareTo(Late other) {
-            return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
-        }
+  private record Late(long at, long order, Leg by, byte[] datagram) implements Comparable<Late> {
+    @Override
+    public int compareTo(Late other) {
+      return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
     }
+  }
 
-    DatagramRelays(Faults faults, List<String> names, List<String> places, List<InetSocketAddress> managers, long seed)
-            throws IOException {
-        this.faults = faults;
-        this.names = names;
-        this.places = places;
-        this.managers = managers;
-        SplittableRandom chance = new SplittableRandom(seed);
-        legs = new Leg[names.size()][names.size()];
-        for (int at = 0; at < names.size(); at++) {
-            for (int of = 0; of < names.size(); of++) {
-                legs[at][of] = at == of ? null : new Leg(at, of, chance.nextLong());
-            }
-        }
-        start = System.nanoTime();
-        StandInEngine.thread(this::run).start();
+  DatagramRelays(
+      Faults faults,
+      List<String> names,
+      List<String> places,
+      List<InetSocketAddress> managers,
+      long seed)
+      throws IOException {
+    this.faults = faults;
+    this.names = names;
+    this.places = places;
+    this.managers = managers;
+    SplittableRandom chance = new SplittableRandom(seed);
+    legs = new Leg[names.size()][names.size()];
+    for (int at = 0; at < names.size(); at++) {
+      for (int of = 0; of < names.size(); of++) {
+        legs[at][of] = at == of ? null : new Leg(at, of, chance.nextLong());
+      }
     }
+    start = System.nanoTime();
+    StandInEngine.thread(this::run).start();
+  }
 
-    /** Where the one sends to reach the other. */
-    String address(int at, int of) {
-        try {
-            InetSocketAddress where = (InetSocketAddress) legs[at][of].channel.getLocalAddress();
-            return where.getAddress().getHostAddress() + ':' + where.getPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
+  /** Where the one sends to reach the other. */
+  String address(int at, int of) {
+    try {
+      InetSocketAddress where = (InetSocketAddress) legs[at][of].channel.getLocalAddress();
+      return where.getAddress().getHostAddress() + ':' + where.getPort();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
     }
+  }
 
-    /** The schedule begins now. */
-    void begin() {
-        start = System.nanoTime();
-    }
+  /** The schedule begins now. */
+  void begin() {
+    start = System.nanoTime();
+  }
 
-    long forwarded() {
-        return forwarded;
-    }
+  long forwarded() {
+    return forwarded;
+  }
 
-    long lost() {
-        return lost;
-    }
+  long lost() {
+    return lost;
+  }
 
-    private void run() {
-        ByteBuffer buffer = ByteBuffer.allocate(LONGEST);
-        List<SelectionKey> ready = new ArrayList<>();
-        try {
-            while (!over) {
-                long wait = late.isEmpty() ? 100 : Math.max(1, (late.peek().at - System.nanoTime()) / 1_000_000);
-                selector.select(Math.min(wait, 100));
-                ready.addAll(selector.selectedKeys());
-                selector.selectedKeys().clear();
-                for (SelectionKey key : ready) {
-                    take((Leg) key.attachment(), buffer);
-                }
-                ready.clear();
-                long now = System.nanoTime();
-                while (!late.isEmpty() && late.peek().at <= now) {
-                    Late one = late.poll();
-                    // The other end's socket for the sender: its address is the one that the receiver knows the sender by.
-                    Leg out = legs[one.by.of][one.by.at];
-                    out.channel.send(ByteBuffer.wrap(one.datagram), managers.get(one.by.of));
-                    forwarded++;
-                }
-            }
-        } catch (IOException | ClosedSelectorException e) {
-            // closed, or a receiver that is not there
+  private void run() {
+    ByteBuffer buffer = ByteBuffer.allocate(LONGEST);
+    List<SelectionKey> ready = new ArrayList<>();
+    try {
+      while (!over) {
+        long wait =
+            late.isEmpty() ? 100 : Math.max(1, (late.peek().at - System.nanoTime()) / 1_000_000);
+        selector.select(Math.min(wait, 100));
+        ready.addAll(selector.selectedKeys());
+        selector.selectedKeys().clear();
+        for (SelectionKey key : ready) {
+          take((Leg) key.attachment(), buffer);
+        }
+        ready.clear();
+        long now = System.nanoTime();
+        while (!late.isEmpty() && late.peek().at <= now) {
+          Late one = late.poll();
+          // The other end's socket for the sender: its address is the one that the receiver knows
+          // the sender by.
+          Leg out = legs[one.by.of][one.by.at];
+          out.channel.send(ByteBuffer.wrap(one.datagram), managers.get(one.by.of));
+          forwarded++;
         }
+      }
+    } catch (IOException | ClosedSelectorException e) {
+      // closed, or a receiver that is not there
     }
+  }
 
-    private void take(Leg leg, ByteBuffer buffer) throws IOException {
-        buffer.clear();
-        while (leg.channel.receive(buffer) != null) {
-            buffer.flip();
-            byte[] datagram = new byte[buffer.remaining()];
-            buffer.get(datagram);
-            buffer.clear();
-            long now = System.nanoTime();
-            long[] copies = leg.way.next(faults.weather(now - start, names.get(leg.at), places.get(leg.at), names.get(leg.of),
-                    places.get(leg.of)));
-            lost += copies.length == 0 ? 1 : 0;
-            for (long takes : copies) {
-                late.add(new Late(now + takes, order++, leg, datagram));
-            }
-        }
+  private void take(Leg leg, ByteBuffer buffer) throws IOException {
+    buffer.clear();
+    while (leg.channel.receive(buffer) != null) {
+      buffer.flip();
+      byte[] datagram = new byte[buffer.remaining()];
+      buffer.get(datagram);
+      buffer.clear();
+      long now = System.nanoTime();
+      long[] copies =
+          leg.way.next(
+              faults.weather(
+                  now - start,
+                  names.get(leg.at),
+                  places.get(leg.at),
+                  names.get(leg.of),
+                  places.get(leg.of)));
+      lost += copies.length == 0 ? 1 : 0;
+      for (long takes : copies) {
+        late.add(new Late(now + takes, order++, leg, datagram));
+      }
     }
+  }
 
-    @Override
-    public void close() throws IOException {
-        over = true;
-        selector.close();
-        for (Leg[] row : legs) {
-            for (Leg leg : row) {
-                if (leg != null) {
-                    leg.channel.close();
-                }
-            }
+  @Override
+  public void close() throws IOException {
+    over = true;
+    selector.close();
+    for (Leg[] row : legs) {
+      for (Leg leg : row) {
+        if (leg != null) {
+          leg.channel.close();
         }
+      }
     }
+  }
 }
--- a/src/main/java/tansytrack/lab/FleetTable.java
+++ b/src/main/java/tansytrack/lab/FleetTable.java
@@ -20,159 +20,209 @@
 import tansytrack.lab.world.FleetWorld;
 import tansytrack.lab.world.Weather;
 
-/** What a membership is worth at a size and a loss, in virtual time; as a table and charts, beside what SWIM's authors expect. */
+/**
+ * What a membership is worth at a size and a loss, in virtual time; as a table and charts, beside
+ * what SWIM's authors expect.
+ */
 public final class FleetTable {
 
-    private static final long MS = 1_000_000L;
-    private static final long SECOND = 1000 * MS;
-    private static final long CALM = 120 * SECOND;          // in which the living are accused or not
-    private static final long LOOK = 60 * SECOND;           // for the killed one to be known dead
-    private static final long APART = 60 * SECOND;          // a place is cut off
-    private static final long MOST_HEALING = 120 * SECOND;
+  private static final long MS = 1_000_000L;
+  private static final long SECOND = 1000 * MS;
+  private static final long CALM = 120 * SECOND; // in which the living are accused or not
+  private static final long LOOK = 60 * SECOND; // for the killed one to be known dead
+  private static final long APART = 60 * SECOND; // a place is cut off
+  private static final long MOST_HEALING = 120 * SECOND;
 
-    private FleetTable() { }
+  private FleetTable() {}
 
-    private static final class Row {
-        final int members;
-        final double loss;
-        final Histogram first = new Histogram(3);           // ms until any suspects the killed one
-        final Histogram known = new Histogram(3);           // ms until each holds it to be dead
-        final Histogram healed = new Histogram(3);          // ms until all agree behind a cut
-        int unknown;
-        int unhealed;
-        double suspected;
-        double declared;
-        double hours;
-        double bytes;
-        double letters;
+  private static final class Row {
+    final int members;
+    final double loss;
+    final Histogram first = new Histogram(3); // ms until any suspects the killed one
+    final Histogram known = new Histogram(3); // ms until each holds it to be dead
+    final Histogram healed = new Histogram(3); // ms until all agree behind a cut
+    int unknown;
+    int unhealed;
+    double suspected;
+    double declared;
+    double hours;
+    double bytes;
+    double letters;
 
-        Row(int members, double loss) {
-            this.members = members;
-            this.loss = loss;
-        }
+    Row(int members, double loss) {
+      this.members = members;
+      this.loss = loss;
     }
+  }
 
-    /** Plays all sizes and losses; true: each killed member was known dead by all, and each cut healed. */
-    public static boolean run(String sizes, String losses, int runs, long seed, Path out, PrintStream to) throws IOException {
-        List<Row> rows = new ArrayList<>();
-        Rules rules = Rules.usual(List.of("m0", "m1", "m2"));
-        String head = "members,loss,first_suspicion_p50_ms,swim_expected_ms,known_dead_p50_ms,known_dead_p99_ms,not_known,"
-                + "suspected_an_hour,declared_dead_an_hour,bytes_a_second,letters_a_second,healed_p50_ms,healed_max_ms,not_healed";
-        StringBuilder csv = new StringBuilder(head).append('\n');
-        to.println(head);
-        for (String size : sizes.split(",")) {
-            for (String share : losses.split(",")) {
-                Row row = new Row(Integer.parseInt(size.strip()), Double.parseDouble(share.strip()));
-                for (int i = 0; i < runs; i++) {
-                    play(row, rules, seed + i);
-                }
-                rows.add(row);
-                String line = line(row, rules);
-                csv.append(line).append('\n');
-                to.println(line);
-            }
+  /**
+   * Plays all sizes and losses; true: each killed member was known dead by all, and each cut
+   * healed.
+   */
+  public static boolean run(
+      String sizes, String losses, int runs, long seed, Path out, PrintStream to)
+      throws IOException {
+    List<Row> rows = new ArrayList<>();
+    Rules rules = Rules.usual(List.of("m0", "m1", "m2"));
+    String head =
+        "members,loss,first_suspicion_p50_ms,swim_expected_ms,known_dead_p50_ms,known_dead_p99_ms,not_known,"
+            + "suspected_an_hour,declared_dead_an_hour,bytes_a_second,letters_a_second,healed_p50_ms,healed_max_ms,not_healed";
+    StringBuilder csv = new StringBuilder(head).append('\n');
+    to.println(head);
+    for (String size : sizes.split(",")) {
+      for (String share : losses.split(",")) {
+        Row row = new Row(Integer.parseInt(size.strip()), Double.parseDouble(share.strip()));
+        for (int i = 0; i < runs; i++) {
+          play(row, rules, seed + i);
         }
-        Files.createDirectories(out);
-        Files.writeString(out.resolve("result.csv"), csv);
-        chart(rows, rules, out);
-        return rows.stream().allMatch(row -> row.unknown == 0 && row.unhealed == 0);
+        rows.add(row);
+        String line = line(row, rules);
+        csv.append(line).append('\n');
+        to.println(line);
+      }
     }
+    Files.createDirectories(out);
+    Files.writeString(out.resolve("result.csv"), csv);
+    chart(rows, rules, out);
+    return rows.stream().allMatch(row -> row.unknown == 0 && row.unhealed == 0);
+  }
 
-    private static void play(Row row, Rules rules, long seed) {
-        Weather weather = new Weather(row.loss, 4, 0.01, 500_000L, 2 * MS);
-        FleetWorld world = FleetWorld.of(row.members, rules, seed, weather);
-        long from = world.now();
-        world.nodes().forEach(node -> {
-            node.bytesSent = 0;
-            node.lettersSent = 0;
-        });
-        world.run(from + CALM);
-        for (FleetWorld.Seen one : world.seen()) {
-            row.suspected += one.at() > from && one.standing() == Standing.SUSPECT ? 1 : 0;
-            row.declared += one.at() > from && one.standing() == Standing.DEAD ? 1 : 0;
-        }
-        // Each member's word on each other counts once: accusations an hour of the fleet, by anyone.
-        row.hours += CALM / 3600.0 / SECOND;
-        for (FleetWorld.Node node : world.nodes()) {
-            row.bytes += node.bytesSent / (CALM / (double) SECOND) / row.members;
-            row.letters += node.lettersSent / (CALM / (double) SECOND) / row.members;
-        }
-        killed(row, world);
-        cutOff(row, world);
+  private static void play(Row row, Rules rules, long seed) {
+    Weather weather = new Weather(row.loss, 4, 0.01, 500_000L, 2 * MS);
+    FleetWorld world = FleetWorld.of(row.members, rules, seed, weather);
+    long from = world.now();
+    world
+        .nodes()
+        .forEach(
+            node -> {
+              node.bytesSent = 0;
+              node.lettersSent = 0;
+            });
+    world.run(from + CALM);
+    for (FleetWorld.Seen one : world.seen()) {
+      row.suspected += one.at() > from && one.standing() == Standing.SUSPECT ? 1 : 0;
+      row.declared += one.at() > from && one.standing() == Standing.DEAD ? 1 : 0;
     }
-
-    private static void killed(Row row, FleetWorld world) {
-        String name = "n" + (row.members - 1);
-        world.kill("m" + (row.members - 1));
-        long at = world.now();
-        world.run(at + LOOK);
-        long first = Long.MAX_VALUE;
-        Set<String> know = new HashSet<>();
-        for (FleetWorld.Seen one : world.seen()) {
-            if (one.at() >= at && one.of().equals(name)) {
-                first = one.standing() == Standing.SUSPECT ? Math.min(first, one.at() - at) : first;
-                if (one.standing() == Standing.DEAD && know.add(one.by())) {
-                    row.known.recordValue((one.at() - at) / MS);
-                }
-            }
-        }
-        row.unknown += row.members - 1 - know.size();
-        row.first.recordValue(Math.min(first, LOOK) / MS);
+    // Each member's word on each other counts once: accusations an hour of the fleet, by anyone.
+    row.hours += CALM / 3600.0 / SECOND;
+    for (FleetWorld.Node node : world.nodes()) {
+      row.bytes += node.bytesSent / (CALM / (double) SECOND) / row.members;
+      row.letters += node.lettersSent / (CALM / (double) SECOND) / row.members;
     }
+    killed(row, world);
+    cutOff(row, world);
+  }
 
-    private static void cutOff(Row row, FleetWorld world) {
-        world.cut((a, b) -> a.place().equals("place-0") != b.place().equals("place-0"));
-        world.run(world.now() + APART);
-        world.cut((a, b) -> false);
-        world.weather(Weather.FINE);                        // agreement is asked for, which loss disturbs by itself
-        long took = world.untilAgreed(MOST_HEALING);
-        if (took < 0) {
-            row.unhealed++;
-        } else {
-            row.healed.recordValue(took / MS);
+  private static void killed(Row row, FleetWorld world) {
+    String name = "n" + (row.members - 1);
+    world.kill("m" + (row.members - 1));
+    long at = world.now();
+    world.run(at + LOOK);
+    long first = Long.MAX_VALUE;
+    Set<String> know = new HashSet<>();
+    for (FleetWorld.Seen one : world.seen()) {
+      if (one.at() >= at && one.of().equals(name)) {
+        first = one.standing() == Standing.SUSPECT ? Math.min(first, one.at() - at) : first;
+        if (one.standing() == Standing.DEAD && know.add(one.by())) {
+          row.known.recordValue((one.at() - at) / MS);
         }
+      }
     }
+    row.unknown += row.members - 1 - know.size();
+    row.first.recordValue(Math.min(first, LOOK) / MS);
+  }
 
-    /** Expected until the first of the others probes a dead member, by the paper: e / (e - 1) periods; then its probe must fail. */
-    private static double swim(Rules rules) {
-        return (Math.E / (Math.E - 1) * rules.period() + rules.period()) / MS;
+  private static void cutOff(Row row, FleetWorld world) {
+    world.cut((a, b) -> a.place().equals("place-0") != b.place().equals("place-0"));
+    world.run(world.now() + APART);
+    world.cut((a, b) -> false);
+    world.weather(Weather.FINE); // agreement is asked for, which loss disturbs by itself
+    long took = world.untilAgreed(MOST_HEALING);
+    if (took < 0) {
+      row.unhealed++;
+    } else {
+      row.healed.recordValue(took / MS);
     }
+  }
 
-    private static String line(Row row, Rules rules) {
-        double runs = row.hours * 3600 * SECOND / CALM;
-        return String.format(Locale.ROOT, "%d,%s,%d,%.0f,%d,%d,%d,%.1f,%.1f,%.0f,%.1f,%d,%d,%d", row.members, row.loss,
-                row.first.getValueAtPercentile(50), swim(rules), row.known.getValueAtPercentile(50),
-                row.known.getValueAtPercentile(99), row.unknown, row.suspected / row.hours / row.members, row.declared / row.hours / row.members,
-                row.bytes / runs, row.letters / runs, row.healed.getValueAtPercentile(50), row.healed.getMaxValue(), row.unhealed);
-    }
+  /**
+   * Expected until the first of the others probes a dead member, by the paper: e / (e - 1) periods;
+   * then its probe must fail.
+   */
+  private static double swim(Rules rules) {
+    return (Math.E / (Math.E - 1) * rules.period() + rules.period()) / MS;
+  }
 
-    private static void chart(List<Row> rows, Rules rules, Path out) throws IOException {
-        XYChart chart = new XYChartBuilder().width(900).height(520).title("A killed member, until it is known dead").xAxisTitle("members")
-                .yAxisTitle("ms").build();
-        chart.getStyler().setXAxisLogarithmic(true);
-        chart.getStyler().setLegendPosition(Styler.LegendPosition.InsideNW);
-        double[] losses = rows.stream().mapToDouble(row -> row.loss).distinct().toArray();
-        for (double loss : losses) {
-            List<Row> one = rows.stream().filter(row -> row.loss == loss).toList();
-            double[] sizes = one.stream().mapToDouble(row -> row.members).toArray();
-            chart.addSeries("first suspicion, loss " + loss, sizes,
-                    one.stream().mapToDouble(row -> row.first.getValueAtPercentile(50)).toArray());
-            chart.addSeries("known by all, p99, loss " + loss, sizes,
-                    one.stream().mapToDouble(row -> row.known.getValueAtPercentile(99)).toArray());
-        }
-        double[] sizes = rows.stream().mapToDouble(row -> row.members).distinct().toArray();
-        double[] expected = new double[sizes.length];
-        Arrays.fill(expected, swim(rules));
-        chart.addSeries("first suspicion expected by SWIM", sizes, expected);
-        BitmapEncoder.saveBitmap(chart, out.resolve("detection.png").toString(), BitmapEncoder.BitmapFormat.PNG);
-        XYChart cost = new XYChartBuilder().width(900).height(520).title("Sent by a member").xAxisTitle("members")
-                .yAxisTitle("bytes a second").build();
-        cost.getStyler().setXAxisLogarithmic(true);
-        for (double loss : losses) {
-            List<Row> one = rows.stream().filter(row -> row.loss == loss).toList();
-            cost.addSeries("loss " + loss, one.stream().mapToDouble(row -> row.members).toArray(),
-                    one.stream().mapToDouble(row -> row.bytes / (row.hours * 3600 * SECOND / CALM)).toArray());
-        }
-        BitmapEncoder.saveBitmap(cost, out.resolve("bytes.png").toString(), BitmapEncoder.BitmapFormat.PNG);
+  private static String line(Row row, Rules rules) {
+    double runs = row.hours * 3600 * SECOND / CALM;
+    return String.format(
+        Locale.ROOT,
+        "%d,%s,%d,%.0f,%d,%d,%d,%.1f,%.1f,%.0f,%.1f,%d,%d,%d",
+        row.members,
+        row.loss,
+        row.first.getValueAtPercentile(50),
+        swim(rules),
+        row.known.getValueAtPercentile(50),
+        row.known.getValueAtPercentile(99),
+        row.unknown,
+        row.suspected / row.hours / row.members,
+        row.declared / row.hours / row.members,
+        row.bytes / runs,
+        row.letters / runs,
+        row.healed.getValueAtPercentile(50),
+        row.healed.getMaxValue(),
+        row.unhealed);
+  }
+
+  private static void chart(List<Row> rows, Rules rules, Path out) throws IOException {
+    XYChart chart =
+        new XYChartBuilder()
+            .width(900)
+            .height(520)
+            .title("A killed member, until it is known dead")
+            .xAxisTitle("members")
+            .yAxisTitle("ms")
+            .build();
+    chart.getStyler().setXAxisLogarithmic(true);
+    chart.getStyler().setLegendPosition(Styler.LegendPosition.InsideNW);
+    double[] losses = rows.stream().mapToDouble(row -> row.loss).distinct().toArray();
+    for (double loss : losses) {
+      List<Row> one = rows.stream().filter(row -> row.loss == loss).toList();
+      double[] sizes = one.stream().mapToDouble(row -> row.members).toArray();
+      chart.addSeries(
+          "first suspicion, loss " + loss,
+          sizes,
+          one.stream().mapToDouble(row -> row.first.getValueAtPercentile(50)).toArray());
+      chart.addSeries(
+          "known by all, p99, loss " + loss,
+          sizes,
+          one.stream().mapToDouble(row -> row.known.getValueAtPercentile(99)).toArray());
+    }
+    double[] sizes = rows.stream().mapToDouble(row -> row.members).distinct().toArray();
+    double[] expected = new double[sizes.length];
+    Arrays.fill(expected, swim(rules));
+    chart.addSeries("first suspicion expected by SWIM", sizes, expected);
+    BitmapEncoder.saveBitmap(
+        chart, out.resolve("detection.png").toString(), BitmapEncoder.BitmapFormat.PNG);
+    XYChart cost =
+        new XYChartBuilder()
+            .width(900)
+            .height(520)
+            .title("Sent by a member")
+            .xAxisTitle("members")
+            .yAxisTitle("bytes a second")
+            .build();
+    cost.getStyler().setXAxisLogarithmic(true);
+    for (double loss : losses) {
+      List<Row> one = rows.stream().filter(row -> row.loss == loss).toList();
+      cost.addSeries(
+          "loss " + loss,
+          one.stream().mapToDouble(row -> row.members).toArray(),
+          one.stream()
+              .mapToDouble(row -> row.bytes / (row.hours * 3600 * SECOND / CALM))
+              .toArray());
     }
+    BitmapEncoder.saveBitmap(
+        cost, out.resolve("bytes.png").toString(), BitmapEncoder.BitmapFormat.PNG);
+  }
 }
--- a/src/main/java/tansytrack/lab/FleetTraffic.java
+++ b/src/main/java/tansytrack/lab/FleetTraffic.java
@@ -23,281 +23,368 @@
 import tansytrack.lab.world.RuleCheck;
 
 /**
- * What a fleet of processes serves: engines in places, a list for each manager, streams through relays, an open-loop load on each
- * manager. Keeps a log of all that clients, engines and the list saw, for the checker of the rules.
+ * What a fleet of processes serves: engines in places, a list for each manager, streams through
+ * relays, an open-loop load on each manager. Keeps a log of all that clients, engines and the list
+ * saw, for the checker of the rules.
  */
 final class FleetTraffic implements AutoCloseable {
 
-    private static final long MS = 1_000_000L;
-    private static final long ENDING = 4000 * MS;
+  private static final long MS = 1_000_000L;
+  private static final long ENDING = 4000 * MS;
 
-    private final FleetPlan plan;
-    private final Faults faults;
-    private final List<String> managers;
-    private final List<String> places;
-    private final long seed;
-    private final List<StandInEngine> engines = new ArrayList<>();
-    private final List<InetSocketAddress> engineAddresses = new ArrayList<>();
-    private final List<StandInChannel> channels = new ArrayList<>();
-    private final List<StreamRelay> lists = new ArrayList<>();
-    private final List<List<StreamRelay>> relays = new ArrayList<>();       // by manager and engine
-    private final List<RuleCheck.Seen> log = Collections.synchronizedList(new ArrayList<>());
-    private final Map<String, Arrival> asked = new ConcurrentHashMap<>();
-    private final Map<String, String> taker = new ConcurrentHashMap<>();    // the manager of a task
-    private final Map<Integer, Long> startedAt = new HashMap<>();           // of engines, ns on this machine's steady clock
-    private final List<OpenLoop> loads = new ArrayList<>();
-    private final List<Thread> threads = new ArrayList<>();
-    private int revision = 1;
-    private int falls;
-    private volatile long start = System.nanoTime();
-    private volatile Exception failure;
+  private final FleetPlan plan;
+  private final Faults faults;
+  private final List<String> managers;
+  private final List<String> places;
+  private final long seed;
+  private final List<StandInEngine> engines = new ArrayList<>();
+  private final List<InetSocketAddress> engineAddresses = new ArrayList<>();
+  private final List<StandInChannel> channels = new ArrayList<>();
+  private final List<StreamRelay> lists = new ArrayList<>();
+  private final List<List<StreamRelay>> relays = new ArrayList<>(); // by manager and engine
+  private final List<RuleCheck.Seen> log = Collections.synchronizedList(new ArrayList<>());
+  private final Map<String, Arrival> asked = new ConcurrentHashMap<>();
+  private final Map<String, String> taker = new ConcurrentHashMap<>(); // the manager of a task
+  private final Map<Integer, Long> startedAt =
+      new HashMap<>(); // of engines, ns on this machine's steady clock
+  private final List<OpenLoop> loads = new ArrayList<>();
+  private final List<Thread> threads = new ArrayList<>();
+  private int revision = 1;
+  private int falls;
+  private volatile long start = System.nanoTime();
+  private volatile Exception failure;
 
-    FleetTraffic(FleetPlan plan, Faults faults, List<String> managers, List<String> places, long seed) throws IOException {
-        this.plan = plan;
-        this.faults = faults;
-        this.managers = managers;
-        this.places = places;
-        this.seed = seed;
-        for (int i = 0; i < plan.getEngines(); i++) {
-            engines.add(engine(i, new InetSocketAddress("127.22.0." + (i + 1), 0), longAgo()));
-            String[] at = engines.get(i).address().split(":");
-            engineAddresses.add(new InetSocketAddress(at[0], Integer.parseInt(at[1])));
-        }
-        for (int m = 0; m < managers.size(); m++) {
-            int by = m;
-            StandInChannel channel = new StandInChannel(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            channels.add(channel);
-            lists.add(new StreamRelay("127.0.0.1", address(channel.address()), () -> holds(by, "list", "list"), seed ^ m));
-            List<StreamRelay> own = new ArrayList<>();
-            for (int i = 0; i < engines.size(); i++) {
-                int to = i;
-                own.add(new StreamRelay("127.23." + m + '.' + (i + 1), engineAddresses.get(i),
-                        () -> holds(by, "e" + to, enginePlace(to)), seed * 4096 + m * 64L + i));
-            }
-            relays.add(own);
-        }
-        for (int i = 0; i < engines.size(); i++) {
-            told(i, "ready");
-        }
+  FleetTraffic(FleetPlan plan, Faults faults, List<String> managers, List<String> places, long seed)
+      throws IOException {
+    this.plan = plan;
+    this.faults = faults;
+    this.managers = managers;
+    this.places = places;
+    this.seed = seed;
+    for (int i = 0; i < plan.getEngines(); i++) {
+      engines.add(engine(i, new InetSocketAddress("127.22.0." + (i + 1), 0), longAgo()));
+      String[] at = engines.get(i).address().split(":");
+      engineAddresses.add(new InetSocketAddress(at[0], Integer.parseInt(at[1])));
     }
-
-    private long longAgo() {
-        return System.nanoTime() - 1000 * Math.max(1, plan.getEngine().getWarmAfterMs()) * MS;
+    for (int m = 0; m < managers.size(); m++) {
+      int by = m;
+      StandInChannel channel =
+          new StandInChannel(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      channels.add(channel);
+      lists.add(
+          new StreamRelay(
+              "127.0.0.1", address(channel.address()), () -> holds(by, "list", "list"), seed ^ m));
+      List<StreamRelay> own = new ArrayList<>();
+      for (int i = 0; i < engines.size(); i++) {
+        int to = i;
+        own.add(
+            new StreamRelay(
+                "127.23." + m + '.' + (i + 1),
+                engineAddresses.get(i),
+                () -> holds(by, "e" + to, enginePlace(to)),
+                seed * 4096 + m * 64L + i));
+      }
+      relays.add(own);
     }
-
-    private static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    for (int i = 0; i < engines.size(); i++) {
+      told(i, "ready");
     }
+  }
 
-    private String enginePlace(int engine) {
-        return "place-" + engine % plan.getPlaces();
-    }
+  private long longAgo() {
+    return System.nanoTime() - 1000 * Math.max(1, plan.getEngine().getWarmAfterMs()) * MS;
+  }
 
-    private Faults.StreamTrouble holds(int manager, String to, String place) {
-        return faults.stream(System.nanoTime() - start, managers.get(manager), places.get(manager), to, place);
-    }
+  private static InetSocketAddress address(String text) {
+    int colon = text.lastIndexOf(':');
+    return new InetSocketAddress(
+        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+  }
 
-    private StandInEngine engine(int which, InetSocketAddress at, long startedAt) throws IOException {
-        EngineForm form = plan.getEngine();
-        EngineModel.Spec spec = new EngineModel.Spec(form.getCores(), form.getMostQueries(), form.getStartCapacity(),
-                form.getWarmAfterMs() * MS, form.getMultiple(), form.getWindowMs() * MS);
-        return new StandInEngine("e" + which, at, new EngineModel(spec, startedAt),
-                id -> asked.containsKey(id) ? asked.get(id).costMs() * MS : MS, new StandInEngine.Watcher() {
-                    @Override
-                    public void arrived(String engine, String id, double work) {
-                        log.add(new RuleCheck.Arrived(System.nanoTime(), taker.getOrDefault(id, "?"), engine, id, work));
-                    }
+  private String enginePlace(int engine) {
+    return "place-" + engine % plan.getPlaces();
+  }
 
-                    @Override
-                    public void over(String engine, String id, boolean mayHaveRun) {
-                        log.add(new RuleCheck.Over(System.nanoTime(), engine, id, mayHaveRun));
-                    }
-                });
-    }
+  private Faults.StreamTrouble holds(int manager, String to, String place) {
+    return faults.stream(
+        System.nanoTime() - start, managers.get(manager), places.get(manager), to, place);
+  }
 
-    /** Tells all managers of an engine; each by the address of its own relay. */
-    private synchronized void told(int engine, String phase) {
-        long since = startedAt.getOrDefault(engine, 0L);
-        long unix = since == 0 ? 0 : System.currentTimeMillis() - (System.nanoTime() - since) / MS;
-        log.add(new RuleCheck.Listed(System.nanoTime(), "e" + engine, enginePlace(engine), phase.equals("ready"), since));
-        revision++;
-        for (int m = 0; m < managers.size(); m++) {
-            channels.get(m).tell("{\"revision\":" + revision + ",\"complete\":false,\"members\":[{\"id\":\"e" + engine
-                    + "\",\"host_port\":\"" + relays.get(m).get(engine).address() + "\",\"locality\":\"" + enginePlace(engine)
-                    + "\",\"flavor\":\"k\",\"cell\":0,\"phase\":\"" + phase + "\",\"size\":8,\"up_since_ms\":" + unix + "}]}");
-        }
-    }
+  private StandInEngine engine(int which, InetSocketAddress at, long startedAt) throws IOException {
+    EngineForm form = plan.getEngine();
+    EngineModel.Spec spec =
+        new EngineModel.Spec(
+            form.getCores(),
+            form.getMostQueries(),
+            form.getStartCapacity(),
+            form.getWarmAfterMs() * MS,
+            form.getMultiple(),
+            form.getWindowMs() * MS);
+    return new StandInEngine(
+        "e" + which,
+        at,
+        new EngineModel(spec, startedAt),
+        id -> asked.containsKey(id) ? asked.get(id).costMs() * MS : MS,
+        new StandInEngine.Watcher() {
+          @Override
+          public void arrived(String engine, String id, double work) {
+            log.add(
+                new RuleCheck.Arrived(
+                    System.nanoTime(), taker.getOrDefault(id, "?"), engine, id, work));
+          }
 
-    String channel(int manager) {
-        return lists.get(manager).address();
-    }
+          @Override
+          public void over(String engine, String id, boolean mayHaveRun) {
+            log.add(new RuleCheck.Over(System.nanoTime(), engine, id, mayHaveRun));
+          }
+        });
+  }
 
-    String known(int manager) {
-        return channels.get(manager).known();
+  /** Tells all managers of an engine; each by the address of its own relay. */
+  private synchronized void told(int engine, String phase) {
+    long since = startedAt.getOrDefault(engine, 0L);
+    long unix = since == 0 ? 0 : System.currentTimeMillis() - (System.nanoTime() - since) / MS;
+    log.add(
+        new RuleCheck.Listed(
+            System.nanoTime(), "e" + engine, enginePlace(engine), phase.equals("ready"), since));
+    revision++;
+    for (int m = 0; m < managers.size(); m++) {
+      channels
+          .get(m)
+          .tell(
+              "{\"revision\":"
+                  + revision
+                  + ",\"complete\":false,\"members\":[{\"id\":\"e"
+                  + engine
+                  + "\",\"host_port\":\""
+                  + relays.get(m).get(engine).address()
+                  + "\",\"locality\":\""
+                  + enginePlace(engine)
+                  + "\",\"flavor\":\"k\",\"cell\":0,\"phase\":\""
+                  + phase
+                  + "\",\"size\":8,\"up_since_ms\":"
+                  + unix
+                  + "}]}");
     }
+  }
+
+  String channel(int manager) {
+    return lists.get(manager).address();
+  }
+
+  String known(int manager) {
+    return channels.get(manager).known();
+  }
 
-    /** The load and the troubles begin now. */
-    void begin(List<InetSocketAddress> listeners, long from) {
-        start = from;
-        for (int m = 0; plan.hasLoad() && m < managers.size(); m++) {
-            String name = managers.get(m);
-            LoadFile file = LoadFile.checked("fleet.load", plan.getLoad());
-            OpenLoop load = new OpenLoop(file, listeners.get(m), seed * 64 + m, new OpenLoop.Watcher() {
+  /** The load and the troubles begin now. */
+  void begin(List<InetSocketAddress> listeners, long from) {
+    start = from;
+    for (int m = 0; plan.hasLoad() && m < managers.size(); m++) {
+      String name = managers.get(m);
+      LoadFile file = LoadFile.checked("fleet.load", plan.getLoad());
+      OpenLoop load =
+          new OpenLoop(
+              file,
+              listeners.get(m),
+              seed * 64 + m,
+              new OpenLoop.Watcher() {
                 @Override
                 public void asking(String id, Arrival one, long waitMs) {
-                    asked.put(id, one);
-                    taker.put(id, name);
-                    long now = System.nanoTime();
-                    log.add(new RuleCheck.Asked(now, name, id, one.grade().equals("load") ? RuleCheck.Repeat.ONE_SHOT
-                            : RuleCheck.Repeat.HARMLESS, one.key(), now + waitMs * MS, Set.of()));
+                  asked.put(id, one);
+                  taker.put(id, name);
+                  long now = System.nanoTime();
+                  log.add(
+                      new RuleCheck.Asked(
+                          now,
+                          name,
+                          id,
+                          one.grade().equals("load")
+                              ? RuleCheck.Repeat.ONE_SHOT
+                              : RuleCheck.Repeat.HARMLESS,
+                          one.key(),
+                          now + waitMs * MS,
+                          Set.of()));
                 }
 
                 @Override
                 public void answered(String id, LabClient.Answer answer) {
-                    log.add(new RuleCheck.Answered(System.nanoTime(), id, answer.handled() ? RuleCheck.Answer.HANDLED
-                            : answer.code().startsWith("53") || answer.code().equals("57P03") ? RuleCheck.Answer.BOUNCED
-                                    : RuleCheck.Answer.ABORTED));
+                  log.add(
+                      new RuleCheck.Answered(
+                          System.nanoTime(),
+                          id,
+                          answer.handled()
+                              ? RuleCheck.Answer.HANDLED
+                              : answer.code().startsWith("53") || answer.code().equals("57P03")
+                                  ? RuleCheck.Answer.BOUNCED
+                                  : RuleCheck.Answer.ABORTED));
                 }
 
                 @Override
                 public void failed(String id, long connectedAt) {
-                    // One that a manager was taken down under is lost with it; one that was never taken is owed nothing.
-                    if (connectedAt >= 0 && downSince(name, connectedAt)) {
-                        log.add(new RuleCheck.Left(System.nanoTime(), id));
-                    }
+                  // One that a manager was taken down under is lost with it; one that was never
+                  // taken is owed nothing.
+                  if (connectedAt >= 0 && downSince(name, connectedAt)) {
+                    log.add(new RuleCheck.Left(System.nanoTime(), id));
+                  }
                 }
-            });
-            loads.add(load);
-            run(load::play);
-        }
-        for (EngineTrouble one : plan.getEngineTroublesList()) {
-            run(() -> trouble(one, from));
-        }
+              });
+      loads.add(load);
+      run(load::play);
     }
-
-    /** Was that manager killed or ended since? One that ends closes connections for a while, which tasks may cross. */
-    private boolean downSince(String name, long time) {
-        return faults.processes().stream().anyMatch(one -> one.member().equals(name) && one.kind() != Faults.Kind.STOP
-                && start + one.at() + (one.kind() == Faults.Kind.END ? ENDING : 0) >= time && start + one.at() <= System.nanoTime());
+    for (EngineTrouble one : plan.getEngineTroublesList()) {
+      run(() -> trouble(one, from));
     }
+  }
 
-    /** That manager has been started again. */
-    void restarted(String name) {
-        log.add(new RuleCheck.Restarted(System.nanoTime(), name));
-    }
+  /**
+   * Was that manager killed or ended since? One that ends closes connections for a while, which
+   * tasks may cross.
+   */
+  private boolean downSince(String name, long time) {
+    return faults.processes().stream()
+        .anyMatch(
+            one ->
+                one.member().equals(name)
+                    && one.kind() != Faults.Kind.STOP
+                    && start + one.at() + (one.kind() == Faults.Kind.END ? ENDING : 0) >= time
+                    && start + one.at() <= System.nanoTime());
+  }
 
-    private interface Step {
-        void run() throws Exception;
-    }
+  /** That manager has been started again. */
+  void restarted(String name) {
+    log.add(new RuleCheck.Restarted(System.nanoTime(), name));
+  }
 
-    private void run(Step what) {
-        Thread thread = StandInEngine.thread(() -> {
-            try {
+  private interface Step {
+    void run() throws Exception;
+  }
+
+  private void run(Step what) {
+    Thread thread =
+        StandInEngine.thread(
+            () -> {
+              try {
                 what.run();
-            } catch (InterruptedException e) {
+              } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
-            } catch (Exception e) {
+              } catch (Exception e) {
                 failure = e;
-            }
-        });
-        threads.add(thread);
-        thread.start();
-    }
+              }
+            });
+    threads.add(thread);
+    thread.start();
+  }
 
-    private void trouble(EngineTrouble what, long from) throws IOException, InterruptedException {
-        int which = Integer.parseInt(what.getEngine().substring(1));
-        sleepUntil(from + what.getAtMs() * MS);
-        switch (what.getKind()) {
-            case RESTART -> {
-                StandInEngine old = swap(which, null);
-                old.close();
-                old.lose();
-                sleepUntil(from + (what.getAtMs() + what.getForMs()) * MS);
-                synchronized (this) {
-                    startedAt.put(which, System.nanoTime());
-                }
-                falls += old.fallen() ? 1 : 0;
-                swap(which, engine(which, engineAddresses.get(which), startedAt.get(which)));
-                told(which, "ready");
-            }
-            case SLOW -> {
-                engines.get(which).slow(what.getFactor());
-                sleepUntil(from + (what.getAtMs() + what.getForMs()) * MS);
-                engines.get(which).slow(1);
-            }
-            case DRAIN -> {
-                told(which, "draining");
-                sleepUntil(from + (what.getAtMs() + what.getForMs()) * MS);
-                told(which, "ready");
-            }
-            default -> throw new IllegalStateException();
+  private void trouble(EngineTrouble what, long from) throws IOException, InterruptedException {
+    int which = Integer.parseInt(what.getEngine().substring(1));
+    sleepUntil(from + what.getAtMs() * MS);
+    switch (what.getKind()) {
+      case RESTART -> {
+        StandInEngine old = swap(which, null);
+        old.close();
+        old.lose();
+        sleepUntil(from + (what.getAtMs() + what.getForMs()) * MS);
+        synchronized (this) {
+          startedAt.put(which, System.nanoTime());
         }
+        falls += old.fallen() ? 1 : 0;
+        swap(which, engine(which, engineAddresses.get(which), startedAt.get(which)));
+        told(which, "ready");
+      }
+      case SLOW -> {
+        engines.get(which).slow(what.getFactor());
+        sleepUntil(from + (what.getAtMs() + what.getForMs()) * MS);
+        engines.get(which).slow(1);
+      }
+      case DRAIN -> {
+        told(which, "draining");
+        sleepUntil(from + (what.getAtMs() + what.getForMs()) * MS);
+        told(which, "ready");
+      }
+      default -> throw new IllegalStateException();
     }
+  }
 
-    private synchronized StandInEngine swap(int which, StandInEngine next) {
-        StandInEngine old = engines.get(which);
-        if (next != null) {
-            engines.set(which, next);
-        }
-        return old;
+  private synchronized StandInEngine swap(int which, StandInEngine next) {
+    StandInEngine old = engines.get(which);
+    if (next != null) {
+      engines.set(which, next);
     }
+    return old;
+  }
 
-    static void sleepUntil(long time) throws InterruptedException {
-        Thread.sleep(Math.max(0, (time - System.nanoTime()) / MS));
-    }
+  static void sleepUntil(long time) throws InterruptedException {
+    Thread.sleep(Math.max(0, (time - System.nanoTime()) / MS));
+  }
 
-    /** Waits for the load, and gives the figures of what was served and of the rules; what was seen is left in a file. */
-    Map<String, Double> figures(Path folder) throws InterruptedException, IOException {
-        for (Thread one : threads) {
-            one.join();
-        }
-        if (failure != null) {
-            throw new IOException("the traffic failed: " + failure, failure);
-        }
-        Map<String, Double> figures = new TreeMap<>();
-        double tasks = 0;
-        double good = 0;
-        for (OpenLoop load : loads) {
-            Map<String, Double> one = load.figures();
-            tasks += one.get("tasks");
-            good += one.get("tasks") * one.get("share");
-        }
-        EngineForm form = plan.getEngine();
-        RuleCheck.Rules rules = new RuleCheck.Rules(500 * MS, 60 * MS, 1050 * MS, form.getCores(), form.getStartCapacity(),
-                form.getWarmAfterMs() * MS, form.getMultiple(), form.getWindowMs() * MS, 0, 0, 0);
-        List<RuleCheck.Seen> all;
-        synchronized (log) {
-            all = new ArrayList<>(log);
-        }
-        all.sort(Comparator.comparingLong(RuleCheck.Seen::at));
-        Files.write(folder.resolve("seen.log"), all.stream().map(one -> (one.at() - start) / 1000 + " us " + one).toList());
-        RuleCheck.broken(rules, all).forEach((rule, times) -> figures.put("broken." + rule, (double) times));
-        RuleCheck.said(rules, all).forEach(System.err::println);
-        for (StandInEngine one : engines) {
-            falls += one.fallen() ? 1 : 0;
-        }
-        figures.put("engines.fallen", (double) falls);
-        figures.put("tasks", tasks);
-        figures.put("share_min", tasks == 0 ? 1 : good / tasks);
-        return figures;
+  /**
+   * Waits for the load, and gives the figures of what was served and of the rules; what was seen is
+   * left in a file.
+   */
+  Map<String, Double> figures(Path folder) throws InterruptedException, IOException {
+    for (Thread one : threads) {
+      one.join();
+    }
+    if (failure != null) {
+      throw new IOException("the traffic failed: " + failure, failure);
     }
+    Map<String, Double> figures = new TreeMap<>();
+    double tasks = 0;
+    double good = 0;
+    for (OpenLoop load : loads) {
+      Map<String, Double> one = load.figures();
+      tasks += one.get("tasks");
+      good += one.get("tasks") * one.get("share");
+    }
+    EngineForm form = plan.getEngine();
+    RuleCheck.Rules rules =
+        new RuleCheck.Rules(
+            500 * MS,
+            60 * MS,
+            1050 * MS,
+            form.getCores(),
+            form.getStartCapacity(),
+            form.getWarmAfterMs() * MS,
+            form.getMultiple(),
+            form.getWindowMs() * MS,
+            0,
+            0,
+            0);
+    List<RuleCheck.Seen> all;
+    synchronized (log) {
+      all = new ArrayList<>(log);
+    }
+    all.sort(Comparator.comparingLong(RuleCheck.Seen::at));
+    Files.write(
+        folder.resolve("seen.log"),
+        all.stream().map(one -> (one.at() - start) / 1000 + " us " + one).toList());
+    RuleCheck.broken(rules, all)
+        .forEach((rule, times) -> figures.put("broken." + rule, (double) times));
+    RuleCheck.said(rules, all).forEach(System.err::println);
+    for (StandInEngine one : engines) {
+      falls += one.fallen() ? 1 : 0;
+    }
+    figures.put("engines.fallen", (double) falls);
+    figures.put("tasks", tasks);
+    figures.put("share_min", tasks == 0 ? 1 : good / tasks);
+    return figures;
+  }
 
-    @Override
-    public void close() throws IOException {
-        for (StandInEngine one : engines) {
-            one.close();
-        }
-        for (List<StreamRelay> own : relays) {
-            for (StreamRelay one : own) {
-                one.close();
-            }
-        }
-        for (StreamRelay one : lists) {
-            one.close();
-        }
-        for (StandInChannel one : channels) {
-            one.close();
-        }
+  @Override
+  public void close() throws IOException {
+    for (StandInEngine one : engines) {
+      one.close();
+    }
+    for (List<StreamRelay> own : relays) {
+      for (StreamRelay one : own) {
+        one.close();
+      }
+    }
+    for (StreamRelay one : lists) {
+      one.close();
+    }
+    for (StandInChannel one : channels) {
+      one.close();
     }
+  }
 }
--- a/src/main/java/tansytrack/lab/LabClient.java
+++ b/src/main/java/tansytrack/lab/LabClient.java
@@ -10,89 +10,109 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** A client for the lab: simple queries over the PostgreSQL protocol 3.0, one at a time on a session. */
+/**
+ * A client for the lab: simple queries over the PostgreSQL protocol 3.0, one at a time on a
+ * session.
+ */
 public final class LabClient implements AutoCloseable {
 
-    /** What came back: HANDLED, or the SQLSTATE of the error with its text. */
-    public record Answer(String code, String text, List<String> columns, List<List<String>> cells) {
-        public int rows() {
-            return cells.size();
-        }
+  /** What came back: HANDLED, or the SQLSTATE of the error with its text. */
+  public record Answer(String code, String text, List<String> columns, List<List<String>> cells) {
+    public int rows() {
+      return cells.size();
+    }
 
-        public boolean handled() {
-            return code.equals("HANDLED");
-        }
+    public boolean handled() {
+      return code.equals("HANDLED");
     }
+  }
 
-    private static final int BEHIND_NAME = 18;              // bytes of a column's description
+  private static final int BEHIND_NAME = 18; // bytes of a column's description
 
-    private final Socket socket = new Socket();
-    private final DataInputStream in;
+  private final Socket socket = new Socket();
+  private final DataInputStream in;
 
-    public LabClient(InetSocketAddress to, int patienceMs) throws IOException {
-        socket.setTcpNoDelay(true);
-        socket.setSoTimeout(patienceMs);
-        socket.connect(to, patienceMs);
-        in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
-        byte[] who = "user\0app\0database\0bi\0\0".getBytes(StandardCharsets.US_ASCII);
-        socket.getOutputStream().write(ByteBuffer.allocate(8 + who.length).putInt(8 + who.length).putInt(3 << 16).put(who).array());
-        answer();
-    }
+  public LabClient(InetSocketAddress to, int patienceMs) throws IOException {
+    socket.setTcpNoDelay(true);
+    socket.setSoTimeout(patienceMs);
+    socket.connect(to, patienceMs);
+    in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+    byte[] who = "user\0app\0database\0bi\0\0".getBytes(StandardCharsets.US_ASCII);
+    socket
+        .getOutputStream()
+        .write(
+            ByteBuffer.allocate(8 + who.length)
+                .putInt(8 + who.length)
+                .putInt(3 << 16)
+                .put(who)
+                .array());
+    answer();
+  }
 
-    public Answer ask(String statement) throws IOException {
-        byte[] text = (statement + '\0').getBytes(StandardCharsets.UTF_8);
-        socket.getOutputStream().write(ByteBuffer.allocate(5 + text.length).put((byte) 'Q').putInt(4 + text.length).put(text).array());
-        return answer();
-    }
+  public Answer ask(String statement) throws IOException {
+    byte[] text = (statement + '\0').getBytes(StandardCharsets.UTF_8);
+    socket
+        .getOutputStream()
+        .write(
+            ByteBuffer.allocate(5 + text.length)
+                .put((byte) 'Q')
+                .putInt(4 + text.length)
+                .put(text)
+                .array());
+    return answer();
+  }
 
-    /** Reads up to the next ReadyForQuery. */
-    private Answer answer() throws IOException {
-        String code = "HANDLED";
-        String text = "";
-        List<String> columns = new ArrayList<>();
-        List<List<String>> cells = new ArrayList<>();
-        while (true) {
-            int type = in.readUnsignedByte();
-            byte[] body = new byte[in.readInt() - 4];
-            in.readFully(body);
-            if (type == 'E') {
-                for (String field : new String(body, StandardCharsets.UTF_8).split("\0")) {
-                    code = field.startsWith("C") ? field.substring(1) : code;
-                    text = field.startsWith("M") ? field.substring(1) : text;
-                }
-            } else if (type == 'T') {
-                names(ByteBuffer.wrap(body), columns);
-            } else if (type == 'D') {
-                cells.add(row(ByteBuffer.wrap(body)));
-            } else if (type == 'Z') {
-                return new Answer(code, text, columns, cells);
-            }
+  /** Reads up to the next ReadyForQuery. */
+  private Answer answer() throws IOException {
+    String code = "HANDLED";
+    String text = "";
+    List<String> columns = new ArrayList<>();
+    List<List<String>> cells = new ArrayList<>();
+    while (true) {
+      int type = in.readUnsignedByte();
+      byte[] body = new byte[in.readInt() - 4];
+      in.readFully(body);
+      if (type == 'E') {
+        for (String field : new String(body, StandardCharsets.UTF_8).split("\0")) {
+          code = field.startsWith("C") ? field.substring(1) : code;
+          text = field.startsWith("M") ? field.substring(1) : text;
         }
+      } else if (type == 'T') {
+        names(ByteBuffer.wrap(body), columns);
+      } else if (type == 'D') {
+        cells.add(row(ByteBuffer.wrap(body)));
+      } else if (type == 'Z') {
+        return new Answer(code, text, columns, cells);
+      }
     }
+  }
 
-    private static void names(ByteBuffer body, List<String> into) {
-        for (int left = body.getShort(); left > 0; left--) {
-            int from = body.position();
-            while (body.get() != 0) {
-                // to its end
-            }
-            into.add(new String(body.array(), from, body.position() - 1 - from, StandardCharsets.UTF_8));
-            body.position(body.position() + BEHIND_NAME);
-        }
+  private static void names(ByteBuffer body, List<String> into) {
+    for (int left = body.getShort(); left > 0; left--) {
+      int from = body.position();
+      while (body.get() != 0) {
+        // to its end
+      }
+      into.add(new String(body.array(), from, body.position() - 1 - from, StandardCharsets.UTF_8));
+      body.position(body.position() + BEHIND_NAME);
     }
+  }
 
-    private static List<String> row(ByteBuffer body) {
-        List<String> row = new ArrayList<>();
-        for (int left = body.getShort(); left > 0; left--) {
-            int length = body.getInt();
-            row.add(length < 0 ? "" : new String(body.array(), body.position(), length, StandardCharsets.UTF_8));
-            body.position(body.position() + Math.max(0, length));
-        }
-        return row;
+  private static List<String> row(ByteBuffer body) {
+    List<String> row = new ArrayList<>();
+    for (int left = body.getShort(); left > 0; left--) {
+      int length = body.getInt();
+      row.add(
+          length < 0
+              ? ""
+              : new String(body.array(), body.position(), length, StandardCharsets.UTF_8));
+      body.position(body.position() + Math.max(0, length));
     }
+    return row;
+  }
 
-    @Override
-    public void close() throws IOException {
-        socket.close();
-    }
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
 }
--- a/src/main/java/tansytrack/lab/LedgerBench.java
+++ b/src/main/java/tansytrack/lab/LedgerBench.java
@@ -18,133 +18,174 @@
 import tansytrack.state.TaskWatch;
 import tansytrack.state.Timers;
 
-/** Measures a ledger on this machine: the loop's cost an entry, durable entries a second, the wait of an answer, a start. */
+/**
+ * Measures a ledger on this machine: the loop's cost an entry, durable entries a second, the wait
+ * of an answer, a start.
+ */
 public final class LedgerBench {
 
-    private static final long SECOND = 1_000_000_000L;
-    private static final long LONGEST = 10 * SECOND;
-    private static final int WARM = 50_000;
+  private static final long SECOND = 1_000_000_000L;
+  private static final long LONGEST = 10 * SECOND;
+  private static final int WARM = 50_000;
 
-    private final Timers timers = new Timers();
-    private final ConcurrentLinkedQueue<Runnable> inbox = new ConcurrentLinkedQueue<>();
-    private final PrintStream out;
-    private long tasks;
+  private final Timers timers = new Timers();
+  private final ConcurrentLinkedQueue<Runnable> inbox = new ConcurrentLinkedQueue<>();
+  private final PrintStream out;
+  private long tasks;
 
-    public LedgerBench(PrintStream out) {
-        this.out = out;
-    }
+  public LedgerBench(PrintStream out) {
+    this.out = out;
+  }
 
-    private Recorder start(Path folder, String wait, int most) throws IOException {
-        OperatorFile.LedgerSection section = OperatorFile.of("bench", "ledger { folder: '" + folder + "' answers: " + wait
-                + " forwards: " + wait + " most_unwritten: " + most + " }").ledger();
-        Grade grade = new Grade("g", Grade.Repeat.HARMLESS, Grade.Scope.ALL, 0, SECOND, 1, SECOND, 1, 0, false, java.util.Set.of(),
-                java.util.Set.of(), 1, false, false);
-        timers.now(System.nanoTime());
-        return Recorder.start(section, "bench", List.of(grade), timers, inbox::add);
-    }
+  private Recorder start(Path folder, String wait, int most) throws IOException {
+    OperatorFile.LedgerSection section =
+        OperatorFile.of(
+                "bench",
+                "ledger { folder: '"
+                    + folder
+                    + "' answers: "
+                    + wait
+                    + " forwards: "
+                    + wait
+                    + " most_unwritten: "
+                    + most
+                    + " }")
+            .ledger();
+    Grade grade =
+        new Grade(
+            "g",
+            Grade.Repeat.HARMLESS,
+            Grade.Scope.ALL,
+            0,
+            SECOND,
+            1,
+            SECOND,
+            1,
+            0,
+            false,
+            java.util.Set.of(),
+            java.util.Set.of(),
+            1,
+            false,
+            false);
+    timers.now(System.nanoTime());
+    return Recorder.start(section, "bench", List.of(grade), timers, inbox::add);
+  }
 
-    private void notes() {
-        timers.now(System.nanoTime());
-        for (Runnable one = inbox.poll(); one != null; one = inbox.poll()) {
-            one.run();
-        }
-        timers.run();
+  private void notes() {
+    timers.now(System.nanoTime());
+    for (Runnable one = inbox.poll(); one != null; one = inbox.poll()) {
+      one.run();
     }
+    timers.run();
+  }
 
-    /** One task with one forward; gives the time that the ledger took of the loop. */
-    private long entry(Recorder to, Runnable say) {
-        String id = String.format("%016x", ++tasks);
-        TaskOffer offer = new TaskOffer(id, "g", "tenant" + tasks % 1000, null, 0, 0, 0, 0);
-        long now = timers.now();
-        long from = System.nanoTime();
-        to.taken(now, offer);
-        to.sent(now, id, 0, "engine-a", 64, () -> { });
-        to.ended(now, id, 0, Outcome.OK, 5_000_000, 12, true);
-        to.answered(now, id, TaskWatch.End.HANDLED, 400, say);
-        return System.nanoTime() - from;
-    }
+  /** One task with one forward; gives the time that the ledger took of the loop. */
+  private long entry(Recorder to, Runnable say) {
+    String id = String.format("%016x", ++tasks);
+    TaskOffer offer = new TaskOffer(id, "g", "tenant" + tasks % 1000, null, 0, 0, 0, 0);
+    long now = timers.now();
+    long from = System.nanoTime();
+    to.taken(now, offer);
+    to.sent(now, id, 0, "engine-a", 64, () -> {});
+    to.ended(now, id, 0, Outcome.OK, 5_000_000, 12, true);
+    to.answered(now, id, TaskWatch.End.HANDLED, 400, say);
+    return System.nanoTime() - from;
+  }
 
-    /** Entries as fast as the disk takes them, with the loop's cost of each. */
-    public void throughput(Path folder, int entries) throws IOException {
-        Recorder to = start(folder, "AT_ONCE", 1 << 20);
-        Histogram cost = new Histogram(LONGEST, 3);
-        long from = System.nanoTime();
-        for (int i = 0; i < entries; i++) {
-            long took = entry(to, () -> { });
-            if (i >= WARM) {
-                cost.recordValue(took);
-            }
-            if (i % 16 == 0) {
-                notes();
-                while (to.unwritten() > 1 << 18) {
-                    LockSupport.parkNanos(SECOND / 10000);
-                    notes();
-                }
-            }
+  /** Entries as fast as the disk takes them, with the loop's cost of each. */
+  public void throughput(Path folder, int entries) throws IOException {
+    Recorder to = start(folder, "AT_ONCE", 1 << 20);
+    Histogram cost = new Histogram(LONGEST, 3);
+    long from = System.nanoTime();
+    for (int i = 0; i < entries; i++) {
+      long took = entry(to, () -> {});
+      if (i >= WARM) {
+        cost.recordValue(took);
+      }
+      if (i % 16 == 0) {
+        notes();
+        while (to.unwritten() > 1 << 18) {
+          LockSupport.parkNanos(SECOND / 10000);
+          notes();
         }
-        while (to.unwritten() > 0) {
-            LockSupport.parkNanos(SECOND / 10000);
-            notes();
-        }
-        double took = (System.nanoTime() - from) / 1e9;
-        to.close();
-        out.printf("durable entries a second: %.0f (%d entries, %.1f s)%n", entries / took, entries, took);
-        told("the loop's cost an entry, ns, as fast as the disk takes them", cost);
+      }
     }
-
-    /** Entries at an even rate, with the loop's cost of each and the wait of an answer for its commit. */
-    public void paced(Path folder, int aSecond, int seconds, String wait) throws IOException {
-        Recorder to = start(folder, wait, 1 << 14);
-        Histogram cost = new Histogram(LONGEST, 3);
-        Histogram waited = new Histogram(LONGEST, 3);
-        long from = System.nanoTime();
-        for (int i = 0; i < aSecond * seconds; i++) {
-            long due = from + i * SECOND / aSecond;
-            while (System.nanoTime() < due) {
-                notes();
-                LockSupport.parkNanos(20_000);
-            }
-            notes();
-            long asked = System.nanoTime();
-            long took = entry(to, () -> waited.recordValue(System.nanoTime() - asked));
-            if (i >= aSecond * seconds / 4) {
-                cost.recordValue(took);
-            }
-        }
-        while (to.unwritten() > 0) {
-            notes();
-        }
-        to.close();
-        told("the loop's cost an entry, ns, at " + aSecond + " a second, " + wait, cost);
-        told("the answer's wait, ns, at " + aSecond + " a second, " + wait, waited);
+    while (to.unwritten() > 0) {
+      LockSupport.parkNanos(SECOND / 10000);
+      notes();
     }
+    double took = (System.nanoTime() - from) / 1e9;
+    to.close();
+    out.printf(
+        "durable entries a second: %.0f (%d entries, %.1f s)%n", entries / took, entries, took);
+    told("the loop's cost an entry, ns, as fast as the disk takes them", cost);
+  }
 
-    private void told(String what, Histogram of) {
-        out.printf("%s: median %d, 99%% %d, 99.9%% %d, most %d (%d)%n", what, of.getValueAtPercentile(50),
-                of.getValueAtPercentile(99), of.getValueAtPercentile(99.9), of.getMaxValue(), of.getTotalCount());
+  /**
+   * Entries at an even rate, with the loop's cost of each and the wait of an answer for its commit.
+   */
+  public void paced(Path folder, int aSecond, int seconds, String wait) throws IOException {
+    Recorder to = start(folder, wait, 1 << 14);
+    Histogram cost = new Histogram(LONGEST, 3);
+    Histogram waited = new Histogram(LONGEST, 3);
+    long from = System.nanoTime();
+    for (int i = 0; i < aSecond * seconds; i++) {
+      long due = from + i * SECOND / aSecond;
+      while (System.nanoTime() < due) {
+        notes();
+        LockSupport.parkNanos(20_000);
+      }
+      notes();
+      long asked = System.nanoTime();
+      long took = entry(to, () -> waited.recordValue(System.nanoTime() - asked));
+      if (i >= aSecond * seconds / 4) {
+        cost.recordValue(took);
+      }
     }
+    while (to.unwritten() > 0) {
+      notes();
+    }
+    to.close();
+    told("the loop's cost an entry, ns, at " + aSecond + " a second, " + wait, cost);
+    told("the answer's wait, ns, at " + aSecond + " a second, " + wait, waited);
+  }
 
-    /** A start on the files that a kill left: a copy of them as they are while the ledger is open. */
-    public void restart(Path folder, Path copy) throws IOException {
-        Recorder held = start(folder, "AT_ONCE", 1 << 14);
-        for (int i = 0; i < 1000; i++) {
-            String id = String.format("%016x", ++tasks);
-            held.taken(timers.now(), new TaskOffer(id, "g", "a", null, 0, 0, 0, 0));
-            held.sent(timers.now(), id, 0, "engine-a", 64, () -> { });
-        }
-        while (held.unwritten() > 0) {
-            notes();
-        }
-        Files.createDirectories(copy);
-        try (Stream<Path> files = Files.list(folder)) {
-            for (Path one : files.filter(file -> file.getFileName().toString().startsWith("ledger.sqlite")).toList()) {
-                Files.copy(one, copy.resolve(one.getFileName()), StandardCopyOption.REPLACE_EXISTING);
-            }
-        }
-        held.close();
-        long from = System.nanoTime();
-        Recorder again = start(copy, "AT_ONCE", 1 << 14);
-        out.printf("start after a kill, 1000 tasks open: %.0f ms%n", (System.nanoTime() - from) / 1e6);
-        again.close();
+  private void told(String what, Histogram of) {
+    out.printf(
+        "%s: median %d, 99%% %d, 99.9%% %d, most %d (%d)%n",
+        what,
+        of.getValueAtPercentile(50),
+        of.getValueAtPercentile(99),
+        of.getValueAtPercentile(99.9),
+        of.getMaxValue(),
+        of.getTotalCount());
+  }
+
+  /** A start on the files that a kill left: a copy of them as they are while the ledger is open. */
+  public void restart(Path folder, Path copy) throws IOException {
+    Recorder held = start(folder, "AT_ONCE", 1 << 14);
+    for (int i = 0; i < 1000; i++) {
+      String id = String.format("%016x", ++tasks);
+      held.taken(timers.now(), new TaskOffer(id, "g", "a", null, 0, 0, 0, 0));
+      held.sent(timers.now(), id, 0, "engine-a", 64, () -> {});
+    }
+    while (held.unwritten() > 0) {
+      notes();
+    }
+    Files.createDirectories(copy);
+    try (Stream<Path> files = Files.list(folder)) {
+      for (Path one :
+          files
+              .filter(file -> file.getFileName().toString().startsWith("ledger.sqlite"))
+              .toList()) {
+        Files.copy(one, copy.resolve(one.getFileName()), StandardCopyOption.REPLACE_EXISTING);
+      }
     }
+    held.close();
+    long from = System.nanoTime();
+    Recorder again = start(copy, "AT_ONCE", 1 << 14);
+    out.printf("start after a kill, 1000 tasks open: %.0f ms%n", (System.nanoTime() - from) / 1e6);
+    again.close();
+  }
 }
--- a/src/main/java/tansytrack/lab/LedgerCheck.java
+++ b/src/main/java/tansytrack/lab/LedgerCheck.java
@@ -18,98 +18,112 @@
 import tansytrack.ledger.disk.Store;
 import tansytrack.ledger.proto.BatchHead;
 
-/** Holds the ledgers and exports of a run against the engines' own count, and against what a consumer saw meanwhile. */
+/**
+ * Holds the ledgers and exports of a run against the engines' own count, and against what a
+ * consumer saw meanwhile.
+ */
 final class LedgerCheck {
 
-    private final Map<String, byte[]> seen = new HashMap<>();
-    private long changed;
+  private final Map<String, byte[]> seen = new HashMap<>();
+  private long changed;
 
-    /** A consumer's look at the batches in place: a number must not come again with other bytes. */
-    synchronized void look(List<ManagerProcess> managers) throws IOException {
-        for (ManagerProcess one : managers) {
-            for (Path file : batches(one.exports())) {
-                byte[] bytes = Files.readAllBytes(file);
-                byte[] before = seen.putIfAbsent(file.toString(), bytes);
-                if (before != null && !java.util.Arrays.equals(before, bytes)) {
-                    changed++;
-                }
-            }
+  /** A consumer's look at the batches in place: a number must not come again with other bytes. */
+  synchronized void look(List<ManagerProcess> managers) throws IOException {
+    for (ManagerProcess one : managers) {
+      for (Path file : batches(one.exports())) {
+        byte[] bytes = Files.readAllBytes(file);
+        byte[] before = seen.putIfAbsent(file.toString(), bytes);
+        if (before != null && !java.util.Arrays.equals(before, bytes)) {
+          changed++;
         }
+      }
     }
+  }
 
-    private static List<Path> batches(Path folder) throws IOException {
-        if (!Files.isDirectory(folder)) {
-            return List.of();
-        }
-        try (Stream<Path> all = Files.list(folder)) {
-            return all.filter(one -> one.toString().endsWith(".pb")).sorted().toList();
-        }
+  private static List<Path> batches(Path folder) throws IOException {
+    if (!Files.isDirectory(folder)) {
+      return List.of();
     }
+    try (Stream<Path> all = Files.list(folder)) {
+      return all.filter(one -> one.toString().endsWith(".pb")).sorted().toList();
+    }
+  }
 
-    Map<String, Double> figures(List<ManagerProcess> managers, List<StandInEngine> engines) throws IOException {
-        look(managers);
-        Map<String, Double> figures = new TreeMap<>();
-        Merged ledgers = LedgerFiles.merged(managers.stream().map(ManagerProcess::ledger).toList());
-        Merged exported = LedgerFiles.merged(managers.stream().map(ManagerProcess::exports).toList());
-        batches(managers, figures);
-        Reconciliation sides = new Reconciliation();
-        long unresolved = 0;
-        for (var said : ledgers.entries().values()) {
-            for (Entry entry : said) {
-                sides.take(entry);
-                unresolved += entry.end() == End.UNRESOLVED ? 1 : 0;
-            }
-        }
-        for (StandInEngine engine : engines) {
-            try (InputStream in = new java.io.ByteArrayInputStream(String.join("\n", engine.statement())
-                    .getBytes(java.nio.charset.StandardCharsets.UTF_8))) {
-                LedgerFiles.statement(engine.name(), in, sides);
-            }
-        }
-        Map<String, Long> kinds = new TreeMap<>();
-        sides.findings().forEach(one -> kinds.merge(one.kind(), 1L, Long::sum));
-        figures.put("entries", (double) ledgers.entries().size());
-        figures.put("entries.missing", (double) kinds.getOrDefault("at the engine only", 0L));
-        figures.put("entries.twice", (double) kinds.getOrDefault("in the ledger only", 0L) + ledgers.contradictions().size());
-        figures.put("entries.work_differs", (double) kinds.getOrDefault("work differs", 0L));
-        figures.put("entries.unresolved", (double) unresolved);
-        figures.put("entries.resolved_by_engines", (double) kinds.getOrDefault("resolved by the engine", 0L));
-        long told = 0;
-        for (ManagerProcess one : managers) {
-            try (Store store = Store.forCommand(one.ledger(), Faults.NONE)) {
-                told += store.told().size();
-            }
-        }
-        figures.put("entries.told_at_start", (double) told);
-        figures.put("entries.holes", (double) ledgers.holes().stream().mapToLong(hole -> hole.last() - hole.first() + 1).sum());
-        figures.put("gaps", (double) ledgers.gaps().size());
-        figures.put("export.differs", exported.equals(ledgers) ? 0.0 : 1.0);
-        figures.put("forwards.agreed", (double) sides.agreed());
-        figures.put("engines.runs", (double) engines.stream().mapToLong(StandInEngine::runs).sum());
-        return figures;
+  Map<String, Double> figures(List<ManagerProcess> managers, List<StandInEngine> engines)
+      throws IOException {
+    look(managers);
+    Map<String, Double> figures = new TreeMap<>();
+    Merged ledgers = LedgerFiles.merged(managers.stream().map(ManagerProcess::ledger).toList());
+    Merged exported = LedgerFiles.merged(managers.stream().map(ManagerProcess::exports).toList());
+    batches(managers, figures);
+    Reconciliation sides = new Reconciliation();
+    long unresolved = 0;
+    for (var said : ledgers.entries().values()) {
+      for (Entry entry : said) {
+        sides.take(entry);
+        unresolved += entry.end() == End.UNRESOLVED ? 1 : 0;
+      }
+    }
+    for (StandInEngine engine : engines) {
+      try (InputStream in =
+          new java.io.ByteArrayInputStream(
+              String.join("\n", engine.statement())
+                  .getBytes(java.nio.charset.StandardCharsets.UTF_8))) {
+        LedgerFiles.statement(engine.name(), in, sides);
+      }
+    }
+    Map<String, Long> kinds = new TreeMap<>();
+    sides.findings().forEach(one -> kinds.merge(one.kind(), 1L, Long::sum));
+    figures.put("entries", (double) ledgers.entries().size());
+    figures.put("entries.missing", (double) kinds.getOrDefault("at the engine only", 0L));
+    figures.put(
+        "entries.twice",
+        (double) kinds.getOrDefault("in the ledger only", 0L) + ledgers.contradictions().size());
+    figures.put("entries.work_differs", (double) kinds.getOrDefault("work differs", 0L));
+    figures.put("entries.unresolved", (double) unresolved);
+    figures.put(
+        "entries.resolved_by_engines", (double) kinds.getOrDefault("resolved by the engine", 0L));
+    long told = 0;
+    for (ManagerProcess one : managers) {
+      try (Store store = Store.forCommand(one.ledger(), Faults.NONE)) {
+        told += store.told().size();
+      }
     }
+    figures.put("entries.told_at_start", (double) told);
+    figures.put(
+        "entries.holes",
+        (double) ledgers.holes().stream().mapToLong(hole -> hole.last() - hole.first() + 1).sum());
+    figures.put("gaps", (double) ledgers.gaps().size());
+    figures.put("export.differs", exported.equals(ledgers) ? 0.0 : 1.0);
+    figures.put("forwards.agreed", (double) sides.agreed());
+    figures.put("engines.runs", (double) engines.stream().mapToLong(StandInEngine::runs).sum());
+    return figures;
+  }
 
-    private void batches(List<ManagerProcess> managers, Map<String, Double> figures) throws IOException {
-        long twice = changed;
-        long skipped = 0;
-        long all = 0;
-        for (ManagerProcess one : managers) {
-            long number = 0;
-            long position = 0;
-            for (Path file : batches(one.exports())) {
-                BatchHead head;
-                try (InputStream in = Files.newInputStream(file)) {
-                    head = BatchHead.parseDelimitedFrom(in);
-                }
-                all++;
-                skipped += Math.max(0, head.getNumber() - number - 1) + Math.max(0, head.getFirstPosition() - position - 1);
-                twice += head.getNumber() <= number || head.getFirstPosition() <= position ? 1 : 0;
-                number = head.getNumber();
-                position = head.getLastPosition();
-            }
+  private void batches(List<ManagerProcess> managers, Map<String, Double> figures)
+      throws IOException {
+    long twice = changed;
+    long skipped = 0;
+    long all = 0;
+    for (ManagerProcess one : managers) {
+      long number = 0;
+      long position = 0;
+      for (Path file : batches(one.exports())) {
+        BatchHead head;
+        try (InputStream in = Files.newInputStream(file)) {
+          head = BatchHead.parseDelimitedFrom(in);
         }
-        figures.put("batches", (double) all);
-        figures.put("batches.twice", (double) twice);
-        figures.put("batches.skipped", (double) skipped);
+        all++;
+        skipped +=
+            Math.max(0, head.getNumber() - number - 1)
+                + Math.max(0, head.getFirstPosition() - position - 1);
+        twice += head.getNumber() <= number || head.getFirstPosition() <= position ? 1 : 0;
+        number = head.getNumber();
+        position = head.getLastPosition();
+      }
     }
+    figures.put("batches", (double) all);
+    figures.put("batches.twice", (double) twice);
+    figures.put("batches.skipped", (double) skipped);
+  }
 }
--- a/src/main/java/tansytrack/lab/LedgerRun.java
+++ b/src/main/java/tansytrack/lab/LedgerRun.java
@@ -12,179 +12,206 @@
 import tansytrack.lab.proto.Experiment;
 import tansytrack.lab.proto.Fault;
 
-/** One run of an experiment on real processes and loopback sockets: managers with ledgers, under load and faults. */
+/**
+ * One run of an experiment on real processes and loopback sockets: managers with ledgers, under
+ * load and faults.
+ */
 final class LedgerRun implements AutoCloseable {
 
-    private static final int PATIENCE_MS = 4000;
-    private static final int PAUSE_MS = 20;                 // of a client whose manager is away
-    private static final int WAIT_MS = 2500;                // that a client gives its task
+  private static final int PATIENCE_MS = 4000;
+  private static final int PAUSE_MS = 20; // of a client whose manager is away
+  private static final int WAIT_MS = 2500; // that a client gives its task
 
-    private final Experiment experiment;
-    private final SplittableRandom chance;
-    private final List<StandInEngine> engines = new ArrayList<>();
-    private final List<ManagerProcess> managers = new ArrayList<>();
-    private final StandInChannel channel;
-    private final LedgerCheck check = new LedgerCheck();
-    private final AtomicLong asked = new AtomicLong();
-    private final AtomicLong handled = new AtomicLong();
-    private final AtomicLong refused = new AtomicLong();
-    private final AtomicLong lost = new AtomicLong();
-    private long exportsKilled;
-    private long managersKilled;
-    private volatile boolean over;
-    private volatile IOException failure;
+  private final Experiment experiment;
+  private final SplittableRandom chance;
+  private final List<StandInEngine> engines = new ArrayList<>();
+  private final List<ManagerProcess> managers = new ArrayList<>();
+  private final StandInChannel channel;
+  private final LedgerCheck check = new LedgerCheck();
+  private final AtomicLong asked = new AtomicLong();
+  private final AtomicLong handled = new AtomicLong();
+  private final AtomicLong refused = new AtomicLong();
+  private final AtomicLong lost = new AtomicLong();
+  private long exportsKilled;
+  private long managersKilled;
+  private volatile boolean over;
+  private volatile IOException failure;
 
-    LedgerRun(Experiment experiment, long seed, Path folder) throws IOException {
-        this.experiment = experiment;
-        chance = new SplittableRandom(seed);
-        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        channel = new StandInChannel(any);
-        StringBuilder members = new StringBuilder();
-        for (int i = 0; i < experiment.getEngines(); i++) {
-            StandInEngine engine = new StandInEngine("e" + i, any, experiment.getLeastWorkMs(), experiment.getSpreadWorkMs());
-            engines.add(engine);
-            members.append(i > 0 ? "," : "").append("{\"id\":\"").append(engine.name()).append("\",\"host_port\":\"")
-                    .append(engine.address()).append("\",\"flavor\":\"k\",\"cell\":0,\"phase\":\"ready\",\"size\":8,\"up_since_ms\":0}");
-        }
-        channel.tell("{\"revision\":1,\"complete\":true,\"members\":[" + members + "]}");
-        for (int i = 0; i < experiment.getManagers(); i++) {
-            managers.add(new ManagerProcess("m" + i, folder.resolve("m" + i), channel, experiment.getForwardsAfterCommit(),
-                    experiment.getAnswersAfterCommit()));
-        }
+  LedgerRun(Experiment experiment, long seed, Path folder) throws IOException {
+    this.experiment = experiment;
+    chance = new SplittableRandom(seed);
+    InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    channel = new StandInChannel(any);
+    StringBuilder members = new StringBuilder();
+    for (int i = 0; i < experiment.getEngines(); i++) {
+      StandInEngine engine =
+          new StandInEngine(
+              "e" + i, any, experiment.getLeastWorkMs(), experiment.getSpreadWorkMs());
+      engines.add(engine);
+      members
+          .append(i > 0 ? "," : "")
+          .append("{\"id\":\"")
+          .append(engine.name())
+          .append("\",\"host_port\":\"")
+          .append(engine.address())
+          .append(
+              "\",\"flavor\":\"k\",\"cell\":0,\"phase\":\"ready\",\"size\":8,\"up_since_ms\":0}");
+    }
+    channel.tell("{\"revision\":1,\"complete\":true,\"members\":[" + members + "]}");
+    for (int i = 0; i < experiment.getManagers(); i++) {
+      managers.add(
+          new ManagerProcess(
+              "m" + i,
+              folder.resolve("m" + i),
+              channel,
+              experiment.getForwardsAfterCommit(),
+              experiment.getAnswersAfterCommit()));
     }
+  }
 
-    /** Plays it, and gives its figures. */
-    Map<String, Double> play() throws IOException, InterruptedException {
-        for (ManagerProcess one : managers) {
-            one.start();
-        }
-        List<Thread> threads = new ArrayList<>();
-        for (int m = 0; m < managers.size(); m++) {
-            ManagerProcess to = managers.get(m);
-            for (int c = 0; c < experiment.getClients(); c++) {
-                SplittableRandom own = chance.split();
-                long ids = (long) (m + 1) << 40 | (long) (c + 1) << 24;
-                threads.add(StandInEngine.thread(() -> client(to, ids, own)));
-            }
-            if (experiment.getExportEveryMs() > 0) {
-                threads.add(StandInEngine.thread(() -> exports(to)));
-            }
-        }
-        long start = System.nanoTime();
-        for (Fault fault : experiment.getFaultsList()) {
-            long at = fault.getAtMs() + (fault.getSpreadMs() > 0 ? chance.nextInt(fault.getSpreadMs()) : 0);
-            threads.add(StandInEngine.thread(() -> fault(fault, start + at * 1_000_000)));
-        }
-        threads.forEach(Thread::start);
-        Thread.sleep(experiment.getSeconds() * 1000L);
-        over = true;
-        for (Thread one : threads) {
-            one.join();
-        }
-        if (failure != null) {
-            throw failure;
-        }
-        for (ManagerProcess one : managers) {
-            if (!one.stop()) {
-                throw new IOException(one.name + " did not end when told to");
-            }
-        }
-        for (ManagerProcess one : managers) {
-            if (one.export().waitFor() != 0) {
-                throw new IOException("the last export of " + one.name + " failed; see export.log");
-            }
-        }
-        Map<String, Double> figures = check.figures(managers, engines);
-        figures.put("tasks.asked", (double) asked.get());
-        figures.put("tasks.handled", (double) handled.get());
-        figures.put("tasks.refused", (double) refused.get());
-        figures.put("tasks.without_answer", (double) lost.get());
-        figures.put("exports.killed", (double) exportsKilled);
-        figures.put("managers.killed", (double) managersKilled);
-        return figures;
+  /** Plays it, and gives its figures. */
+  Map<String, Double> play() throws IOException, InterruptedException {
+    for (ManagerProcess one : managers) {
+      one.start();
+    }
+    List<Thread> threads = new ArrayList<>();
+    for (int m = 0; m < managers.size(); m++) {
+      ManagerProcess to = managers.get(m);
+      for (int c = 0; c < experiment.getClients(); c++) {
+        SplittableRandom own = chance.split();
+        long ids = (long) (m + 1) << 40 | (long) (c + 1) << 24;
+        threads.add(StandInEngine.thread(() -> client(to, ids, own)));
+      }
+      if (experiment.getExportEveryMs() > 0) {
+        threads.add(StandInEngine.thread(() -> exports(to)));
+      }
     }
+    long start = System.nanoTime();
+    for (Fault fault : experiment.getFaultsList()) {
+      long at =
+          fault.getAtMs() + (fault.getSpreadMs() > 0 ? chance.nextInt(fault.getSpreadMs()) : 0);
+      threads.add(StandInEngine.thread(() -> fault(fault, start + at * 1_000_000)));
+    }
+    threads.forEach(Thread::start);
+    Thread.sleep(experiment.getSeconds() * 1000L);
+    over = true;
+    for (Thread one : threads) {
+      one.join();
+    }
+    if (failure != null) {
+      throw failure;
+    }
+    for (ManagerProcess one : managers) {
+      if (!one.stop()) {
+        throw new IOException(one.name + " did not end when told to");
+      }
+    }
+    for (ManagerProcess one : managers) {
+      if (one.export().waitFor() != 0) {
+        throw new IOException("the last export of " + one.name + " failed; see export.log");
+      }
+    }
+    Map<String, Double> figures = check.figures(managers, engines);
+    figures.put("tasks.asked", (double) asked.get());
+    figures.put("tasks.handled", (double) handled.get());
+    figures.put("tasks.refused", (double) refused.get());
+    figures.put("tasks.without_answer", (double) lost.get());
+    figures.put("exports.killed", (double) exportsKilled);
+    figures.put("managers.killed", (double) managersKilled);
+    return figures;
+  }
 
-    private void client(ManagerProcess to, long ids, SplittableRandom own) {
-        long number = ids;
+  private void client(ManagerProcess to, long ids, SplittableRandom own) {
+    long number = ids;
+    while (!over) {
+      try (LabClient client = new LabClient(to.listen, PATIENCE_MS)) {
         while (!over) {
-            try (LabClient client = new LabClient(to.listen, PATIENCE_MS)) {
-                while (!over) {
-                    asked.incrementAndGet();
-                    String grade = own.nextInt(4) == 0 ? "load" : "query";
-                    boolean answered = false;
-                    try {
-                        LabClient.Answer answer = client.ask("/* class=" + grade + ",id=" + String.format("%016x", ++number)
-                                + ",wait=" + WAIT_MS + ",tenant=t" + own.nextInt(3) + ",mb=8,cost=10 */ SELECT day FROM sales_"
-                                + own.nextInt(20) + ".orders");
-                        answered = true;
-                        (answer.handled() ? handled : refused).incrementAndGet();
-                    } finally {
-                        lost.addAndGet(answered ? 0 : 1);
-                    }
-                }
-            } catch (IOException e) {
-                pause(PAUSE_MS);
-            }
+          asked.incrementAndGet();
+          String grade = own.nextInt(4) == 0 ? "load" : "query";
+          boolean answered = false;
+          try {
+            LabClient.Answer answer =
+                client.ask(
+                    "/* class="
+                        + grade
+                        + ",id="
+                        + String.format("%016x", ++number)
+                        + ",wait="
+                        + WAIT_MS
+                        + ",tenant=t"
+                        + own.nextInt(3)
+                        + ",mb=8,cost=10 */ SELECT day FROM sales_"
+                        + own.nextInt(20)
+                        + ".orders");
+            answered = true;
+            (answer.handled() ? handled : refused).incrementAndGet();
+          } finally {
+            lost.addAndGet(answered ? 0 : 1);
+          }
         }
+      } catch (IOException e) {
+        pause(PAUSE_MS);
+      }
     }
+  }
 
-    private static void pause(long ms) {
-        try {
-            Thread.sleep(ms);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+  private static void pause(long ms) {
+    try {
+      Thread.sleep(ms);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
+  }
 
-    private void exports(ManagerProcess of) {
-        while (!over) {
-            pause(experiment.getExportEveryMs());
-            try {
-                of.export().waitFor();
-                check.look(managers);
-            } catch (IOException e) {
-                failure = e;
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
+  private void exports(ManagerProcess of) {
+    while (!over) {
+      pause(experiment.getExportEveryMs());
+      try {
+        of.export().waitFor();
+        check.look(managers);
+      } catch (IOException e) {
+        failure = e;
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
     }
+  }
 
-    private void fault(Fault fault, long at) {
-        pause(Math.max(0, (at - System.nanoTime()) / 1_000_000));
-        ManagerProcess of = managers.get(fault.getManager());
-        try {
-            if (fault.getKind() == Fault.Kind.KILL_MANAGER) {
-                synchronized (of) {             // a kill waits until the start before it is over
-                    of.kill();
-                    pause(fault.getForMs());
-                    of.start();
-                }
-                synchronized (this) {
-                    managersKilled++;
-                }
-            } else {
-                Process export = of.export();
-                pause(fault.getForMs() + (fault.getSpreadMs() > 0 ? at / 1000 % fault.getSpreadMs() : 0));
-                boolean running = export.isAlive();
-                export.destroyForcibly().waitFor();
-                synchronized (this) {
-                    exportsKilled += running ? 1 : 0;
-                }
-            }
-        } catch (IOException e) {
-            failure = e;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+  private void fault(Fault fault, long at) {
+    pause(Math.max(0, (at - System.nanoTime()) / 1_000_000));
+    ManagerProcess of = managers.get(fault.getManager());
+    try {
+      if (fault.getKind() == Fault.Kind.KILL_MANAGER) {
+        synchronized (of) { // a kill waits until the start before it is over
+          of.kill();
+          pause(fault.getForMs());
+          of.start();
+        }
+        synchronized (this) {
+          managersKilled++;
         }
+      } else {
+        Process export = of.export();
+        pause(fault.getForMs() + (fault.getSpreadMs() > 0 ? at / 1000 % fault.getSpreadMs() : 0));
+        boolean running = export.isAlive();
+        export.destroyForcibly().waitFor();
+        synchronized (this) {
+          exportsKilled += running ? 1 : 0;
+        }
+      }
+    } catch (IOException e) {
+      failure = e;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
+  }
 
-    @Override
-    public void close() throws IOException {
-        managers.forEach(ManagerProcess::close);
-        for (StandInEngine engine : engines) {
-            engine.close();
-        }
-        channel.close();
+  @Override
+  public void close() throws IOException {
+    managers.forEach(ManagerProcess::close);
+    for (StandInEngine engine : engines) {
+      engine.close();
     }
+    channel.close();
+  }
 }
--- a/src/main/java/tansytrack/lab/LoadFile.java
+++ b/src/main/java/tansytrack/lab/LoadFile.java
@@ -14,109 +14,156 @@
 /** A load as its file gives it, checked. */
 final class LoadFile {
 
-    private static final long MS = 1_000_000L;
-    private static final double MOST_RATE = 100_000;
+  private static final long MS = 1_000_000L;
+  private static final double MOST_RATE = 100_000;
 
-    final Load load;
-    private final String file;
+  final Load load;
+  private final String file;
 
-    private LoadFile(String file, Load load) {
-        this.file = file;
-        this.load = load;
-    }
+  private LoadFile(String file, Load load) {
+    this.file = file;
+    this.load = load;
+  }
 
-    static LoadFile read(String file) {
-        return of(file, TextFile.text(file));
-    }
+  static LoadFile read(String file) {
+    return of(file, TextFile.text(file));
+  }
 
-    static LoadFile of(String file, String text) {
-        LoadFile read = new LoadFile(file, TextFile.parsed(file, text, Load.newBuilder()).build());
-        read.check();
-        return read;
-    }
+  static LoadFile of(String file, String text) {
+    LoadFile read = new LoadFile(file, TextFile.parsed(file, text, Load.newBuilder()).build());
+    read.check();
+    return read;
+  }
 
-    /** A load that stands in another file. */
-    static LoadFile checked(String file, Load load) {
-        LoadFile read = new LoadFile(file, load);
-        read.check();
-        return read;
-    }
+  /** A load that stands in another file. */
+  static LoadFile checked(String file, Load load) {
+    LoadFile read = new LoadFile(file, load);
+    read.check();
+    return read;
+  }
 
-    private void check() {
-        bounded("seconds", load.getSeconds(), 1, 86_400);
-        bounded("sum: number of parts", load.getSumCount(), 1, 100);
-        bounded("tenants: number", load.getTenantsCount(), 1, 100_000);
-        bounded("grades: number", load.getGradesCount(), 1, 100);
-        bounded("data_sets", load.getDataSets(), 1, 1_000_000);
-        bounded("clients.most_connections", load.getClients().getMostConnections(), 1, 4096);
-        bounded("clients.most_retries", load.getClients().getMostRetries(), 0, 1000);
-        bounded("late_ms", load.getLateMs(), 1, 10_000);
-        bounded("late_part", load.getLatePart(), 0, 1);
-        for (LoadGrade grade : load.getGradesList()) {
-            bounded("grades." + grade.getName() + ".median_cost_ms", grade.getMedianCostMs(), 0.001, 1e9);
-            bounded("grades." + grade.getName() + ".spread", grade.getSpread(), 0, 5);
-            bounded("grades." + grade.getName() + ".wait_ms", grade.getWaitMs(), 1, 600_000);
-            bounded("grades." + grade.getName() + ".promised_ms", grade.getPromisedMs(), 1, grade.getWaitMs());
-        }
-        bounded("sum: highest rate", shape().most(), 0, MOST_RATE);
+  private void check() {
+    bounded("seconds", load.getSeconds(), 1, 86_400);
+    bounded("sum: number of parts", load.getSumCount(), 1, 100);
+    bounded("tenants: number", load.getTenantsCount(), 1, 100_000);
+    bounded("grades: number", load.getGradesCount(), 1, 100);
+    bounded("data_sets", load.getDataSets(), 1, 1_000_000);
+    bounded("clients.most_connections", load.getClients().getMostConnections(), 1, 4096);
+    bounded("clients.most_retries", load.getClients().getMostRetries(), 0, 1000);
+    bounded("late_ms", load.getLateMs(), 1, 10_000);
+    bounded("late_part", load.getLatePart(), 0, 1);
+    for (LoadGrade grade : load.getGradesList()) {
+      bounded("grades." + grade.getName() + ".median_cost_ms", grade.getMedianCostMs(), 0.001, 1e9);
+      bounded("grades." + grade.getName() + ".spread", grade.getSpread(), 0, 5);
+      bounded("grades." + grade.getName() + ".wait_ms", grade.getWaitMs(), 1, 600_000);
+      bounded(
+          "grades." + grade.getName() + ".promised_ms",
+          grade.getPromisedMs(),
+          1,
+          grade.getWaitMs());
     }
+    bounded("sum: highest rate", shape().most(), 0, MOST_RATE);
+  }
 
-    private void bounded(String field, double value, double least, double most) {
-        TextFile.bounded(file, field, value, least, most);
-    }
+  private void bounded(String field, double value, double least, double most) {
+    TextFile.bounded(file, field, value, least, most);
+  }
 
-    private Shape shape() {
-        Shape all = new Shape.Sum(load.getSumList().stream().map(this::part).toList());
-        for (Part one : load.getTimesList()) {
-            all = new Shape.Product(all, part(one));
-        }
-        return all;
+  private Shape shape() {
+    Shape all = new Shape.Sum(load.getSumList().stream().map(this::part).toList());
+    for (Part one : load.getTimesList()) {
+      all = new Shape.Product(all, part(one));
     }
+    return all;
+  }
 
-    private Shape part(Part part) {
-        return switch (part.getShapeCase()) {
-            case CONSTANT -> new Shape.Constant(part.getConstant());
-            case RAMP -> new Shape.Ramp(part.getRamp().getFrom(), part.getRamp().getTo(), part.getRamp().getBeginsMs() * MS,
-                    part.getRamp().getEndsMs() * MS);
-            case STEPS -> {
-                bounded("steps.rates: number", part.getSteps().getRatesCount(), 1, 10_000);
-                bounded("steps.each_ms", part.getSteps().getEachMs(), 1, 86_400_000);
-                yield new Shape.Steps(List.copyOf(part.getSteps().getRatesList()), part.getSteps().getEachMs() * MS);
-            }
-            case BURSTS -> {
-                bounded("bursts.every_ms", part.getBursts().getEveryMs(), 1, 86_400_000);
-                yield new Shape.Bursts(part.getBursts().getRate(), part.getBursts().getEveryMs() * MS,
-                        part.getBursts().getLastsMs() * MS, part.getBursts().getFirstMs() * MS);
-            }
-            case WAVE -> {
-                bounded("wave.day_ms", part.getWave().getDayMs(), 1, 86_400_000);
-                yield new Shape.Wave(part.getWave().getLeast(), part.getWave().getMost(), part.getWave().getDayMs() * MS);
-            }
-            case FESTIVAL -> {
-                bounded("festival.halves_ms", part.getFestival().getHalvesMs(), 1, 86_400_000);
-                bounded("festival.fullest_ms", part.getFestival().getFullestMs(), part.getFestival().getOpensMs() + 1, 86_400_000);
-                yield new Shape.Festival(part.getFestival().getCalm(), part.getFestival().getPeak(),
-                        part.getFestival().getOpensMs() * MS, part.getFestival().getFullestMs() * MS, part.getFestival().getHalvesMs() * MS);
-            }
-            default -> throw new Unusable(file + ": a part of the rate has no shape; allowed: constant, ramp, steps, bursts, wave, festival");
-        };
-    }
+  private Shape part(Part part) {
+    return switch (part.getShapeCase()) {
+      case CONSTANT -> new Shape.Constant(part.getConstant());
+      case RAMP ->
+          new Shape.Ramp(
+              part.getRamp().getFrom(),
+              part.getRamp().getTo(),
+              part.getRamp().getBeginsMs() * MS,
+              part.getRamp().getEndsMs() * MS);
+      case STEPS -> {
+        bounded("steps.rates: number", part.getSteps().getRatesCount(), 1, 10_000);
+        bounded("steps.each_ms", part.getSteps().getEachMs(), 1, 86_400_000);
+        yield new Shape.Steps(
+            List.copyOf(part.getSteps().getRatesList()), part.getSteps().getEachMs() * MS);
+      }
+      case BURSTS -> {
+        bounded("bursts.every_ms", part.getBursts().getEveryMs(), 1, 86_400_000);
+        yield new Shape.Bursts(
+            part.getBursts().getRate(),
+            part.getBursts().getEveryMs() * MS,
+            part.getBursts().getLastsMs() * MS,
+            part.getBursts().getFirstMs() * MS);
+      }
+      case WAVE -> {
+        bounded("wave.day_ms", part.getWave().getDayMs(), 1, 86_400_000);
+        yield new Shape.Wave(
+            part.getWave().getLeast(), part.getWave().getMost(), part.getWave().getDayMs() * MS);
+      }
+      case FESTIVAL -> {
+        bounded("festival.halves_ms", part.getFestival().getHalvesMs(), 1, 86_400_000);
+        bounded(
+            "festival.fullest_ms",
+            part.getFestival().getFullestMs(),
+            part.getFestival().getOpensMs() + 1,
+            86_400_000);
+        yield new Shape.Festival(
+            part.getFestival().getCalm(),
+            part.getFestival().getPeak(),
+            part.getFestival().getOpensMs() * MS,
+            part.getFestival().getFullestMs() * MS,
+            part.getFestival().getHalvesMs() * MS);
+      }
+      default ->
+          throw new Unusable(
+              file
+                  + ": a part of the rate has no shape; allowed: constant, ramp, steps, bursts, wave, festival");
+    };
+  }
 
-    Schedule schedule(long seed) {
-        Mix mix = new Mix(load.getTenantsList().stream().map(one -> new Mix.Weighted(one.getName(), one.getWeight())).toList(),
-                load.getGradesList().stream().map(one -> new Mix.GradeLoad(one.getName(), one.getWeight(), one.getMedianCostMs(),
-                        one.getSpread(), one.getMemoryMb(), one.getKeys())).toList(), load.getDataSets(), load.getZipfExponent(),
-                load.getHotMovesEveryMs() * MS);
-        return new Schedule(shape(), mix, load.getSeconds() * Shape.SECOND, load.getEven(), seed);
-    }
+  Schedule schedule(long seed) {
+    Mix mix =
+        new Mix(
+            load.getTenantsList().stream()
+                .map(one -> new Mix.Weighted(one.getName(), one.getWeight()))
+                .toList(),
+            load.getGradesList().stream()
+                .map(
+                    one ->
+                        new Mix.GradeLoad(
+                            one.getName(),
+                            one.getWeight(),
+                            one.getMedianCostMs(),
+                            one.getSpread(),
+                            one.getMemoryMb(),
+                            one.getKeys()))
+                .toList(),
+            load.getDataSets(),
+            load.getZipfExponent(),
+            load.getHotMovesEveryMs() * MS);
+    return new Schedule(shape(), mix, load.getSeconds() * Shape.SECOND, load.getEven(), seed);
+  }
 
-    LoadGrade grade(String name) {
-        return load.getGradesList().stream().filter(one -> one.getName().equals(name)).findFirst().orElseThrow();
-    }
+  LoadGrade grade(String name) {
+    return load.getGradesList().stream()
+        .filter(one -> one.getName().equals(name))
+        .findFirst()
+        .orElseThrow();
+  }
 
-    Behaviour behaviour(LoadGrade grade) {
-        Clients clients = load.getClients();
-        return new Behaviour(grade.getWaitMs() * MS, clients.getMostRetries(), clients.getHeedsAfter(),
-                Math.max(1, clients.getFirstPauseMs()) * MS, Math.max(1, clients.getPauseGrows()), clients.getPauseJitter());
-    }
+  Behaviour behaviour(LoadGrade grade) {
+    Clients clients = load.getClients();
+    return new Behaviour(
+        grade.getWaitMs() * MS,
+        clients.getMostRetries(),
+        clients.getHeedsAfter(),
+        Math.max(1, clients.getFirstPauseMs()) * MS,
+        Math.max(1, clients.getPauseGrows()),
+        clients.getPauseJitter());
+  }
 }
--- a/src/main/java/tansytrack/lab/ManagerProcess.java
+++ b/src/main/java/tansytrack/lab/ManagerProcess.java
@@ -13,154 +13,219 @@
 import java.util.concurrent.TimeUnit;
 import tansytrack.lab.proto.EngineForm;
 
-/** A manager of this program in a process of its own, with its files in a folder of its own; it can be killed and started again. */
+/**
+ * A manager of this program in a process of its own, with its files in a folder of its own; it can
+ * be killed and started again.
+ */
 final class ManagerProcess implements AutoCloseable {
 
-    private static final long PATIENCE_MS = 20_000;
-    private static final String SETTINGS = "{\"siblings\":1,\"skus\":[\"k\"],\"extra\":{\"cpu_of_kind\":[8],\"memory_by_kind_mb\":[8192],"
-            + "\"memory_heeded\":true,\"grant_cap\":0.5,\"ranks_heeded\":true,\"tells_cost\":true,\"threads_by_class\":[1,1],"
-            + "\"is_load\":[false,false],\"class_waits\":[false,false]},\"grades\":[{\"name\":\"query\",\"repeat\":\"idempotent\","
-            + "\"objective_ms\":1000,\"deadline_ms\":3000,\"worth\":1},{\"name\":\"load\",\"repeat\":\"at_most_once\","
-            + "\"objective_ms\":1000,\"deadline_ms\":3000,\"worth\":2}],\"tenants\":[{\"name\":\"t0\",\"portion\":1},"
-            + "{\"name\":\"t1\",\"portion\":2},{\"name\":\"t2\",\"portion\":3}],\"policy_limits\":{\"may_probe\":true,\"cancel\":true,"
-            + "\"max_attempts\":3,\"connect_timeout_ms\":250,\"conn_idle_ms\":30000,\"retry_after\":true,\"max_retry_after_ms\":500},"
-            + "\"reporting\":{\"columns\":[\"busy_reqs\"],\"how\":\"pull\"},\"rules\":{\"answer_slack_ms\":20,\"drain_grace_ms\":1000}}";
-
-    final String name;
-    final Path folder;
-    final InetSocketAddress listen;
-    private Process process;
-    private String jar;
-    private int starts;
-
-    ManagerProcess(String name, Path folder, StandInChannel channel, boolean forwardsWait, boolean answersWait) throws IOException {
-        this(name, folder, channel, "127.0.0.1", "ledger {\n  folder: \"" + folder.resolve("ledger") + "\"\n  forwards: "
-                + (forwardsWait ? "AFTER_COMMIT" : "AT_ONCE") + "\n  answers: " + (answersWait ? "AFTER_COMMIT" : "AT_ONCE")
-                + "\n  billing { period: DAY rates { per_task: \"0.01\" per_work_second: \"0.5\" } }\n}\n");
-    }
-
-    /** With that text as its operators' file, at a free port of that address. */
-    ManagerProcess(String name, Path folder, StandInChannel channel, String host, String operator) throws IOException {
-        this(name, folder, channel.address(), channel.known(), host, operator, SETTINGS);
-    }
-
-    /** With settings of its own, and the list at that address. */
-    ManagerProcess(String name, Path folder, String channel, String known, String host, String operator, String settings)
-            throws IOException {
-        this.name = name;
-        this.folder = Files.createDirectories(folder);
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-            listen = new InetSocketAddress(host, free.getLocalPort());
-        }
-        Files.writeString(folder.resolve("config.json"), "{\"name\":\"" + name + "\",\"listen\":\"" + host + ':' + listen.getPort()
-                + "\",\"seed\":\"" + Integer.toHexString(name.hashCode())
-                + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"channel\":\"" + channel
-                + "\",\"known\":" + known + ",\"settings\":" + settings + '}');
-        Files.writeString(operatorFile(), operator);
-    }
-
-    /** Settings for one of so many managers, in a place; engines of that form. */
-    static String settings(int siblings, String place, EngineForm engine) {
-        return SETTINGS.replace("\"siblings\":1", "\"siblings\":" + siblings + ",\"zone\":\"" + place + '"')
-                .replace("\"cpu_of_kind\":[8]", "\"cpu_of_kind\":[" + engine.getCores() + ']')
-                .replace("\"columns\":[\"busy_reqs\"]", "\"columns\":[\"busy_reqs\",\"cpu_share\"]")
-                .replace("\"worth\":2", "\"worth\":2,\"serial_by_key\":true")
-                .replace("\"drain_grace_ms\":1000", "\"drain_grace_ms\":1000,\"turn_gap_ms\":300" + (engine.getWarmAfterMs() == 0 ? ""
-                        : ",\"start_capacity\":" + engine.getStartCapacity() + ",\"ramp_time_ms\":" + engine.getWarmAfterMs()
-                        + ",\"overload_factor\":" + engine.getMultiple() + ",\"fall_ms\":" + engine.getWindowMs()));
-    }
-
-    Path ledger() {
-        return folder.resolve("ledger");
-    }
-
-    Path exports() {
-        return folder.resolve("out");
-    }
-
-    Path operatorFile() {
-        return folder.resolve("operator.textproto");
-    }
-
-    /** From now on it runs from that jar; null: this program. */
-    void version(String path) {
-        jar = path;
-    }
-
-    /** This program with these arguments, its output in a file. */
-    Process program(String log, String... arguments) throws IOException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xmx64m", "-cp",
-                jar == null ? System.getProperty("java.class.path") : jar, "tansytrack.Main"));
-        command.addAll(List.of(arguments));
-        ProcessBuilder made = new ProcessBuilder(command).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(new File(folder.toFile(), log)));
-        made.environment().put("ROUTER_CONFIG", folder.resolve("config.json").toString());
-        return made.start();
-    }
-
-    /** Starts it and waits until it listens. */
-    void start() throws IOException, InterruptedException {
-        launch();
-        listens();
-    }
-
-    /** Starts it. */
-    void launch() throws IOException {
-        String log = "manager-" + ++starts + ".log";
-        Files.deleteIfExists(folder.resolve(log));          // of an earlier run in the same folder
-        process = program(log, "serve", "--operator", operatorFile().toString());
-    }
-
-    /** Waits until it listens. */
-    void listens() throws IOException, InterruptedException {
-        String log = "manager-" + starts + ".log";
-        long until = System.nanoTime() + PATIENCE_MS * 1_000_000;
-        while (!Files.readString(folder.resolve(log), StandardCharsets.UTF_8).contains("listens at")) {
-            if (!process.isAlive() || System.nanoTime() > until) {
-                throw new IOException(name + " does not come up: " + Files.readString(folder.resolve(log)));
-            }
-            Thread.sleep(20);
-        }
-    }
-
-    /** SIGKILL. */
-    void kill() throws InterruptedException {
-        process.destroyForcibly().waitFor();
-    }
-
-    /** SIGSTOP or SIGCONT, by name. */
-    void signal(String which) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", '-' + which, Long.toString(process.pid())).start().waitFor();
-    }
-
-    /** What it logged in all its starts. */
-    List<String> lines() throws IOException {
-        List<String> all = new ArrayList<>();
-        for (int i = 1; i <= starts; i++) {
-            all.addAll(Files.readAllLines(folder.resolve("manager-" + i + ".log"), StandardCharsets.UTF_8));
-        }
-        return all;
-    }
-
-    /** SIGTERM; false where it had to be killed. */
-    boolean stop() throws InterruptedException {
-        process.destroy();
-        if (process.waitFor(PATIENCE_MS, TimeUnit.MILLISECONDS)) {
-            return true;
-        }
-        kill();
-        return false;
-    }
-
-    Process export() throws IOException {
-        return program("export.log", "ledger", "export", "--ledger", ledger().toString(), "--to", exports().toString());
-    }
-
-    @Override
-    public void close() {
-        if (process != null) {
-            process.destroyForcibly();
-        }
-    }
+  private static final long PATIENCE_MS = 20_000;
+  private static final String SETTINGS =
+      "{\"siblings\":1,\"skus\":[\"k\"],\"extra\":{\"cpu_of_kind\":[8],\"memory_by_kind_mb\":[8192],"
+          + "\"memory_heeded\":true,\"grant_cap\":0.5,\"ranks_heeded\":true,\"tells_cost\":true,\"threads_by_class\":[1,1],"
+          + "\"is_load\":[false,false],\"class_waits\":[false,false]},\"grades\":[{\"name\":\"query\",\"repeat\":\"idempotent\","
+          + "\"objective_ms\":1000,\"deadline_ms\":3000,\"worth\":1},{\"name\":\"load\",\"repeat\":\"at_most_once\","
+          + "\"objective_ms\":1000,\"deadline_ms\":3000,\"worth\":2}],\"tenants\":[{\"name\":\"t0\",\"portion\":1},"
+          + "{\"name\":\"t1\",\"portion\":2},{\"name\":\"t2\",\"portion\":3}],\"policy_limits\":{\"may_probe\":true,\"cancel\":true,"
+          + "\"max_attempts\":3,\"connect_timeout_ms\":250,\"conn_idle_ms\":30000,\"retry_after\":true,\"max_retry_after_ms\":500},"
+          + "\"reporting\":{\"columns\":[\"busy_reqs\"],\"how\":\"pull\"},\"rules\":{\"answer_slack_ms\":20,\"drain_grace_ms\":1000}}";
+
+  final String name;
+  final Path folder;
+  final InetSocketAddress listen;
+  private Process process;
+  private String jar;
+  private int starts;
+
+  ManagerProcess(
+      String name, Path folder, StandInChannel channel, boolean forwardsWait, boolean answersWait)
+      throws IOException {
+    this(
+        name,
+        folder,
+        channel,
+        "127.0.0.1",
+        "ledger {\n  folder: \""
+            + folder.resolve("ledger")
+            + "\"\n  forwards: "
+            + (forwardsWait ? "AFTER_COMMIT" : "AT_ONCE")
+            + "\n  answers: "
+            + (answersWait ? "AFTER_COMMIT" : "AT_ONCE")
+            + "\n  billing { period: DAY rates { per_task: \"0.01\" per_work_second: \"0.5\" } }\n}\n");
+  }
+
+  /** With that text as its operators' file, at a free port of that address. */
+  ManagerProcess(String name, Path folder, StandInChannel channel, String host, String operator)
+      throws IOException {
+    this(name, folder, channel.address(), channel.known(), host, operator, SETTINGS);
+  }
+
+  /** With settings of its own, and the list at that address. */
+  ManagerProcess(
+      String name,
+      Path folder,
+      String channel,
+      String known,
+      String host,
+      String operator,
+      String settings)
+      throws IOException {
+    this.name = name;
+    this.folder = Files.createDirectories(folder);
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+      listen = new InetSocketAddress(host, free.getLocalPort());
+    }
+    Files.writeString(
+        folder.resolve("config.json"),
+        "{\"name\":\""
+            + name
+            + "\",\"listen\":\""
+            + host
+            + ':'
+            + listen.getPort()
+            + "\",\"seed\":\""
+            + Integer.toHexString(name.hashCode())
+            + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"channel\":\""
+            + channel
+            + "\",\"known\":"
+            + known
+            + ",\"settings\":"
+            + settings
+            + '}');
+    Files.writeString(operatorFile(), operator);
+  }
+
+  /** Settings for one of so many managers, in a place; engines of that form. */
+  static String settings(int siblings, String place, EngineForm engine) {
+    return SETTINGS
+        .replace("\"siblings\":1", "\"siblings\":" + siblings + ",\"zone\":\"" + place + '"')
+        .replace("\"cpu_of_kind\":[8]", "\"cpu_of_kind\":[" + engine.getCores() + ']')
+        .replace("\"columns\":[\"busy_reqs\"]", "\"columns\":[\"busy_reqs\",\"cpu_share\"]")
+        .replace("\"worth\":2", "\"worth\":2,\"serial_by_key\":true")
+        .replace(
+            "\"drain_grace_ms\":1000",
+            "\"drain_grace_ms\":1000,\"turn_gap_ms\":300"
+                + (engine.getWarmAfterMs() == 0
+                    ? ""
+                    : ",\"start_capacity\":"
+                        + engine.getStartCapacity()
+                        + ",\"ramp_time_ms\":"
+                        + engine.getWarmAfterMs()
+                        + ",\"overload_factor\":"
+                        + engine.getMultiple()
+                        + ",\"fall_ms\":"
+                        + engine.getWindowMs()));
+  }
+
+  Path ledger() {
+    return folder.resolve("ledger");
+  }
+
+  Path exports() {
+    return folder.resolve("out");
+  }
+
+  Path operatorFile() {
+    return folder.resolve("operator.textproto");
+  }
+
+  /** From now on it runs from that jar; null: this program. */
+  void version(String path) {
+    jar = path;
+  }
+
+  /** This program with these arguments, its output in a file. */
+  Process program(String log, String... arguments) throws IOException {
+    List<String> command =
+        new ArrayList<>(
+            List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:-UsePerfData",
+                "-Xmx64m",
+                "-cp",
+                jar == null ? System.getProperty("java.class.path") : jar,
+                "tansytrack.Main"));
+    command.addAll(List.of(arguments));
+    ProcessBuilder made =
+        new ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(new File(folder.toFile(), log)));
+    made.environment().put("ROUTER_CONFIG", folder.resolve("config.json").toString());
+    return made.start();
+  }
+
+  /** Starts it and waits until it listens. */
+  void start() throws IOException, InterruptedException {
+    launch();
+    listens();
+  }
+
+  /** Starts it. */
+  void launch() throws IOException {
+    String log = "manager-" + ++starts + ".log";
+    Files.deleteIfExists(folder.resolve(log)); // of an earlier run in the same folder
+    process = program(log, "serve", "--operator", operatorFile().toString());
+  }
+
+  /** Waits until it listens. */
+  void listens() throws IOException, InterruptedException {
+    String log = "manager-" + starts + ".log";
+    long until = System.nanoTime() + PATIENCE_MS * 1_000_000;
+    while (!Files.readString(folder.resolve(log), StandardCharsets.UTF_8).contains("listens at")) {
+      if (!process.isAlive() || System.nanoTime() > until) {
+        throw new IOException(name + " does not come up: " + Files.readString(folder.resolve(log)));
+      }
+      Thread.sleep(20);
+    }
+  }
+
+  /** SIGKILL. */
+  void kill() throws InterruptedException {
+    process.destroyForcibly().waitFor();
+  }
+
+  /** SIGSTOP or SIGCONT, by name. */
+  void signal(String which) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", '-' + which, Long.toString(process.pid())).start().waitFor();
+  }
+
+  /** What it logged in all its starts. */
+  List<String> lines() throws IOException {
+    List<String> all = new ArrayList<>();
+    for (int i = 1; i <= starts; i++) {
+      all.addAll(
+          Files.readAllLines(folder.resolve("manager-" + i + ".log"), StandardCharsets.UTF_8));
+    }
+    return all;
+  }
+
+  /** SIGTERM; false where it had to be killed. */
+  boolean stop() throws InterruptedException {
+    process.destroy();
+    if (process.waitFor(PATIENCE_MS, TimeUnit.MILLISECONDS)) {
+      return true;
+    }
+    kill();
+    return false;
+  }
+
+  Process export() throws IOException {
+    return program(
+        "export.log",
+        "ledger",
+        "export",
+        "--ledger",
+        ledger().toString(),
+        "--to",
+        exports().toString());
+  }
+
+  @Override
+  public void close() {
+    if (process != null) {
+      process.destroyForcibly();
+    }
+  }
 }
