--- a/src/main/java/tansytrack/lab/OpenLoop.java
+++ b/src/main/java/tansytrack/lab/OpenLoop.java
@@ -20,227 +20,258 @@
 import tansytrack.lab.proto.LoadGrade;
 
 /**
- * Plays a load on sockets: each arrival is handed to a free connection at its intended time, or to a new one, whatever has become
- * of those before it. What no connection is left for makes the run void.
+ * Plays a load on sockets: each arrival is handed to a free connection at its intended time, or to
+ * a new one, whatever has become of those before it. What no connection is left for makes the run
+ * void.
  */
 final class OpenLoop {
 
-    private static final long MS = 1_000_000L;
-    private static final int SLACK_MS = 2000;               // over a client's patience, before a connection is given up
+  private static final long MS = 1_000_000L;
+  private static final int SLACK_MS =
+      2000; // over a client's patience, before a connection is given up
 
-    /** Hears of each try, on the connection's thread; a try without an answer has none. */
-    interface Watcher {
-        Watcher NONE = new Watcher() {
-            @Override
-            public void asking(String id, Arrival one, long waitMs) { }
+  /** Hears of each try, on the connection's thread; a try without an answer has none. */
+  interface Watcher {
+    Watcher NONE =
+        new Watcher() {
+          @Override
+          public void asking(String id, Arrival one, long waitMs) {}
 
-            @Override
-            public void answered(String id, LabClient.Answer answer) { }
+          @Override
+          public void answered(String id, LabClient.Answer answer) {}
 
-            @Override
-            public void failed(String id, long connectedAt) { }
+          @Override
+          public void failed(String id, long connectedAt) {}
         };
 
-        void asking(String id, Arrival one, long waitMs);
+    void asking(String id, Arrival one, long waitMs);
 
-        void answered(String id, LabClient.Answer answer);
+    void answered(String id, LabClient.Answer answer);
 
-        /** The connection that came up then broke; -1: it did not come up, and the task was never taken. */
-        void failed(String id, long connectedAt);
-    }
+    /**
+     * The connection that came up then broke; -1: it did not come up, and the task was never taken.
+     */
+    void failed(String id, long connectedAt);
+  }
 
-    private final LoadFile file;
-    private final Watcher watcher;
-    private final InetSocketAddress to;
-    private final long seed;
-    private final Latencies latencies = new Latencies();
-    private final Punctuality punctuality;
-    private final ArrayDeque<Sender> free = new ArrayDeque<>();
-    private final List<Sender> all = new ArrayList<>();
-    private final Map<String, Long> ends = new TreeMap<>();
-    private long start;
-    private int waiting;                                    // tasks on their way
-
-    OpenLoop(LoadFile file, InetSocketAddress to, long seed) {
-        this(file, to, seed, Watcher.NONE);
-    }
+  private final LoadFile file;
+  private final Watcher watcher;
+  private final InetSocketAddress to;
+  private final long seed;
+  private final Latencies latencies = new Latencies();
+  private final Punctuality punctuality;
+  private final ArrayDeque<Sender> free = new ArrayDeque<>();
+  private final List<Sender> all = new ArrayList<>();
+  private final Map<String, Long> ends = new TreeMap<>();
+  private long start;
+  private int waiting; // tasks on their way
 
-    OpenLoop(LoadFile file, InetSocketAddress to, long seed, Watcher watcher) {
-        this.watcher = watcher;
-        this.file = file;
-        this.to = to;
-        this.seed = seed;
-        punctuality = new Punctuality(file.load.getLateMs() * MS, file.load.getLatePart());
-    }
+  OpenLoop(LoadFile file, InetSocketAddress to, long seed) {
+    this(file, to, seed, Watcher.NONE);
+  }
 
-    /** Plays all of it and waits for what is on its way. */
-    void play() throws InterruptedException {
-        Schedule schedule = file.schedule(seed);
-        int warm = Math.min(file.load.getClients().getMostConnections(), 16);
-        for (int i = 0; i < warm; i++) {
-            free.add(sender());
-        }
-        start = System.nanoTime() + 100 * MS;
-        while (schedule.hasNext()) {
-            Arrival next = schedule.next();
-            for (long left = start + next.at() - System.nanoTime(); left > 0; left = start + next.at() - System.nanoTime()) {
-                LockSupport.parkNanos(left > 2 * MS ? left - MS : left / 2);
-            }
-            Sender by = taken();
-            if (by == null) {
-                punctuality.unsent();
-            } else {
-                by.work.put(next);
-            }
-        }
-        synchronized (this) {
-            while (waiting > 0) {
-                wait();
-            }
-        }
-        all.forEach(one -> one.thread.interrupt());
-    }
+  OpenLoop(LoadFile file, InetSocketAddress to, long seed, Watcher watcher) {
+    this.watcher = watcher;
+    this.file = file;
+    this.to = to;
+    this.seed = seed;
+    punctuality = new Punctuality(file.load.getLateMs() * MS, file.load.getLatePart());
+  }
 
-    private synchronized Sender taken() {
-        Sender one = free.pollLast();
-        if (one == null && all.size() < file.load.getClients().getMostConnections()) {
-            one = sender();
-        }
-        waiting += one == null ? 0 : 1;
-        return one;
+  /** Plays all of it and waits for what is on its way. */
+  void play() throws InterruptedException {
+    Schedule schedule = file.schedule(seed);
+    int warm = Math.min(file.load.getClients().getMostConnections(), 16);
+    for (int i = 0; i < warm; i++) {
+      free.add(sender());
+    }
+    start = System.nanoTime() + 100 * MS;
+    while (schedule.hasNext()) {
+      Arrival next = schedule.next();
+      for (long left = start + next.at() - System.nanoTime();
+          left > 0;
+          left = start + next.at() - System.nanoTime()) {
+        LockSupport.parkNanos(left > 2 * MS ? left - MS : left / 2);
+      }
+      Sender by = taken();
+      if (by == null) {
+        punctuality.unsent();
+      } else {
+        by.work.put(next);
+      }
     }
+    synchronized (this) {
+      while (waiting > 0) {
+        wait();
+      }
+    }
+    all.forEach(one -> one.thread.interrupt());
+  }
 
-    private Sender sender() {
-        Sender one = new Sender(all.size());
-        all.add(one);
-        one.thread.start();
-        return one;
+  private synchronized Sender taken() {
+    Sender one = free.pollLast();
+    if (one == null && all.size() < file.load.getClients().getMostConnections()) {
+      one = sender();
     }
+    waiting += one == null ? 0 : 1;
+    return one;
+  }
 
-    /** One connection and the thread that uses it. */
-    private final class Sender {
-        final SynchronousQueue<Arrival> work = new SynchronousQueue<>();
-        final Thread thread = StandInEngine.thread(this::run);
-        private final UniformRandomProvider chance;
-        private LabClient client;
-        private long connectedAt = -1;
-        private long ids;
-
-        Sender(int number) {
-            chance = RandomSource.XO_SHI_RO_256_PP.create(seed * 31 + number);
-            ids = (long) (number + 1) << 32;
-        }
+  private Sender sender() {
+    Sender one = new Sender(all.size());
+    all.add(one);
+    one.thread.start();
+    return one;
+  }
 
-        private void run() {
-            try {
-                while (true) {
-                    Arrival one = work.poll(1, TimeUnit.HOURS);
-                    if (one != null) {
-                        play(one);
-                        synchronized (OpenLoop.this) {
-                            waiting--;
-                            free.add(this);
-                            OpenLoop.this.notifyAll();
-                        }
-                    }
-                }
-            } catch (InterruptedException e) {
-                drop();
-            }
-        }
+  /** One connection and the thread that uses it. */
+  private final class Sender {
+    final SynchronousQueue<Arrival> work = new SynchronousQueue<>();
+    final Thread thread = StandInEngine.thread(this::run);
+    private final UniformRandomProvider chance;
+    private LabClient client;
+    private long connectedAt = -1;
+    private long ids;
 
-        /** One task with its retries, which are part of it. */
-        private void play(Arrival one) throws InterruptedException {
-            LoadGrade grade = file.grade(one.grade());
-            Behaviour behaviour = file.behaviour(grade);
-            long sent = System.nanoTime() - start;
-            synchronized (OpenLoop.this) {
-                punctuality.sent(one.at(), sent);
-            }
-            String end = "gave up";
-            for (int tried = 1;; tried++) {
-                long left = grade.getWaitMs() - (System.nanoTime() - start - one.at()) / MS;
-                LabClient.Answer answer = left <= 0 ? null : ask(one, left, tried);
-                if (answer == null) {
-                    end = left <= 0 ? "gave up" : "lost";
-                    break;
-                }
-                end = answer.code();
-                long pause = answer.handled() ? -1
-                        : behaviour.pause(answer.code(), answer.text(), tried, System.nanoTime() - start - one.at(), chance);
-                if (pause < 0) {
-                    break;
-                }
-                TimeUnit.NANOSECONDS.sleep(pause);
-            }
-            long over = System.nanoTime() - start;
-            double worth = grade.getEarnings() > 0 ? grade.getEarnings() : 1;
-            boolean good = end.equals("HANDLED") && over - one.at() <= grade.getPromisedMs() * MS;
+    Sender(int number) {
+      chance = RandomSource.XO_SHI_RO_256_PP.create(seed * 31 + number);
+      ids = (long) (number + 1) << 32;
+    }
+
+    private void run() {
+      try {
+        while (true) {
+          Arrival one = work.poll(1, TimeUnit.HOURS);
+          if (one != null) {
+            play(one);
             synchronized (OpenLoop.this) {
-                latencies.over(one, sent, over, worth, good ? worth : 0);
-                ends.merge(end, 1L, Long::sum);
+              waiting--;
+              free.add(this);
+              OpenLoop.this.notifyAll();
             }
+          }
         }
+      } catch (InterruptedException e) {
+        drop();
+      }
+    }
 
-        private LabClient.Answer ask(Arrival one, long waitMs, int tried) {
-            String id = String.format("%016x", seed << 48 ^ ++ids);
-            try {
-                if (client == null) {
-                    connectedAt = -1;
-                    client = new LabClient(to, file.grade(one.grade()).getWaitMs() + SLACK_MS);
-                    connectedAt = System.nanoTime();
-                }
-                watcher.asking(id, one, waitMs);
-                LabClient.Answer answer = client.ask("/* class=" + one.grade() + ",id=" + id + ",wait=" + waitMs
-                        + ",tenant=" + one.tenant() + (tried > 1 ? ",retry=1" : "") + ",cost="
-                        + String.format(java.util.Locale.ROOT, "%.3f", one.costMs()) + ",mb=" + Math.round(one.memoryMb())
-                        + (one.key() == 0 ? "" : ",key=" + String.format("%016x", one.key())) + " */ SELECT day FROM sales_"
-                        + one.dataSet() + ".orders");
-                watcher.answered(id, answer);
-                return answer;
-            } catch (IOException e) {
-                watcher.failed(id, connectedAt);
-                drop();
-                return null;
-            }
+    /** One task with its retries, which are part of it. */
+    private void play(Arrival one) throws InterruptedException {
+      LoadGrade grade = file.grade(one.grade());
+      Behaviour behaviour = file.behaviour(grade);
+      long sent = System.nanoTime() - start;
+      synchronized (OpenLoop.this) {
+        punctuality.sent(one.at(), sent);
+      }
+      String end = "gave up";
+      for (int tried = 1; ; tried++) {
+        long left = grade.getWaitMs() - (System.nanoTime() - start - one.at()) / MS;
+        LabClient.Answer answer = left <= 0 ? null : ask(one, left, tried);
+        if (answer == null) {
+          end = left <= 0 ? "gave up" : "lost";
+          break;
         }
-
-        private void drop() {
-            try {
-                if (client != null) {
-                    client.close();
-                }
-            } catch (IOException e) {
-                // it is given up
-            }
-            client = null;
+        end = answer.code();
+        long pause =
+            answer.handled()
+                ? -1
+                : behaviour.pause(
+                    answer.code(),
+                    answer.text(),
+                    tried,
+                    System.nanoTime() - start - one.at(),
+                    chance);
+        if (pause < 0) {
+          break;
         }
+        TimeUnit.NANOSECONDS.sleep(pause);
+      }
+      long over = System.nanoTime() - start;
+      double worth = grade.getEarnings() > 0 ? grade.getEarnings() : 1;
+      boolean good = end.equals("HANDLED") && over - one.at() <= grade.getPromisedMs() * MS;
+      synchronized (OpenLoop.this) {
+        latencies.over(one, sent, over, worth, good ? worth : 0);
+        ends.merge(end, 1L, Long::sum);
+      }
     }
 
-    synchronized Latencies latencies() {
-        return latencies;
+    private LabClient.Answer ask(Arrival one, long waitMs, int tried) {
+      String id = String.format("%016x", seed << 48 ^ ++ids);
+      try {
+        if (client == null) {
+          connectedAt = -1;
+          client = new LabClient(to, file.grade(one.grade()).getWaitMs() + SLACK_MS);
+          connectedAt = System.nanoTime();
+        }
+        watcher.asking(id, one, waitMs);
+        LabClient.Answer answer =
+            client.ask(
+                "/* class="
+                    + one.grade()
+                    + ",id="
+                    + id
+                    + ",wait="
+                    + waitMs
+                    + ",tenant="
+                    + one.tenant()
+                    + (tried > 1 ? ",retry=1" : "")
+                    + ",cost="
+                    + String.format(java.util.Locale.ROOT, "%.3f", one.costMs())
+                    + ",mb="
+                    + Math.round(one.memoryMb())
+                    + (one.key() == 0 ? "" : ",key=" + String.format("%016x", one.key()))
+                    + " */ SELECT day FROM sales_"
+                    + one.dataSet()
+                    + ".orders");
+        watcher.answered(id, answer);
+        return answer;
+      } catch (IOException e) {
+        watcher.failed(id, connectedAt);
+        drop();
+        return null;
+      }
     }
 
-    synchronized Punctuality punctuality() {
-        return punctuality;
+    private void drop() {
+      try {
+        if (client != null) {
+          client.close();
+        }
+      } catch (IOException e) {
+        // it is given up
+      }
+      client = null;
     }
+  }
 
-    /** Figures by name; latencies in milliseconds from the intended time. */
-    synchronized Map<String, Double> figures() {
-        Map<String, Double> figures = new TreeMap<>();
-        figures.put("tasks", (double) latencies.tasks());
-        figures.put("share", latencies.share());
-        figures.put("share.worst_10_s", latencies.worstShare(10));
-        for (double percentile : new double[] {50, 90, 99, 100}) {
-            figures.put("latency_ms.p" + (int) percentile, latencies.latency(percentile) / 1e6);
-            figures.put("service_ms.p" + (int) percentile, latencies.service(percentile) / 1e6);
-        }
-        latencies.groups().forEach((name, window) -> {
-            figures.put(name + ".share", window.share());
-            figures.put(name + ".latency_ms.p99", window.latency(99) / 1e6);
-        });
-        ends.forEach((end, count) -> figures.put("end." + end, (double) count));
-        figures.put("connections", (double) all.size());
-        return figures;
+  synchronized Latencies latencies() {
+    return latencies;
+  }
+
+  synchronized Punctuality punctuality() {
+    return punctuality;
+  }
+
+  /** Figures by name; latencies in milliseconds from the intended time. */
+  synchronized Map<String, Double> figures() {
+    Map<String, Double> figures = new TreeMap<>();
+    figures.put("tasks", (double) latencies.tasks());
+    figures.put("share", latencies.share());
+    figures.put("share.worst_10_s", latencies.worstShare(10));
+    for (double percentile : new double[] {50, 90, 99, 100}) {
+      figures.put("latency_ms.p" + (int) percentile, latencies.latency(percentile) / 1e6);
+      figures.put("service_ms.p" + (int) percentile, latencies.service(percentile) / 1e6);
     }
+    latencies
+        .groups()
+        .forEach(
+            (name, window) -> {
+              figures.put(name + ".share", window.share());
+              figures.put(name + ".latency_ms.p99", window.latency(99) / 1e6);
+            });
+    ends.forEach((end, count) -> figures.put("end." + end, (double) count));
+    figures.put("connections", (double) all.size());
+    return figures;
+  }
 }
--- a/src/main/java/tansytrack/lab/StandInChannel.java
+++ b/src/main/java/tansytrack/lab/StandInChannel.java
@@ -14,73 +14,84 @@
 /** A command channel for the lab, on loopback: numbered events, asked for by long polls. */
 public final class StandInChannel implements AutoCloseable {
 
-    private static final Pattern ASKED = Pattern.compile("GET /cmd/next\\?resume=(\\d{1,18})&block=(\\d{1,6}) ");
-    private static final long LONGEST_BLOCK_MS = 5000;
+  private static final Pattern ASKED =
+      Pattern.compile("GET /cmd/next\\?resume=(\\d{1,18})&block=(\\d{1,6}) ");
+  private static final long LONGEST_BLOCK_MS = 5000;
 
-    private final ServerSocket socket = new ServerSocket();
-    private final List<String> events = new ArrayList<>();
+  private final ServerSocket socket = new ServerSocket();
+  private final List<String> events = new ArrayList<>();
 
-    public StandInChannel(InetSocketAddress at) throws IOException {
-        socket.setReuseAddress(true);
-        socket.bind(at, 256);
-        StandInEngine.thread(this::accept).start();
-    }
+  public StandInChannel(InetSocketAddress at) throws IOException {
+    socket.setReuseAddress(true);
+    socket.bind(at, 256);
+    StandInEngine.thread(this::accept).start();
+  }
 
-    public String address() {
-        return socket.getInetAddress().getHostAddress() + ':' + socket.getLocalPort();
-    }
+  public String address() {
+    return socket.getInetAddress().getHostAddress() + ':' + socket.getLocalPort();
+  }
 
-    /** The next event, as JSON without its number. */
-    public synchronized void tell(String nodes) {
-        events.add("{\"cursor\":" + (events.size() + 1) + ",\"nodes\":" + nodes + '}');
-        notifyAll();
-    }
+  /** The next event, as JSON without its number. */
+  public synchronized void tell(String nodes) {
+    events.add("{\"cursor\":" + (events.size() + 1) + ",\"nodes\":" + nodes + '}');
+    notifyAll();
+  }
 
-    /** All that was told up to now, in the form of `known`. */
-    public synchronized String known() {
-        return after(0);
-    }
+  /** All that was told up to now, in the form of `known`. */
+  public synchronized String known() {
+    return after(0);
+  }
 
-    private String after(int number) {
-        return "{\"cursor\":" + Math.max(number, events.size()) + ",\"cmds\":["
-                + String.join(",", events.subList(Math.min(number, events.size()), events.size())) + "]}";
-    }
+  private String after(int number) {
+    return "{\"cursor\":"
+        + Math.max(number, events.size())
+        + ",\"cmds\":["
+        + String.join(",", events.subList(Math.min(number, events.size()), events.size()))
+        + "]}";
+  }
 
-    private synchronized String next(int resume, long blockMs) throws InterruptedException {
-        long until = System.nanoTime() + Math.min(blockMs, LONGEST_BLOCK_MS) * 1_000_000;
-        for (long left = blockMs; events.size() <= resume && left > 0; left = (until - System.nanoTime()) / 1_000_000) {
-            wait(left);
-        }
-        return after(resume);
+  private synchronized String next(int resume, long blockMs) throws InterruptedException {
+    long until = System.nanoTime() + Math.min(blockMs, LONGEST_BLOCK_MS) * 1_000_000;
+    for (long left = blockMs;
+        events.size() <= resume && left > 0;
+        left = (until - System.nanoTime()) / 1_000_000) {
+      wait(left);
     }
+    return after(resume);
+  }
 
-    private void accept() {
-        try {
-            while (true) {
-                Socket one = socket.accept();
-                StandInEngine.thread(() -> serve(one)).start();
-            }
-        } catch (IOException e) {
-            // closed
-        }
+  private void accept() {
+    try {
+      while (true) {
+        Socket one = socket.accept();
+        StandInEngine.thread(() -> serve(one)).start();
+      }
+    } catch (IOException e) {
+      // closed
     }
+  }
 
-    private void serve(Socket one) {
-        try (one) {
-            DataInputStream in = new DataInputStream(one.getInputStream());
-            while (true) {
-                Matcher asked = ASKED.matcher(StandInEngine.head(in));
-                String answer = asked.lookingAt() ? StandInEngine.say("200 OK", "", next(Integer.parseInt(asked.group(1)),
-                        Long.parseLong(asked.group(2)))) : StandInEngine.say("404 Not Found", "", "");
-                one.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
-            }
-        } catch (IOException | InterruptedException e) {
-            // the manager left
-        }
+  private void serve(Socket one) {
+    try (one) {
+      DataInputStream in = new DataInputStream(one.getInputStream());
+      while (true) {
+        Matcher asked = ASKED.matcher(StandInEngine.head(in));
+        String answer =
+            asked.lookingAt()
+                ? StandInEngine.say(
+                    "200 OK",
+                    "",
+                    next(Integer.parseInt(asked.group(1)), Long.parseLong(asked.group(2))))
+                : StandInEngine.say("404 Not Found", "", "");
+        one.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+      }
+    } catch (IOException | InterruptedException e) {
+      // the manager left
     }
+  }
 
-    @Override
-    public void close() throws IOException {
-        socket.close();
-    }
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
 }
--- a/src/main/java/tansytrack/lab/StandIns.java
+++ b/src/main/java/tansytrack/lab/StandIns.java
@@ -8,29 +8,40 @@
 import tansytrack.wire.Json;
 import tansytrack.wire.Junk;
 
-/** Stand-ins for all that a configuration names, at the addresses that it gives, on loopback alone. */
+/**
+ * Stand-ins for all that a configuration names, at the addresses that it gives, on loopback alone.
+ */
 public final class StandIns {
 
-    private StandIns() { }
+  private StandIns() {}
 
-    public static void of(String file, int workMs, PrintStream out) throws IOException {
-        try {
-            Map<String, Object> all = Json.map(Json.read(TextFile.text(file).getBytes(StandardCharsets.UTF_8)), "the configuration");
-            StandInChannel channel = new StandInChannel(TextFile.loopback("channel", Json.text(all.get("channel"), "channel")));
-            for (Object event : Json.list(Json.map(all.get("known"), "known").get("cmds"), "cmds")) {
-                Map<String, Object> nodes = Json.map(Json.map(event, "an event").get("nodes"), "nodes");
-                for (Object member : Json.list(nodes.get("members"), "members")) {
-                    Map<String, Object> one = Json.map(member, "a member");
-                    StandInEngine engine = new StandInEngine(Json.text(one.get("id"), "id"),
-                            TextFile.loopback("host_port", Json.text(one.get("host_port"), "host_port")), workMs, workMs);
-                    out.println(engine.name() + " at " + engine.address());
-                }
-                // The numbers of the file's own events are taken; those who have them are told nothing more.
-                channel.tell("{\"revision\":1,\"complete\":false,\"members\":[]}");
-            }
-            out.println("command channel at " + channel.address());
-        } catch (Junk e) {
-            throw new Unusable(file + ": " + e.getMessage());
+  public static void of(String file, int workMs, PrintStream out) throws IOException {
+    try {
+      Map<String, Object> all =
+          Json.map(
+              Json.read(TextFile.text(file).getBytes(StandardCharsets.UTF_8)), "the configuration");
+      StandInChannel channel =
+          new StandInChannel(
+              TextFile.loopback("channel", Json.text(all.get("channel"), "channel")));
+      for (Object event : Json.list(Json.map(all.get("known"), "known").get("cmds"), "cmds")) {
+        Map<String, Object> nodes = Json.map(Json.map(event, "an event").get("nodes"), "nodes");
+        for (Object member : Json.list(nodes.get("members"), "members")) {
+          Map<String, Object> one = Json.map(member, "a member");
+          StandInEngine engine =
+              new StandInEngine(
+                  Json.text(one.get("id"), "id"),
+                  TextFile.loopback("host_port", Json.text(one.get("host_port"), "host_port")),
+                  workMs,
+                  workMs);
+          out.println(engine.name() + " at " + engine.address());
         }
+        // The numbers of the file's own events are taken; those who have them are told nothing
+        // more.
+        channel.tell("{\"revision\":1,\"complete\":false,\"members\":[]}");
+      }
+      out.println("command channel at " + channel.address());
+    } catch (Junk e) {
+      throw new Unusable(file + ": " + e.getMessage());
     }
+  }
 }
--- a/src/main/java/tansytrack/lab/StreamRelay.java
+++ b/src/main/java/tansytrack/lab/StreamRelay.java
@@ -13,179 +13,187 @@
 import tansytrack.lab.world.Faults;
 
 /**
- * The streams from one manager to one engine, or to the list: each connection goes on to the other side, and breaks as the schedule
- * says. What it holds now is asked for again and again, so that a trouble that begins finds streams that are open.
+ * The streams from one manager to one engine, or to the list: each connection goes on to the other
+ * side, and breaks as the schedule says. What it holds now is asked for again and again, so that a
+ * trouble that begins finds streams that are open.
  */
 final class StreamRelay implements AutoCloseable {
 
-    private static final int LOOK_MS = 5;
-    private static final int MOST = 8192;
+  private static final int LOOK_MS = 5;
+  private static final int MOST = 8192;
 
-    private final Supplier<Faults.StreamTrouble> now;
-    private final InetSocketAddress target;
-    private final InetSocketAddress at;
-    private final List<Socket> open = new ArrayList<>();
-    private ServerSocket listener;
-    private final Random chance;                // its own lock keeps threads apart
-    private volatile boolean over;
+  private final Supplier<Faults.StreamTrouble> now;
+  private final InetSocketAddress target;
+  private final InetSocketAddress at;
+  private final List<Socket> open = new ArrayList<>();
+  private ServerSocket listener;
+  private final Random chance; // its own lock keeps threads apart
+  private volatile boolean over;
 
-    StreamRelay(String host, InetSocketAddress target, Supplier<Faults.StreamTrouble> now, long seed) throws IOException {
-        chance = new Random(seed);
-        this.target = target;
-        this.now = now;
-        listener = listener(new InetSocketAddress(host, 0));
-        at = (InetSocketAddress) listener.getLocalSocketAddress();
-        StandInEngine.thread(this::watch).start();
-        accept(listener);
-    }
+  StreamRelay(String host, InetSocketAddress target, Supplier<Faults.StreamTrouble> now, long seed)
+      throws IOException {
+    chance = new Random(seed);
+    this.target = target;
+    this.now = now;
+    listener = listener(new InetSocketAddress(host, 0));
+    at = (InetSocketAddress) listener.getLocalSocketAddress();
+    StandInEngine.thread(this::watch).start();
+    accept(listener);
+  }
 
-    private static ServerSocket listener(InetSocketAddress where) throws IOException {
-        ServerSocket made = new ServerSocket();
-        made.setReuseAddress(true);
-        made.bind(where, 256);
-        return made;
-    }
+  private static ServerSocket listener(InetSocketAddress where) throws IOException {
+    ServerSocket made = new ServerSocket();
+    made.setReuseAddress(true);
+    made.bind(where, 256);
+    return made;
+  }
 
-    String address() {
-        return at.getAddress().getHostAddress() + ':' + at.getPort();
-    }
+  String address() {
+    return at.getAddress().getHostAddress() + ':' + at.getPort();
+  }
 
-    private void accept(ServerSocket from) {
-        StandInEngine.thread(() -> {
-            try {
+  private void accept(ServerSocket from) {
+    StandInEngine.thread(
+            () -> {
+              try {
                 while (true) {
-                    Socket one = from.accept();
-                    StandInEngine.thread(() -> carry(one)).start();
+                  Socket one = from.accept();
+                  StandInEngine.thread(() -> carry(one)).start();
                 }
-            } catch (IOException e) {
+              } catch (IOException e) {
                 // closed
-            }
-        }).start();
-    }
+              }
+            })
+        .start();
+  }
 
-    private boolean is(Faults.StreamKind kind) {
-        Faults.StreamTrouble holds = now.get();
-        return holds != null && holds.kind() == kind;
-    }
+  private boolean is(Faults.StreamKind kind) {
+    Faults.StreamTrouble holds = now.get();
+    return holds != null && holds.kind() == kind;
+  }
 
-    /** Closes and opens the listener, and resets what is open, as the schedule goes on. */
-    private void watch() {
-        boolean refused = false;
-        try {
-            while (!over) {
-                Thread.sleep(LOOK_MS);
-                if (is(Faults.StreamKind.RESET) || is(Faults.StreamKind.REFUSED)) {
-                    reset();
-                }
-                if (is(Faults.StreamKind.REFUSED) != refused) {
-                    refused = !refused;
-                    synchronized (this) {
-                        if (refused) {
-                            listener.close();
-                        } else if (!over) {
-                            listener = listener(at);
-                            accept(listener);
-                        }
-                    }
-                }
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } catch (IOException e) {
-            throw new IllegalStateException("a relay cannot listen again at " + at, e);
+  /** Closes and opens the listener, and resets what is open, as the schedule goes on. */
+  private void watch() {
+    boolean refused = false;
+    try {
+      while (!over) {
+        Thread.sleep(LOOK_MS);
+        if (is(Faults.StreamKind.RESET) || is(Faults.StreamKind.REFUSED)) {
+          reset();
         }
-    }
-
-    private void reset() {
-        synchronized (open) {
-            for (Socket one : open) {
-                try {
-                    one.setSoLinger(true, 0);
-                    one.close();
-                } catch (IOException e) {
-                    // it is closed
-                }
+        if (is(Faults.StreamKind.REFUSED) != refused) {
+          refused = !refused;
+          synchronized (this) {
+            if (refused) {
+              listener.close();
+            } else if (!over) {
+              listener = listener(at);
+              accept(listener);
             }
-            open.clear();
+          }
         }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (IOException e) {
+      throw new IllegalStateException("a relay cannot listen again at " + at, e);
     }
+  }
 
-    private void carry(Socket client) {
-        try (client; Socket server = new Socket()) {
-            client.setTcpNoDelay(true);
-            server.setTcpNoDelay(true);
-            server.connect(target);
-            synchronized (open) {
-                open.add(client);
-                open.add(server);
-            }
-            Thread back = StandInEngine.thread(() -> pump(server, client, false));
-            back.start();
-            pump(client, server, true);
-            back.join();
+  private void reset() {
+    synchronized (open) {
+      for (Socket one : open) {
+        try {
+          one.setSoLinger(true, 0);
+          one.close();
         } catch (IOException e) {
-            // refused beyond: the client's connection ends
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+          // it is closed
         }
+      }
+      open.clear();
     }
+  }
 
-    private void pump(Socket from, Socket to, boolean asks) {
-        byte[] bytes = new byte[MOST];
-        try {
-            InputStream in = from.getInputStream();
-            OutputStream out = to.getOutputStream();
-            for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
-                Faults.StreamTrouble holds = now.get();
-                if (holds != null && holds.kind() == Faults.StreamKind.SLOW) {
-                    Thread.sleep(holds.delay() / 1_000_000);
-                }
-                while (is(Faults.StreamKind.SILENT) && !over) {
-                    Thread.sleep(LOOK_MS);
-                }
-                if (asks && holds != null && holds.kind() == Faults.StreamKind.FLAKY && chance.nextDouble() < holds.part()) {
-                    from.setSoLinger(true, 0);
-                    from.close();
-                    if (chance.nextBoolean()) {
-                        Thread.sleep(chance.nextInt((int) (1 + holds.delay() / 1_000_000)));
-                        out.write(bytes, 0, count);
-                        Thread.sleep(LOOK_MS);
-                    }
-                    return;
-                }
-                out.write(bytes, 0, count);
-            }
-        } catch (IOException e) {
-            // one side ended
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } finally {
-            close(from);
-            close(to);
-        }
+  private void carry(Socket client) {
+    try (client;
+        Socket server = new Socket()) {
+      client.setTcpNoDelay(true);
+      server.setTcpNoDelay(true);
+      server.connect(target);
+      synchronized (open) {
+        open.add(client);
+        open.add(server);
+      }
+      Thread back = StandInEngine.thread(() -> pump(server, client, false));
+      back.start();
+      pump(client, server, true);
+      back.join();
+    } catch (IOException e) {
+      // refused beyond: the client's connection ends
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
+  }
 
-    private void close(Socket one) {
-        synchronized (open) {
-            open.remove(one);
+  private void pump(Socket from, Socket to, boolean asks) {
+    byte[] bytes = new byte[MOST];
+    try {
+      InputStream in = from.getInputStream();
+      OutputStream out = to.getOutputStream();
+      for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
+        Faults.StreamTrouble holds = now.get();
+        if (holds != null && holds.kind() == Faults.StreamKind.SLOW) {
+          Thread.sleep(holds.delay() / 1_000_000);
         }
-        try {
-            one.close();
-        } catch (IOException e) {
-            // it is closed
+        while (is(Faults.StreamKind.SILENT) && !over) {
+          Thread.sleep(LOOK_MS);
         }
+        if (asks
+            && holds != null
+            && holds.kind() == Faults.StreamKind.FLAKY
+            && chance.nextDouble() < holds.part()) {
+          from.setSoLinger(true, 0);
+          from.close();
+          if (chance.nextBoolean()) {
+            Thread.sleep(chance.nextInt((int) (1 + holds.delay() / 1_000_000)));
+            out.write(bytes, 0, count);
+            Thread.sleep(LOOK_MS);
+          }
+          return;
+        }
+        out.write(bytes, 0, count);
+      }
+    } catch (IOException e) {
+      // one side ended
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      close(from);
+      close(to);
     }
+  }
 
-    @Override
-    public void close() throws IOException {
-        over = true;
-        synchronized (this) {
-            listener.close();
-        }
-        synchronized (open) {
-            for (Socket one : open) {
-                one.close();
-            }
-        }
+  private void close(Socket one) {
+    synchronized (open) {
+      open.remove(one);
+    }
+    try {
+      one.close();
+    } catch (IOException e) {
+      // it is closed
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    over = true;
+    synchronized (this) {
+      listener.close();
+    }
+    synchronized (open) {
+      for (Socket one : open) {
+        one.close();
+      }
     }
+  }
 }
--- a/src/main/java/tansytrack/lab/load/Punctuality.java
+++ b/src/main/java/tansytrack/lab/load/Punctuality.java
@@ -3,41 +3,52 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Whether the generator itself kept its times. A run in which it did not says nothing of what it was to measure, and is void:
- * it is not smoothed, and its figures are not shown as if it were whole.
+ * Whether the generator itself kept its times. A run in which it did not says nothing of what it
+ * was to measure, and is void: it is not smoothed, and its figures are not shown as if it were
+ * whole.
  */
 public final class Punctuality {
 
-    private final long allowed;
-    private final double part;
-    private final Histogram late = new Histogram(3600 * Shape.SECOND, 3);
-    private long over;
-    private long unsent;
-
-    /** A send may be late by so much; that part of them may be later. */
-    public Punctuality(long allowed, double part) {
-        this.allowed = allowed;
-        this.part = part;
-    }
-
-    public void sent(long intended, long at) {
-        long by = Math.max(0, at - intended);
-        late.recordValue(Math.min(by, late.getHighestTrackableValue()));
-        over += by > allowed ? 1 : 0;
-    }
-
-    /** It had no means to send it, as all connections that it may hold were in use. */
-    public void unsent() {
-        unsent++;
-    }
-
-    public boolean isVoid() {
-        return unsent > 0 || late.getTotalCount() > 0 && over > part * late.getTotalCount();
-    }
-
-    public String said() {
-        return late.getTotalCount() + " sent, " + over + " later than " + allowed / 1_000_000 + " ms, 99% within "
-                + late.getValueAtPercentile(99) / 1000 + " us, most " + late.getMaxValue() / 1000 + " us, " + unsent + " not sent"
-                + (isVoid() ? ": the run is void" : "");
-    }
+  private final long allowed;
+  private final double part;
+  private final Histogram late = new Histogram(3600 * Shape.SECOND, 3);
+  private long over;
+  private long unsent;
+
+  /** A send may be late by so much; that part of them may be later. */
+  public Punctuality(long allowed, double part) {
+    this.allowed = allowed;
+    this.part = part;
+  }
+
+  public void sent(long intended, long at) {
+    long by = Math.max(0, at - intended);
+    late.recordValue(Math.min(by, late.getHighestTrackableValue()));
+    over += by > allowed ? 1 : 0;
+  }
+
+  /** It had no means to send it, as all connections that it may hold were in use. */
+  public void unsent() {
+    unsent++;
+  }
+
+  public boolean isVoid() {
+    return unsent > 0 || late.getTotalCount() > 0 && over > part * late.getTotalCount();
+  }
+
+  public String said() {
+    return late.getTotalCount()
+        + " sent, "
+        + over
+        + " later than "
+        + allowed / 1_000_000
+        + " ms, 99% within "
+        + late.getValueAtPercentile(99) / 1000
+        + " us, most "
+        + late.getMaxValue() / 1000
+        + " us, "
+        + unsent
+        + " not sent"
+        + (isVoid() ? ": the run is void" : "");
+  }
 }
--- a/src/main/java/tansytrack/lab/world/Explorer.java
+++ b/src/main/java/tansytrack/lab/world/Explorer.java
@@ -16,192 +16,224 @@
 import tansytrack.fleet.Word;
 
 /**
- * Explores three memberships exhaustively, breadth first up to a depth: letters delivered in any of two orders, lost or doubled, one
- * cut and its healing, one kill and one restart, time. From every state reached, a fair continuation (links whole, letters in order)
- * must end in agreement: who runs is held to be there in the life that runs, who does not is not. States are told apart by
+ * Explores three memberships exhaustively, breadth first up to a depth: letters delivered in any of
+ * two orders, lost or doubled, one cut and its healing, one kill and one restart, time. From every
+ * state reached, a fair continuation (links whole, letters in order) must end in agreement: who
+ * runs is held to be there in the life that runs, who does not is not. States are told apart by
  * what is held and what is on its way, not by times and numbers.
  */
 public final class Explorer {
 
-    private static final long SECOND = 1_000_000_000L;
-    private static final String[] NAMES = {"a", "b", "c"};
-    private static final int CHOICES = 9;
-
-    private final Rules rules = Rules.usual(List.of("a"));
-    private final BiFunction<String, Letter, Letter> post;      // what becomes of a letter to that member: variants break it
-
-    /** What was found: distinct states, and the choices that led to the first from which no agreement follows, or null. */
-    public record Found(int states, int depth, List<Integer> broken) { }
-
-    public Explorer(BiFunction<String, Letter, Letter> post) {
-        this.post = post;
+  private static final long SECOND = 1_000_000_000L;
+  private static final String[] NAMES = {"a", "b", "c"};
+  private static final int CHOICES = 9;
+
+  private final Rules rules = Rules.usual(List.of("a"));
+  private final BiFunction<String, Letter, Letter>
+      post; // what becomes of a letter to that member: variants break it
+
+  /**
+   * What was found: distinct states, and the choices that led to the first from which no agreement
+   * follows, or null.
+   */
+  public record Found(int states, int depth, List<Integer> broken) {}
+
+  public Explorer(BiFunction<String, Letter, Letter> post) {
+    this.post = post;
+  }
+
+  private record Pending(String from, String to, Letter letter) {}
+
+  /** One play of a row of choices. */
+  private final class Play {
+    final TreeMap<String, Fleet> running = new TreeMap<>();
+    final List<Pending> pending = new ArrayList<>();
+    long now;
+    long lives;
+    boolean cut;
+    boolean healed;
+    boolean killed;
+    boolean restarted;
+
+    Play() {
+      for (String name : NAMES) {
+        start(name);
+      }
+      fair(30 * SECOND);
+      pending.clear();
     }
 
-    private record Pending(String from, String to, Letter letter) { }
-
-    /** One play of a row of choices. */
-    private final class Play {
-        final TreeMap<String, Fleet> running = new TreeMap<>();
-        final List<Pending> pending = new ArrayList<>();
-        long now;
-        long lives;
-        boolean cut;
-        boolean healed;
-        boolean killed;
-        boolean restarted;
-
-        Play() {
-            for (String name : NAMES) {
-                start(name);
-            }
-            fair(30 * SECOND);
-            pending.clear();
-        }
-
-        void start(String name) {
-            lives++;
-            running.put(name, new Fleet(rules, Word.first(name, name, "p", lives, "1", "s"), lives, now));
-        }
-
-        void act(String from, List<Action> actions) {
-            for (Action action : actions) {
-                if (action instanceof Action.Send send) {
-                    boolean lost = cut && !healed && (from + send.address()).matches("ab|ba");
-                    if (!lost) {
-                        pending.add(new Pending(from, send.address(), post.apply(send.address(), send.letter())));
-                    }
-                }
-            }
-        }
-
-        void deliver(Pending one) {
-            Fleet to = running.get(one.to);
-            if (to != null) {
-                act(one.to, to.heard(now, one.from, one.letter));
-            }
-        }
+    void start(String name) {
+      lives++;
+      running.put(name, new Fleet(rules, Word.first(name, name, "p", lives, "1", "s"), lives, now));
+    }
 
-        boolean pass() {
-            String first = running.entrySet().stream().min((x, y) -> Long.compare(x.getValue().due(), y.getValue().due()))
-                    .orElseThrow().getKey();
-            now = Math.max(now, running.get(first).due());
-            act(first, running.get(first).tick(now));
-            return true;
+    void act(String from, List<Action> actions) {
+      for (Action action : actions) {
+        if (action instanceof Action.Send send) {
+          boolean lost = cut && !healed && (from + send.address()).matches("ab|ba");
+          if (!lost) {
+            pending.add(
+                new Pending(from, send.address(), post.apply(send.address(), send.letter())));
+          }
         }
+      }
+    }
 
-        /** Whether the choice can be made now; then it is. */
-        boolean choose(int choice) {
-            boolean any = !pending.isEmpty();
-            switch (choice) {
-                case 0:
-                    return pass();
-                case 1:
-                    return any && done(pending.remove(0));
-                case 2:
-                    return pending.size() > 1 && done(pending.remove(pending.size() - 1));
-                case 3:
-                    return any && pending.remove(0) != null;
-                case 4:
-                    return any && done(pending.get(0));
-                case 5:
-                    if (!cut) {
-                        return cut = true;
-                    }
-                    return false;
-                case 6:
-                    return cut && !healed && (healed = true);
-                case 7:
-                    if (!killed) {
-                        running.remove("c");
-                        return killed = true;
-                    }
-                    return false;
-                default:
-                    if (killed && !restarted) {
-                        start("c");
-                        return restarted = true;
-                    }
-                    return false;
-            }
-        }
+    void deliver(Pending one) {
+      Fleet to = running.get(one.to);
+      if (to != null) {
+        act(one.to, to.heard(now, one.from, one.letter));
+      }
+    }
 
-        private boolean done(Pending one) {
-            deliver(one);
-            return true;
-        }
+    boolean pass() {
+      String first =
+          running.entrySet().stream()
+              .min((x, y) -> Long.compare(x.getValue().due(), y.getValue().due()))
+              .orElseThrow()
+              .getKey();
+      now = Math.max(now, running.get(first).due());
+      act(first, running.get(first).tick(now));
+      return true;
+    }
 
-        void fair(long length) {
-            healed = true;
-            long until = now + length;
-            while (now < until && !(now > until - length + 5 * SECOND && pending.isEmpty() && agreed())) {
-                while (!pending.isEmpty()) {
-                    deliver(pending.remove(0));
-                }
-                pass();
-            }
-            healed = false;
-        }
+    /** Whether the choice can be made now; then it is. */
+    boolean choose(int choice) {
+      boolean any = !pending.isEmpty();
+      switch (choice) {
+        case 0:
+          return pass();
+        case 1:
+          return any && done(pending.remove(0));
+        case 2:
+          return pending.size() > 1 && done(pending.remove(pending.size() - 1));
+        case 3:
+          return any && pending.remove(0) != null;
+        case 4:
+          return any && done(pending.get(0));
+        case 5:
+          if (!cut) {
+            return cut = true;
+          }
+          return false;
+        case 6:
+          return cut && !healed && (healed = true);
+        case 7:
+          if (!killed) {
+            running.remove("c");
+            return killed = true;
+          }
+          return false;
+        default:
+          if (killed && !restarted) {
+            start("c");
+            return restarted = true;
+          }
+          return false;
+      }
+    }
 
-        boolean agreed() {
-            for (Fleet one : running.values()) {
-                for (String name : NAMES) {
-                    Fleet other = running.get(name);
-                    boolean there = one == other || one.others().stream().anyMatch(word -> word.name().equals(name)
-                            && word.standing().there() && (other == null || word.life() == other.self().life()));
-                    if (there != (other != null)) {
-                        return false;
-                    }
-                }
-            }
-            return true;
-        }
+    private boolean done(Pending one) {
+      deliver(one);
+      return true;
+    }
 
-        String print() {
-            StringJoiner all = new StringJoiner(";");
-            all.add(cut + "," + healed + ',' + killed + ',' + restarted);
-            running.forEach((name, fleet) -> all.add(name + word(fleet.self()) + fleet.others().stream().map(Play.this::word).toList()));
-            pending.forEach(one -> all.add(one.from + '>' + one.to + one.letter.kind() + word(one.letter.from()) + one.letter.about()
-                    + one.letter.words().stream().map(this::word).toList()));
-            return all.toString();
+    void fair(long length) {
+      healed = true;
+      long until = now + length;
+      while (now < until && !(now > until - length + 5 * SECOND && pending.isEmpty() && agreed())) {
+        while (!pending.isEmpty()) {
+          deliver(pending.remove(0));
         }
+        pass();
+      }
+      healed = false;
+    }
 
-        private String word(Word word) {
-            return word.name() + word.life() + '.' + word.incarnation() + word.standing().name().charAt(0)
-                    + (word.standing() == Standing.SUSPECT ? word.by() : "");
+    boolean agreed() {
+      for (Fleet one : running.values()) {
+        for (String name : NAMES) {
+          Fleet other = running.get(name);
+          boolean there =
+              one == other
+                  || one.others().stream()
+                      .anyMatch(
+                          word ->
+                              word.name().equals(name)
+                                  && word.standing().there()
+                                  && (other == null || word.life() == other.self().life()));
+          if (there != (other != null)) {
+            return false;
+          }
         }
+      }
+      return true;
     }
 
-    private Play play(List<Integer> choices) {
-        Play play = new Play();
-        choices.forEach(play::choose);
-        return play;
+    String print() {
+      StringJoiner all = new StringJoiner(";");
+      all.add(cut + "," + healed + ',' + killed + ',' + restarted);
+      running.forEach(
+          (name, fleet) ->
+              all.add(
+                  name
+                      + word(fleet.self())
+                      + fleet.others().stream().map(Play.this::word).toList()));
+      pending.forEach(
+          one ->
+              all.add(
+                  one.from
+                      + '>'
+                      + one.to
+                      + one.letter.kind()
+                      + word(one.letter.from())
+                      + one.letter.about()
+                      + one.letter.words().stream().map(this::word).toList()));
+      return all.toString();
     }
 
-    /** Explores up to so many choices in a row, and so many states. */
-    public Found explore(int depth, int most) {
-        Set<String> seen = new HashSet<>();
-        ArrayDeque<List<Integer>> next = new ArrayDeque<>(List.of(List.of()));
-        int deepest = 0;
-        while (!next.isEmpty() && seen.size() < most) {
-            List<Integer> path = next.poll();
-            Play here = play(path);
-            if (!seen.add(here.print())) {
-                continue;
-            }
-            deepest = path.size();
-            here.fair(120 * SECOND);
-            if (!here.agreed()) {
-                return new Found(seen.size(), deepest, path);
-            }
-            for (int choice = 0; path.size() < depth && choice < CHOICES; choice++) {
-                Play after = play(path);
-                if (after.choose(choice) && !seen.contains(after.print())) {
-                    List<Integer> longer = new ArrayList<>(path);
-                    longer.add(choice);
-                    next.add(longer);
-                }
-            }
+    private String word(Word word) {
+      return word.name()
+          + word.life()
+          + '.'
+          + word.incarnation()
+          + word.standing().name().charAt(0)
+          + (word.standing() == Standing.SUSPECT ? word.by() : "");
+    }
+  }
+
+  private Play play(List<Integer> choices) {
+    Play play = new Play();
+    choices.forEach(play::choose);
+    return play;
+  }
+
+  /** Explores up to so many choices in a row, and so many states. */
+  public Found explore(int depth, int most) {
+    Set<String> seen = new HashSet<>();
+    ArrayDeque<List<Integer>> next = new ArrayDeque<>(List.of(List.of()));
+    int deepest = 0;
+    while (!next.isEmpty() && seen.size() < most) {
+      List<Integer> path = next.poll();
+      Play here = play(path);
+      if (!seen.add(here.print())) {
+        continue;
+      }
+      deepest = path.size();
+      here.fair(120 * SECOND);
+      if (!here.agreed()) {
+        return new Found(seen.size(), deepest, path);
+      }
+      for (int choice = 0; path.size() < depth && choice < CHOICES; choice++) {
+        Play after = play(path);
+        if (after.choose(choice) && !seen.contains(after.print())) {
+          List<Integer> longer = new ArrayList<>(path);
+          longer.add(choice);
+          next.add(longer);
         }
-        return new Found(seen.size(), deepest, null);
+      }
     }
+    return new Found(seen.size(), deepest, null);
+  }
 }
--- a/src/main/java/tansytrack/lab/world/Weather.java
+++ b/src/main/java/tansytrack/lab/world/Weather.java
@@ -1,8 +1,8 @@
 package tansytrack.lab.world;
 
 /**
- * What links do to letters at one time. Loss comes in bursts where {@code burst} is over 1: a link is then good or bad, and
- * loses all while bad; {@code loss} is the long run's share in any case.
+ * What links do to letters at one time. Loss comes in bursts where {@code burst} is over 1: a link
+ * is then good or bad, and loses all while bad; {@code loss} is the long run's share in any case.
  *
  * @param loss share of letters lost, 0 to 1
  * @param burst mean length of a bad stretch, in letters
@@ -12,9 +12,9 @@
  */
 public record Weather(double loss, double burst, double doubled, long least, long spread) {
 
-    public static final Weather FINE = new Weather(0, 1, 0, 500_000L, 500_000L);
+  public static final Weather FINE = new Weather(0, 1, 0, 500_000L, 500_000L);
 
-    public Weather losing(double share) {
-        return new Weather(share, burst, doubled, least, spread);
-    }
+  public Weather losing(double share) {
+    return new Weather(share, burst, doubled, least, spread);
+  }
 }
--- a/src/main/java/tansytrack/ledger/Corrections.java
+++ b/src/main/java/tansytrack/ledger/Corrections.java
@@ -7,48 +7,62 @@
 /** Judges a correction before it is written: what it corrects must be there, and still stand. */
 public final class Corrections {
 
-    private Corrections() { }
+  private Corrections() {}
 
-    /** Why it cannot be taken, or null. The entries are asked by epoch and number; amendments are all that there are. */
-    public static String refused(Amendment wanted, List<Amendment> all, BiPredicate<Long, Long> entries) {
-        if (wanted.author().isBlank()) {
-            return "--author is empty; allowed: who corrects";
-        }
-        if (wanted.reason().isBlank()) {
-            return "--reason is empty; allowed: why it is corrected";
-        }
-        if (!wanted.withdraws() && wanted.amount().compareTo(BigDecimal.ZERO) == 0) {
-            return "--amount is 0; allowed: a decimal other than 0, as in -1.25";
-        }
-        String what = wanted.corrects();
-        if (what.isEmpty()) {
-            return wanted.withdraws() ? "nothing named to withdraw; allowed: --corrects a:NUMBER" : null;
-        }
-        String[] parts = what.split(":", -1);
-        try {
-            if (parts.length == 3 && parts[0].equals("e") && !wanted.withdraws()) {
-                return entries.test(Long.parseLong(parts[1]), Long.parseLong(parts[2])) ? null
-                        : "--corrects " + what + ": no such entry";
-            }
-            if (parts.length == 2 && parts[0].equals("a")) {
-                return amendment(wanted, all, Long.parseLong(parts[1]));
-            }
-        } catch (NumberFormatException e) {
-            // said below
-        }
-        return "--corrects '" + what + "' names nothing; allowed: e:EPOCH:NUMBER for an entry, a:NUMBER for an amendment"
-                + (wanted.withdraws() ? " (only an amendment can be withdrawn)" : "");
+  /**
+   * Why it cannot be taken, or null. The entries are asked by epoch and number; amendments are all
+   * that there are.
+   */
+  public static String refused(
+      Amendment wanted, List<Amendment> all, BiPredicate<Long, Long> entries) {
+    if (wanted.author().isBlank()) {
+      return "--author is empty; allowed: who corrects";
+    }
+    if (wanted.reason().isBlank()) {
+      return "--reason is empty; allowed: why it is corrected";
+    }
+    if (!wanted.withdraws() && wanted.amount().compareTo(BigDecimal.ZERO) == 0) {
+      return "--amount is 0; allowed: a decimal other than 0, as in -1.25";
+    }
+    String what = wanted.corrects();
+    if (what.isEmpty()) {
+      return wanted.withdraws() ? "nothing named to withdraw; allowed: --corrects a:NUMBER" : null;
+    }
+    String[] parts = what.split(":", -1);
+    try {
+      if (parts.length == 3 && parts[0].equals("e") && !wanted.withdraws()) {
+        return entries.test(Long.parseLong(parts[1]), Long.parseLong(parts[2]))
+            ? null
+            : "--corrects " + what + ": no such entry";
+      }
+      if (parts.length == 2 && parts[0].equals("a")) {
+        return amendment(wanted, all, Long.parseLong(parts[1]));
+      }
+    } catch (NumberFormatException e) {
+      // said below
     }
+    return "--corrects '"
+        + what
+        + "' names nothing; allowed: e:EPOCH:NUMBER for an entry, a:NUMBER for an amendment"
+        + (wanted.withdraws() ? " (only an amendment can be withdrawn)" : "");
+  }
 
-    private static String amendment(Amendment wanted, List<Amendment> all, long number) {
-        for (Amendment one : all) {
-            if (one.number() == number) {
-                if (!one.period().equals(wanted.period()) || !one.tenant().equals(wanted.tenant())) {
-                    return "amendment " + number + " is of period " + one.period() + ", tenant " + one.tenant();
-                }
-                return Bill.standing(all).contains(number) ? null : "amendment " + number + " was withdrawn already";
-            }
+  private static String amendment(Amendment wanted, List<Amendment> all, long number) {
+    for (Amendment one : all) {
+      if (one.number() == number) {
+        if (!one.period().equals(wanted.period()) || !one.tenant().equals(wanted.tenant())) {
+          return "amendment "
+              + number
+              + " is of period "
+              + one.period()
+              + ", tenant "
+              + one.tenant();
         }
-        return "--corrects a:" + number + ": no such amendment";
+        return Bill.standing(all).contains(number)
+            ? null
+            : "amendment " + number + " was withdrawn already";
+      }
     }
+    return "--corrects a:" + number + ": no such amendment";
+  }
 }
--- a/src/main/java/tansytrack/ledger/End.java
+++ b/src/main/java/tansytrack/ledger/End.java
@@ -1,4 +1,14 @@
 package tansytrack.ledger;
 
-/** How a task ended, as far as its client is concerned; unresolved: its manager died, and nothing told the end. */
-public enum End { HANDLED, BOUNCED, ABORTED, ABANDONED, TIME_UP, UNRESOLVED }
+/**
+ * How a task ended, as far as its client is concerned; unresolved: its manager died, and nothing
+ * told the end.
+ */
+public enum End {
+  HANDLED,
+  BOUNCED,
+  ABORTED,
+  ABANDONED,
+  TIME_UP,
+  UNRESOLVED
+}
--- a/src/main/java/tansytrack/ledger/ExportSteps.java
+++ b/src/main/java/tansytrack/ledger/ExportSteps.java
@@ -1,33 +1,48 @@
 package tansytrack.ledger;
 
 /**
- * The steps of an export, from what is found: a crash between any two is followed by the same question, so nothing is
- * skipped and nothing numbered twice. A sealed batch is fixed in the store, by its range of positions and the hash of its
- * bytes; until it is marked as placed nobody was told of its file, so a file that is not the sealed bytes is written anew.
+ * The steps of an export, from what is found: a crash between any two is followed by the same
+ * question, so nothing is skipped and nothing numbered twice. A sealed batch is fixed in the store,
+ * by its range of positions and the hash of its bytes; until it is marked as placed nobody was told
+ * of its file, so a file that is not the sealed bytes is written anew.
  */
 public final class ExportSteps {
 
-    public enum Step { SEAL, WRITE, SYNC, RENAME, SYNC_FOLDER, MARK, DONE }
+  public enum Step {
+    SEAL,
+    WRITE,
+    SYNC,
+    RENAME,
+    SYNC_FOLDER,
+    MARK,
+    DONE
+  }
 
-    /**
-     * What there is: lines behind the last batch; the hash of a batch that is sealed and not yet marked (null: none); the
-     * hash of its temporary file and of its file in place (null: no file); and what was synced since the start.
-     */
-    public record Found(boolean linesLeft, String sealed, String temporary, boolean synced, String placed,
-            boolean folderSynced) { }
+  /**
+   * What there is: lines behind the last batch; the hash of a batch that is sealed and not yet
+   * marked (null: none); the hash of its temporary file and of its file in place (null: no file);
+   * and what was synced since the start.
+   */
+  public record Found(
+      boolean linesLeft,
+      String sealed,
+      String temporary,
+      boolean synced,
+      String placed,
+      boolean folderSynced) {}
 
-    private ExportSteps() { }
+  private ExportSteps() {}
 
-    public static Step next(Found found) {
-        if (found.sealed == null) {
-            return found.linesLeft ? Step.SEAL : Step.DONE;
-        }
-        if (found.sealed.equals(found.placed)) {
-            return found.folderSynced ? Step.MARK : Step.SYNC_FOLDER;
-        }
-        if (!found.sealed.equals(found.temporary)) {
-            return Step.WRITE;
-        }
-        return found.synced ? Step.RENAME : Step.SYNC;
+  public static Step next(Found found) {
+    if (found.sealed == null) {
+      return found.linesLeft ? Step.SEAL : Step.DONE;
     }
+    if (found.sealed.equals(found.placed)) {
+      return found.folderSynced ? Step.MARK : Step.SYNC_FOLDER;
+    }
+    if (!found.sealed.equals(found.temporary)) {
+      return Step.WRITE;
+    }
+    return found.synced ? Step.RENAME : Step.SYNC;
+  }
 }
--- a/src/main/java/tansytrack/ledger/Line.java
+++ b/src/main/java/tansytrack/ledger/Line.java
@@ -1,50 +1,64 @@
 package tansytrack.ledger;
 
-/** What goes from the loop to the disk, in order. Each says whether the task's entry is complete with it. */
+/**
+ * What goes from the loop to the disk, in order. Each says whether the task's entry is complete
+ * with it.
+ */
 public sealed interface Line {
 
-    long sequence();
+  long sequence();
 
-    boolean complete();
+  boolean complete();
 
-    /** A forward is about to go out. */
-    record Sent(long sequence, String task, String tenant, String grade, long takenAt, Use use) implements Line {
-        @Override
-        public boolean complete() {
-            return false;
-        }
+  /** A forward is about to go out. */
+  record Sent(long sequence, String task, String tenant, String grade, long takenAt, Use use)
+      implements Line {
+    @Override
+    public boolean complete() {
+      return false;
     }
+  }
 
-    /** A forward ended. */
-    record Ended(long sequence, Use use, boolean complete) implements Line { }
+  /** A forward ended. */
+  record Ended(long sequence, Use use, boolean complete) implements Line {}
 
-    /** The task is owed no answer any more. */
-    record Answered(long sequence, String task, String tenant, String grade, long takenAt, long endedAt, End end,
-            long bytes, long earningsMilli, boolean complete) implements Line { }
+  /** The task is owed no answer any more. */
+  record Answered(
+      long sequence,
+      String task,
+      String tenant,
+      String grade,
+      long takenAt,
+      long endedAt,
+      End end,
+      long bytes,
+      long earningsMilli,
+      boolean complete)
+      implements Line {}
 
-    /** What an engine said, after a start, of a forward that the life before left out. */
-    record Told(Reconciliation.Run run) implements Line {
-        @Override
-        public long sequence() {
-            return 0;
-        }
+  /** What an engine said, after a start, of a forward that the life before left out. */
+  record Told(Reconciliation.Run run) implements Line {
+    @Override
+    public long sequence() {
+      return 0;
+    }
+
+    @Override
+    public boolean complete() {
+      return false;
+    }
+  }
 
-        @Override
-        public boolean complete() {
-            return false;
-        }
+  /** What was not kept before this line. */
+  record Missing(Gap gap) implements Line {
+    @Override
+    public long sequence() {
+      return gap.lastSequence();
     }
 
-    /** What was not kept before this line. */
-    record Missing(Gap gap) implements Line {
-        @Override
-        public long sequence() {
-            return gap.lastSequence();
-        }
-
-        @Override
-        public boolean complete() {
-            return false;
-        }
+    @Override
+    public boolean complete() {
+      return false;
     }
+  }
 }
--- a/src/main/java/tansytrack/ledger/Merged.java
+++ b/src/main/java/tansytrack/ledger/Merged.java
@@ -9,115 +9,133 @@
 import java.util.TreeMap;
 
 /**
- * Several managers' ledgers as one: the union of what each says, so that order, repetition and overlap make no difference.
- * Where two say different things of one task both are kept, and it is a contradiction.
+ * Several managers' ledgers as one: the union of what each says, so that order, repetition and
+ * overlap make no difference. Where two say different things of one task both are kept, and it is a
+ * contradiction.
  */
 public final class Merged {
 
-    /** One task among all managers. */
-    public record Key(String manager, long epoch, long sequence) implements Comparable<Key> {
-        private static final Comparator<Key> ORDER = Comparator.comparing(Key::manager).thenComparingLong(Key::epoch)
-                .thenComparingLong(Key::sequence);
+  /** One task among all managers. */
+  public record Key(String manager, long epoch, long sequence) implements Comparable<Key> {
+    private static final Comparator<Key> ORDER =
+        Comparator.comparing(Key::manager)
+            .thenComparingLong(Key::epoch)
+            .thenComparingLong(Key::sequence);
 
-        @Override
-        public int compareTo(Key other) {
-            return ORDER.compare(this, other);
-        }
-
-        @Override
-        public String toString() {
-            return manager + ' ' + epoch + ':' + sequence;
-        }
-    }
-
-    /** Numbers of one epoch that nothing accounts for, from first to last. */
-    public record Hole(String manager, long epoch, long first, long last) { }
-
-    private record Epoch(String manager, long epoch) { }
-
-    private final TreeMap<Key, Set<Entry>> entries = new TreeMap<>();
-    private final TreeMap<Key, Set<Gap>> gaps = new TreeMap<>();
-
-    public void add(String manager, Entry entry) {
-        entries.computeIfAbsent(new Key(manager, entry.epoch(), entry.sequence()), key -> new HashSet<>(2)).add(entry);
-    }
-
-    public void add(String manager, Gap gap) {
-        gaps.computeIfAbsent(new Key(manager, gap.epoch(), gap.number()), key -> new HashSet<>(2)).add(gap);
-    }
-
-    /** Takes in all that the other holds. */
-    public void add(Merged other) {
-        other.entries.forEach((key, said) -> entries.computeIfAbsent(key, one -> new HashSet<>(2)).addAll(said));
-        other.gaps.forEach((key, said) -> gaps.computeIfAbsent(key, one -> new HashSet<>(2)).addAll(said));
-    }
-
-    public Map<Key, Set<Entry>> entries() {
-        return entries;
+    @Override
+    public int compareTo(Key other) {
+      return ORDER.compare(this, other);
     }
 
-    public List<Gap> gaps() {
-        return gaps.values().stream().flatMap(Set::stream).toList();
+    @Override
+    public String toString() {
+      return manager + ' ' + epoch + ':' + sequence;
     }
-
-    /** Tasks, and gaps, of which different things are said. */
-    public List<Key> contradictions() {
-        List<Key> against = new ArrayList<>();
-        entries.forEach((key, said) -> {
-            if (said.size() > 1) {
-                against.add(key);
-            }
+  }
+
+  /** Numbers of one epoch that nothing accounts for, from first to last. */
+  public record Hole(String manager, long epoch, long first, long last) {}
+
+  private record Epoch(String manager, long epoch) {}
+
+  private final TreeMap<Key, Set<Entry>> entries = new TreeMap<>();
+  private final TreeMap<Key, Set<Gap>> gaps = new TreeMap<>();
+
+  public void add(String manager, Entry entry) {
+    entries
+        .computeIfAbsent(new Key(manager, entry.epoch(), entry.sequence()), key -> new HashSet<>(2))
+        .add(entry);
+  }
+
+  public void add(String manager, Gap gap) {
+    gaps.computeIfAbsent(new Key(manager, gap.epoch(), gap.number()), key -> new HashSet<>(2))
+        .add(gap);
+  }
+
+  /** Takes in all that the other holds. */
+  public void add(Merged other) {
+    other.entries.forEach(
+        (key, said) -> entries.computeIfAbsent(key, one -> new HashSet<>(2)).addAll(said));
+    other.gaps.forEach(
+        (key, said) -> gaps.computeIfAbsent(key, one -> new HashSet<>(2)).addAll(said));
+  }
+
+  public Map<Key, Set<Entry>> entries() {
+    return entries;
+  }
+
+  public List<Gap> gaps() {
+    return gaps.values().stream().flatMap(Set::stream).toList();
+  }
+
+  /** Tasks, and gaps, of which different things are said. */
+  public List<Key> contradictions() {
+    List<Key> against = new ArrayList<>();
+    entries.forEach(
+        (key, said) -> {
+          if (said.size() > 1) {
+            against.add(key);
+          }
         });
-        gaps.forEach((key, said) -> {
-            if (said.size() > 1) {
-                against.add(key);
-            }
+    gaps.forEach(
+        (key, said) -> {
+          if (said.size() > 1) {
+            against.add(key);
+          }
         });
-        return against;
-    }
-
-    /** Numbers missing below the last one of their epoch, where no gap accounts for them. */
-    public List<Hole> holes() {
-        Map<Epoch, List<Gap>> known = new java.util.HashMap<>();
-        gaps.forEach((key, said) -> known.computeIfAbsent(new Epoch(key.manager, key.epoch), one -> new ArrayList<>())
+    return against;
+  }
+
+  /** Numbers missing below the last one of their epoch, where no gap accounts for them. */
+  public List<Hole> holes() {
+    Map<Epoch, List<Gap>> known = new java.util.HashMap<>();
+    gaps.forEach(
+        (key, said) ->
+            known
+                .computeIfAbsent(new Epoch(key.manager, key.epoch), one -> new ArrayList<>())
                 .addAll(said));
-        List<Hole> holes = new ArrayList<>();
-        Key last = null;
-        for (Key key : entries.keySet()) {
-            boolean same = last != null && last.manager.equals(key.manager) && last.epoch == key.epoch;
-            unaccounted(key, same ? last.sequence + 1 : 1, known.getOrDefault(new Epoch(key.manager, key.epoch),
-                    List.of()), holes);
-            last = key;
-        }
-        return holes;
-    }
-
-    private static void unaccounted(Key until, long from, List<Gap> gaps, List<Hole> holes) {
-        long first = 0;
-        for (long number = from; number <= until.sequence; number++) {
-            long at = number;
-            boolean missing = number < until.sequence && gaps.stream().noneMatch(gap -> gap.covers(at));
-            if (missing && first == 0) {
-                first = number;
-            } else if (!missing && first > 0) {
-                holes.add(new Hole(until.manager, until.epoch, first, number - 1));
-                first = 0;
-            }
-        }
-    }
-
-    @Override
-    public boolean equals(Object other) {
-        return other instanceof Merged && ((Merged) other).entries.equals(entries) && ((Merged) other).gaps.equals(gaps);
-    }
-
-    @Override
-    public int hashCode() {
-        return entries.hashCode() * 31 + gaps.hashCode();
+    List<Hole> holes = new ArrayList<>();
+    Key last = null;
+    for (Key key : entries.keySet()) {
+      boolean same = last != null && last.manager.equals(key.manager) && last.epoch == key.epoch;
+      unaccounted(
+          key,
+          same ? last.sequence + 1 : 1,
+          known.getOrDefault(new Epoch(key.manager, key.epoch), List.of()),
+          holes);
+      last = key;
     }
-
-    @Override
-    public String toString() {
-        return entries + " " + gaps;
+    return holes;
+  }
+
+  private static void unaccounted(Key until, long from, List<Gap> gaps, List<Hole> holes) {
+    long first = 0;
+    for (long number = from; number <= until.sequence; number++) {
+      long at = number;
+      boolean missing = number < until.sequence && gaps.stream().noneMatch(gap -> gap.covers(at));
+      if (missing && first == 0) {
+        first = number;
+      } else if (!missing && first > 0) {
+        holes.add(new Hole(until.manager, until.epoch, first, number - 1));
+        first = 0;
+      }
     }
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Merged
+        && ((Merged) other).entries.equals(entries)
+        && ((Merged) other).gaps.equals(gaps);
+  }
+
+  @Override
+  public int hashCode() {
+    return entries.hashCode() * 31 + gaps.hashCode();
+  }
+
+  @Override
+  public String toString() {
+    return entries + " " + gaps;
+  }
 }
--- a/src/main/java/tansytrack/ledger/Periods.java
+++ b/src/main/java/tansytrack/ledger/Periods.java
@@ -10,85 +10,100 @@
 import java.time.temporal.TemporalAdjusters;
 
 /**
- * Billing periods in a time zone: 2026-12, 2026-W49 or 2026-12-01. Each reaches from midnight to midnight of that zone (or
- * the day's first moment, where summer time leaves midnight out), so a period is as long as its days there.
+ * Billing periods in a time zone: 2026-12, 2026-W49 or 2026-12-01. Each reaches from midnight to
+ * midnight of that zone (or the day's first moment, where summer time leaves midnight out), so a
+ * period is as long as its days there.
  */
 public record Periods(Length length, ZoneId zone) {
 
-    private static final long SECOND = 1_000_000_000L;
+  private static final long SECOND = 1_000_000_000L;
 
-    public enum Length { MONTH, WEEK, DAY }
+  public enum Length {
+    MONTH,
+    WEEK,
+    DAY
+  }
 
-    /** The period that a moment falls in; nanoseconds of the Unix clock. */
-    public String of(long at) {
-        LocalDate day = Instant.ofEpochSecond(Math.floorDiv(at, SECOND), Math.floorMod(at, SECOND)).atZone(zone)
-                .toLocalDate();
-        return switch (length) {
-            case MONTH -> YearMonth.from(day).toString();
-            case WEEK -> String.format("%04d-W%02d", day.get(IsoFields.WEEK_BASED_YEAR),
-                    day.get(IsoFields.WEEK_OF_WEEK_BASED_YEAR));
-            case DAY -> day.toString();
-        };
-    }
+  /** The period that a moment falls in; nanoseconds of the Unix clock. */
+  public String of(long at) {
+    LocalDate day =
+        Instant.ofEpochSecond(Math.floorDiv(at, SECOND), Math.floorMod(at, SECOND))
+            .atZone(zone)
+            .toLocalDate();
+    return switch (length) {
+      case MONTH -> YearMonth.from(day).toString();
+      case WEEK ->
+          String.format(
+              "%04d-W%02d",
+              day.get(IsoFields.WEEK_BASED_YEAR), day.get(IsoFields.WEEK_OF_WEEK_BASED_YEAR));
+      case DAY -> day.toString();
+    };
+  }
 
-    /** Its first day, or a BadPeriod that says what a period looks like. */
-    public LocalDate first(String period) {
-        try {
-            LocalDate day = switch (length) {
-                case MONTH -> YearMonth.parse(period).atDay(1);
-                case WEEK -> week(period);
-                case DAY -> LocalDate.parse(period);
-            };
-            if (of(start(day)).equals(period)) {
-                return day;
-            }
-        } catch (DateTimeParseException | NumberFormatException | IndexOutOfBoundsException e) {
-            // said below
-        }
-        throw new BadPeriod("period '" + period + "' is none; allowed: " + switch (length) {
-            case MONTH -> "a month, as in 2026-12";
-            case WEEK -> "a week, as in 2026-W49";
-            case DAY -> "a day, as in 2026-12-01";
-        });
+  /** Its first day, or a BadPeriod that says what a period looks like. */
+  public LocalDate first(String period) {
+    try {
+      LocalDate day =
+          switch (length) {
+            case MONTH -> YearMonth.parse(period).atDay(1);
+            case WEEK -> week(period);
+            case DAY -> LocalDate.parse(period);
+          };
+      if (of(start(day)).equals(period)) {
+        return day;
+      }
+    } catch (DateTimeParseException | NumberFormatException | IndexOutOfBoundsException e) {
+      // said below
     }
+    throw new BadPeriod(
+        "period '"
+            + period
+            + "' is none; allowed: "
+            + switch (length) {
+              case MONTH -> "a month, as in 2026-12";
+              case WEEK -> "a week, as in 2026-W49";
+              case DAY -> "a day, as in 2026-12-01";
+            });
+  }
 
-    private static LocalDate week(String period) {
-        if (period.length() != 8 || period.indexOf("-W") != 4) {
-            throw new NumberFormatException(period);
-        }
-        return LocalDate.of(Integer.parseInt(period.substring(0, 4)), 1, 4)
-                .with(TemporalAdjusters.previousOrSame(DayOfWeek.MONDAY))
-                .plusWeeks(Integer.parseInt(period.substring(6)) - 1);
+  private static LocalDate week(String period) {
+    if (period.length() != 8 || period.indexOf("-W") != 4) {
+      throw new NumberFormatException(period);
     }
+    return LocalDate.of(Integer.parseInt(period.substring(0, 4)), 1, 4)
+        .with(TemporalAdjusters.previousOrSame(DayOfWeek.MONDAY))
+        .plusWeeks(Integer.parseInt(period.substring(6)) - 1);
+  }
 
-    private long start(LocalDate day) {
-        return day.atStartOfDay(zone).toEpochSecond() * SECOND;
-    }
+  private long start(LocalDate day) {
+    return day.atStartOfDay(zone).toEpochSecond() * SECOND;
+  }
 
-    public long start(String period) {
-        return start(first(period));
-    }
+  public long start(String period) {
+    return start(first(period));
+  }
 
-    /** The moment at which it is over. */
-    public long end(String period) {
-        LocalDate day = first(period);
-        return start(switch (length) {
-            case MONTH -> day.plusMonths(1);
-            case WEEK -> day.plusWeeks(1);
-            case DAY -> day.plusDays(1);
+  /** The moment at which it is over. */
+  public long end(String period) {
+    LocalDate day = first(period);
+    return start(
+        switch (length) {
+          case MONTH -> day.plusMonths(1);
+          case WEEK -> day.plusWeeks(1);
+          case DAY -> day.plusDays(1);
         });
-    }
+  }
 
-    public LocalDate day(long at) {
-        return Instant.ofEpochSecond(Math.floorDiv(at, SECOND)).atZone(zone).toLocalDate();
-    }
+  public LocalDate day(long at) {
+    return Instant.ofEpochSecond(Math.floorDiv(at, SECOND)).atZone(zone).toLocalDate();
+  }
 
-    /** A text that names no period. */
-    public static final class BadPeriod extends IllegalArgumentException {
-        private static final long serialVersionUID = 1L;
+  /** A text that names no period. */
+  public static final class BadPeriod extends IllegalArgumentException {
+    private static final long serialVersionUID = 1L;
 
-        BadPeriod(String what) {
-            super(what);
-        }
+    BadPeriod(String what) {
+      super(what);
     }
+  }
 }
--- a/src/main/java/tansytrack/ledger/Reconciliation.java
+++ b/src/main/java/tansytrack/ledger/Reconciliation.java
@@ -2,112 +2,149 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
- * A ledger against what the engines say that they ran. Each forward in the ledger and each run in a statement are matched by
- * engine and task; what stands on one side only is named with its likely cause. Some of that is no fault: a forward that
- * never came to its engine has no run, and one whose manager died has a run that resolves it.
+ * A ledger against what the engines say that they ran. Each forward in the ledger and each run in a
+ * statement are matched by engine and task; what stands on one side only is named with its likely
+ * cause. Some of that is no fault: a forward that never came to its engine has no run, and one
+ * whose manager died has a run that resolves it.
  */
 public final class Reconciliation {
 
-    /** One run in an engine's statement; work in nanoseconds on one core. */
-    public record Run(String engine, String task, long work, boolean done) { }
+  /** One run in an engine's statement; work in nanoseconds on one core. */
+  public record Run(String engine, String task, long work, boolean done) {}
 
-    private record Place(String engine, String task) implements Comparable<Place> {
-        @Override
-        public int compareTo(Place other) {
-            int by = task.compareTo(other.task);
-            return by != 0 ? by : engine.compareTo(other.engine);
-        }
+  private record Place(String engine, String task) implements Comparable<Place> {
+    @Override
+    public int compareTo(Place other) {
+      int by = task.compareTo(other.task);
+      return by != 0 ? by : engine.compareTo(other.engine);
     }
+  }
 
-    /** What was found of one task at one engine; a fault is on one side only, without an innocent cause. */
-    public record Finding(boolean fault, String kind, String engine, String task, String cause) { }
+  /**
+   * What was found of one task at one engine; a fault is on one side only, without an innocent
+   * cause.
+   */
+  public record Finding(boolean fault, String kind, String engine, String task, String cause) {}
 
-    private static final Set<String> NEVER_RUN = Set.of("UNREACHED", "NEVER_SENT", "FULL");
-    private static final Set<String> MAY_HAVE_RUN = Set.of("RESET", "CANCELLED", "TIME_OUT", Use.UNKNOWN);
+  private static final Set<String> NEVER_RUN = Set.of("UNREACHED", "NEVER_SENT", "FULL");
+  private static final Set<String> MAY_HAVE_RUN =
+      Set.of("RESET", "CANCELLED", "TIME_OUT", Use.UNKNOWN);
 
-    private final TreeMap<Place, List<Use>> told = new TreeMap<>();
-    private final TreeMap<Place, List<Run>> ran = new TreeMap<>();
-    private final Set<String> engines = new TreeSet<>();
-    private long agreed;
+  private final TreeMap<Place, List<Use>> told = new TreeMap<>();
+  private final TreeMap<Place, List<Run>> ran = new TreeMap<>();
+  private final Set<String> engines = new TreeSet<>();
+  private long agreed;
 
-    public void take(Entry entry) {
-        for (Use use : entry.uses()) {
-            told.computeIfAbsent(new Place(use.engine(), entry.task()), place -> new ArrayList<>(1)).add(use);
-        }
+  public void take(Entry entry) {
+    for (Use use : entry.uses()) {
+      told.computeIfAbsent(new Place(use.engine(), entry.task()), place -> new ArrayList<>(1))
+          .add(use);
     }
+  }
 
-    /** An engine whose statement is whole, even if it ran nothing. */
-    public void stated(String engine) {
-        engines.add(engine);
-    }
+  /** An engine whose statement is whole, even if it ran nothing. */
+  public void stated(String engine) {
+    engines.add(engine);
+  }
 
-    public void take(Run run) {
-        engines.add(run.engine);
-        ran.computeIfAbsent(new Place(run.engine, run.task), place -> new ArrayList<>(1)).add(run);
-    }
+  public void take(Run run) {
+    engines.add(run.engine);
+    ran.computeIfAbsent(new Place(run.engine, run.task), place -> new ArrayList<>(1)).add(run);
+  }
 
-    public List<Finding> findings() {
-        agreed = 0;
-        List<Finding> findings = new ArrayList<>();
-        Set<Place> places = new TreeSet<>(told.keySet());
-        places.addAll(ran.keySet());
-        for (Place place : places) {
-            if (engines.contains(place.engine)) {
-                compare(place, told.getOrDefault(place, List.of()), ran.getOrDefault(place, List.of()), findings);
-            }
-        }
-        return findings;
+  public List<Finding> findings() {
+    agreed = 0;
+    List<Finding> findings = new ArrayList<>();
+    Set<Place> places = new TreeSet<>(told.keySet());
+    places.addAll(ran.keySet());
+    for (Place place : places) {
+      if (engines.contains(place.engine)) {
+        compare(
+            place,
+            told.getOrDefault(place, List.of()),
+            ran.getOrDefault(place, List.of()),
+            findings);
+      }
     }
+    return findings;
+  }
 
-    private void compare(Place place, List<Use> uses, List<Run> runs, List<Finding> findings) {
-        List<Run> left = new ArrayList<>(runs);
-        for (Use use : uses) {
-            Run run = match(use, left);
-            left.remove(run);
-            String outcome = use.outcome();
-            if (run != null && outcome.equals("OK") && run.work != use.work()) {
-                findings.add(new Finding(true, "work differs", place.engine, place.task,
-                        "ledger " + use.work() + " ns, engine " + run.work + " ns"));
-            } else if (run != null && outcome.equals(Use.UNKNOWN)) {
-                findings.add(new Finding(false, "resolved by the engine", place.engine, place.task,
-                        "its manager died; the engine " + (run.done ? "ran it, " + run.work + " ns" : "dropped it")));
-            } else if (run == null && outcome.equals("OK")) {
-                findings.add(new Finding(true, "in the ledger only", place.engine, place.task,
-                        "the statement is cut off, or of another time"));
-            } else if (run == null && !NEVER_RUN.contains(outcome) && !MAY_HAVE_RUN.contains(outcome)) {
-                findings.add(new Finding(true, "in the ledger only", place.engine, place.task,
-                        "the engine answered " + outcome + " and states no run"));
-            } else {
-                agreed++;
-            }
-        }
-        for (Run run : left) {
-            findings.add(new Finding(true, "at the engine only", place.engine, place.task,
-                    uses.isEmpty() ? "no manager's ledger names it: a ledger is missing, or one crashed within its loss"
-                            + " window, or ran with a gap" : "the engine ran it once more than it was forwarded"));
-        }
+  private void compare(Place place, List<Use> uses, List<Run> runs, List<Finding> findings) {
+    List<Run> left = new ArrayList<>(runs);
+    for (Use use : uses) {
+      Run run = match(use, left);
+      left.remove(run);
+      String outcome = use.outcome();
+      if (run != null && outcome.equals("OK") && run.work != use.work()) {
+        findings.add(
+            new Finding(
+                true,
+                "work differs",
+                place.engine,
+                place.task,
+                "ledger " + use.work() + " ns, engine " + run.work + " ns"));
+      } else if (run != null && outcome.equals(Use.UNKNOWN)) {
+        findings.add(
+            new Finding(
+                false,
+                "resolved by the engine",
+                place.engine,
+                place.task,
+                "its manager died; the engine "
+                    + (run.done ? "ran it, " + run.work + " ns" : "dropped it")));
+      } else if (run == null && outcome.equals("OK")) {
+        findings.add(
+            new Finding(
+                true,
+                "in the ledger only",
+                place.engine,
+                place.task,
+                "the statement is cut off, or of another time"));
+      } else if (run == null && !NEVER_RUN.contains(outcome) && !MAY_HAVE_RUN.contains(outcome)) {
+        findings.add(
+            new Finding(
+                true,
+                "in the ledger only",
+                place.engine,
+                place.task,
+                "the engine answered " + outcome + " and states no run"));
+      } else {
+        agreed++;
+      }
     }
-
-    /** The run that fits best: for a good end one with its work, for others one that is not done. */
-    private static Run match(Use use, List<Run> runs) {
-        Run best = null;
-        for (Run run : runs) {
-            boolean good = use.outcome().equals("OK") ? run.work == use.work() && run.done : !run.done;
-            if (best == null || good) {
-                best = run;
-            }
-        }
-        return best;
+    for (Run run : left) {
+      findings.add(
+          new Finding(
+              true,
+              "at the engine only",
+              place.engine,
+              place.task,
+              uses.isEmpty()
+                  ? "no manager's ledger names it: a ledger is missing, or one crashed within its loss"
+                      + " window, or ran with a gap"
+                  : "the engine ran it once more than it was forwarded"));
     }
+  }
 
-    /** Forwards that both sides account for; known once the findings were asked for. */
-    public long agreed() {
-        return agreed;
+  /** The run that fits best: for a good end one with its work, for others one that is not done. */
+  private static Run match(Use use, List<Run> runs) {
+    Run best = null;
+    for (Run run : runs) {
+      boolean good = use.outcome().equals("OK") ? run.work == use.work() && run.done : !run.done;
+      if (best == null || good) {
+        best = run;
+      }
     }
+    return best;
+  }
+
+  /** Forwards that both sides account for; known once the findings were asked for. */
+  public long agreed() {
+    return agreed;
+  }
 }
--- a/src/main/java/tansytrack/ledger/Resolutions.java
+++ b/src/main/java/tansytrack/ledger/Resolutions.java
@@ -9,62 +9,93 @@
 import java.util.Set;
 
 /**
- * What engines' statements say of entries whose end nobody told: an amendment each, in the period that the task belongs to,
- * which says what the engines ran. Nobody got an answer, so the work is waste, and by the rule on waste the house's or the
- * tenant's. What was resolved before is left alone, so a statement may be read in again.
+ * What engines' statements say of entries whose end nobody told: an amendment each, in the period
+ * that the task belongs to, which says what the engines ran. Nobody got an answer, so the work is
+ * waste, and by the rule on waste the house's or the tenant's. What was resolved before is left
+ * alone, so a statement may be read in again.
  */
 public final class Resolutions {
 
-    private static final String SAID = "resolved: ";
+  private static final String SAID = "resolved: ";
 
-    private final Rates rates;
-    private final Periods periods;
-    private final Map<String, List<Reconciliation.Run>> runs = new HashMap<>();
-    private final Set<String> resolved = new HashSet<>();
+  private final Rates rates;
+  private final Periods periods;
+  private final Map<String, List<Reconciliation.Run>> runs = new HashMap<>();
+  private final Set<String> resolved = new HashSet<>();
 
-    public Resolutions(Rates rates, Periods periods, List<Amendment> before) {
-        this.rates = rates;
-        this.periods = periods;
-        for (Amendment one : before) {
-            if (one.reason().startsWith(SAID)) {
-                resolved.add(one.corrects());
-            }
-        }
+  public Resolutions(Rates rates, Periods periods, List<Amendment> before) {
+    this.rates = rates;
+    this.periods = periods;
+    for (Amendment one : before) {
+      if (one.reason().startsWith(SAID)) {
+        resolved.add(one.corrects());
+      }
     }
+  }
 
-    public void take(Reconciliation.Run run) {
-        List<Reconciliation.Run> known = runs.computeIfAbsent(run.task(), task -> new ArrayList<>(1));
-        if (!known.contains(run)) {
-            known.add(run);             // told at a start and again in a statement
-        }
+  public void take(Reconciliation.Run run) {
+    List<Reconciliation.Run> known = runs.computeIfAbsent(run.task(), task -> new ArrayList<>(1));
+    if (!known.contains(run)) {
+      known.add(run); // told at a start and again in a statement
     }
+  }
 
-    /** The amendment that resolves an entry, not yet numbered, or null. */
-    public Amendment of(Entry entry, String author, long now) {
-        String name = "e:" + entry.epoch() + ':' + entry.sequence();
-        List<Reconciliation.Run> ran = runs.getOrDefault(entry.task(), List.of());
-        if (entry.end() != End.UNRESOLVED || ran.isEmpty() || !resolved.add(name)) {
-            return null;
-        }
-        List<Use> uses = new ArrayList<>();
-        StringBuilder said = new StringBuilder(SAID);
-        for (Use use : entry.uses()) {
-            for (Reconciliation.Run run : ran) {
-                if (run.engine().equals(use.engine())) {
-                    said.append(said.length() > SAID.length() ? ", " : "").append(run.engine())
-                            .append(run.done() ? " ran it, " + run.work() + " ns" : " dropped it");
-                    uses.add(new Use(use.index(), use.engine(), use.sentAt(), 0, use.outcome(), run.done() ? run.work() : 0,
-                            0, use.grantedMb(), true));
-                }
-            }
-        }
-        if (uses.isEmpty()) {
-            resolved.remove(name);
-            return null;                    // the runs are another manager's, at engines that this one did not ask
+  /** The amendment that resolves an entry, not yet numbered, or null. */
+  public Amendment of(Entry entry, String author, long now) {
+    String name = "e:" + entry.epoch() + ':' + entry.sequence();
+    List<Reconciliation.Run> ran = runs.getOrDefault(entry.task(), List.of());
+    if (entry.end() != End.UNRESOLVED || ran.isEmpty() || !resolved.add(name)) {
+      return null;
+    }
+    List<Use> uses = new ArrayList<>();
+    StringBuilder said = new StringBuilder(SAID);
+    for (Use use : entry.uses()) {
+      for (Reconciliation.Run run : ran) {
+        if (run.engine().equals(use.engine())) {
+          said.append(said.length() > SAID.length() ? ", " : "")
+              .append(run.engine())
+              .append(run.done() ? " ran it, " + run.work() + " ns" : " dropped it");
+          uses.add(
+              new Use(
+                  use.index(),
+                  use.engine(),
+                  use.sentAt(),
+                  0,
+                  use.outcome(),
+                  run.done() ? run.work() : 0,
+                  0,
+                  use.grantedMb(),
+                  true));
         }
-        Entry known = new Entry(entry.epoch(), entry.sequence(), entry.task(), entry.tenant(), entry.grade(), entry.takenAt(),
-                entry.endedAt(), End.ABANDONED, 0, 0, uses);
-        BigDecimal amount = rates.rounded(rates.price(known, periods.day(entry.takenAt())));
-        return new Amendment(0, periods.of(entry.takenAt()), entry.tenant(), amount, author, said.toString(), name, now, false);
+      }
+    }
+    if (uses.isEmpty()) {
+      resolved.remove(name);
+      return null; // the runs are another manager's, at engines that this one did not ask
     }
+    Entry known =
+        new Entry(
+            entry.epoch(),
+            entry.sequence(),
+            entry.task(),
+            entry.tenant(),
+            entry.grade(),
+            entry.takenAt(),
+            entry.endedAt(),
+            End.ABANDONED,
+            0,
+            0,
+            uses);
+    BigDecimal amount = rates.rounded(rates.price(known, periods.day(entry.takenAt())));
+    return new Amendment(
+        0,
+        periods.of(entry.takenAt()),
+        entry.tenant(),
+        amount,
+        author,
+        said.toString(),
+        name,
+        now,
+        false);
+  }
 }
--- a/src/main/java/tansytrack/ledger/disk/Faults.java
+++ b/src/main/java/tansytrack/ledger/disk/Faults.java
@@ -6,7 +6,7 @@
 @FunctionalInterface
 public interface Faults {
 
-    Faults NONE = step -> { };
+  Faults NONE = step -> {};
 
-    void before(String step) throws IOException;
+  void before(String step) throws IOException;
 }
--- a/src/main/java/tansytrack/ledger/disk/LedgerFiles.java
+++ b/src/main/java/tansytrack/ledger/disk/LedgerFiles.java
@@ -20,81 +20,95 @@
 /** Ledgers, exported batches and engines' statements, read from where they are. */
 public final class LedgerFiles {
 
-    private LedgerFiles() { }
+  private LedgerFiles() {}
 
-    /** What all these places hold. */
-    public static Merged merged(List<Path> places) throws IOException {
-        Merged all = new Merged();
-        for (Path place : places) {
-            if (Files.isDirectory(place) && Files.exists(place.resolve("ledger.sqlite"))) {
-                try (Store store = Store.forCommand(place, Faults.NONE)) {
-                    store.read(1, Long.MAX_VALUE, into(all, store.manager()));
-                }
-            } else if (Files.isDirectory(place)) {
-                List<Path> files;
-                try (Stream<Path> found = Files.list(place)) {
-                    files = found.filter(one -> one.toString().endsWith(".pb")).sorted().toList();
-                }
-                if (files.isEmpty()) {
-                    throw new IOException(place + " holds no ledger and no batch (*.pb)");
-                }
-                for (Path file : files) {
-                    batch(file, all);
-                }
-            } else {
-                batch(place, all);
-            }
+  /** What all these places hold. */
+  public static Merged merged(List<Path> places) throws IOException {
+    Merged all = new Merged();
+    for (Path place : places) {
+      if (Files.isDirectory(place) && Files.exists(place.resolve("ledger.sqlite"))) {
+        try (Store store = Store.forCommand(place, Faults.NONE)) {
+          store.read(1, Long.MAX_VALUE, into(all, store.manager()));
         }
-        return all;
+      } else if (Files.isDirectory(place)) {
+        List<Path> files;
+        try (Stream<Path> found = Files.list(place)) {
+          files = found.filter(one -> one.toString().endsWith(".pb")).sorted().toList();
+        }
+        if (files.isEmpty()) {
+          throw new IOException(place + " holds no ledger and no batch (*.pb)");
+        }
+        for (Path file : files) {
+          batch(file, all);
+        }
+      } else {
+        batch(place, all);
+      }
     }
+    return all;
+  }
 
-    private static void batch(Path file, Merged all) throws IOException {
-        try (InputStream in = new BufferedInputStream(Files.newInputStream(file), 1 << 16)) {
-            Merged one = new Merged();
-            Forms.read(in, manager -> into(one, manager));
-            all.add(one);                   // only once it was read whole
-        } catch (IOException e) {
-            throw new IOException(file + ": " + e.getMessage(), e);
-        }
+  private static void batch(Path file, Merged all) throws IOException {
+    try (InputStream in = new BufferedInputStream(Files.newInputStream(file), 1 << 16)) {
+      Merged one = new Merged();
+      Forms.read(in, manager -> into(one, manager));
+      all.add(one); // only once it was read whole
+    } catch (IOException e) {
+      throw new IOException(file + ": " + e.getMessage(), e);
     }
+  }
 
-    private static Store.Lines into(Merged all, String manager) {
-        return new Store.Lines() {
-            @Override
-            public void entry(long position, Entry entry) {
-                all.add(manager, entry);
-            }
+  private static Store.Lines into(Merged all, String manager) {
+    return new Store.Lines() {
+      @Override
+      public void entry(long position, Entry entry) {
+        all.add(manager, entry);
+      }
 
-            @Override
-            public void gap(long position, Gap gap) {
-                all.add(manager, gap);
-            }
-        };
-    }
+      @Override
+      public void gap(long position, Gap gap) {
+        all.add(manager, gap);
+      }
+    };
+  }
 
-    /** An engine's statement as CSV: engine,task,work_ns,done; a row without a task says that the engine has stated all. */
-    public static void statement(String name, InputStream from, Reconciliation to) throws IOException {
-        statement(name, from, to::stated, to::take);
-    }
+  /**
+   * An engine's statement as CSV: engine,task,work_ns,done; a row without a task says that the
+   * engine has stated all.
+   */
+  public static void statement(String name, InputStream from, Reconciliation to)
+      throws IOException {
+    statement(name, from, to::stated, to::take);
+  }
 
-    public static void statement(String name, InputStream from, Consumer<String> stated, Consumer<Reconciliation.Run> ran)
-            throws IOException {
-        for (CSVRecord row : CSVFormat.RFC4180.parse(new InputStreamReader(from, StandardCharsets.UTF_8))) {
-            if (row.getRecordNumber() == 1 && row.get(0).equals("engine")) {
-                continue;
-            }
-            try {
-                if (row.size() == 1 || row.get(1).isEmpty()) {
-                    stated.accept(row.get(0));
-                } else if (row.size() == 4 && (row.get(3).equals("true") || row.get(3).equals("false"))) {
-                    ran.accept(new Reconciliation.Run(row.get(0), row.get(1), Long.parseLong(row.get(2)), row.get(3).equals("true")));
-                } else {
-                    throw new NumberFormatException();
-                }
-            } catch (NumberFormatException e) {
-                throw new IOException(name + ", line " + row.getRecordNumber() + ": '" + String.join(",", row.values())
-                        + "'; allowed: engine,task,work_ns,true|false", e);
-            }
+  public static void statement(
+      String name, InputStream from, Consumer<String> stated, Consumer<Reconciliation.Run> ran)
+      throws IOException {
+    for (CSVRecord row :
+        CSVFormat.RFC4180.parse(new InputStreamReader(from, StandardCharsets.UTF_8))) {
+      if (row.getRecordNumber() == 1 && row.get(0).equals("engine")) {
+        continue;
+      }
+      try {
+        if (row.size() == 1 || row.get(1).isEmpty()) {
+          stated.accept(row.get(0));
+        } else if (row.size() == 4 && (row.get(3).equals("true") || row.get(3).equals("false"))) {
+          ran.accept(
+              new Reconciliation.Run(
+                  row.get(0), row.get(1), Long.parseLong(row.get(2)), row.get(3).equals("true")));
+        } else {
+          throw new NumberFormatException();
         }
+      } catch (NumberFormatException e) {
+        throw new IOException(
+            name
+                + ", line "
+                + row.getRecordNumber()
+                + ": '"
+                + String.join(",", row.values())
+                + "'; allowed: engine,task,work_ns,true|false",
+            e);
+      }
     }
+  }
 }
--- a/src/main/java/tansytrack/log/Event.java
+++ b/src/main/java/tansytrack/log/Event.java
@@ -5,42 +5,43 @@
 import org.tinylog.provider.ProviderRegistry;
 
 /**
- * A log line with a name and named fields beside its text: plain lines show the text, JSON lines all of it. Names and fields
- * are for programs and stay; texts are for people.
+ * A log line with a name and named fields beside its text: plain lines show the text, JSON lines
+ * all of it. Names and fields are for programs and stay; texts are for people.
  */
 public final class Event {
 
-    private static final int CALLER = 3;
+  private static final int CALLER = 3;
 
-    private Event() { }
+  private Event() {}
 
-    public static void info(String name, String text, Object... pairs) {
-        log(Level.INFO, name, text, pairs);
-    }
+  public static void info(String name, String text, Object... pairs) {
+    log(Level.INFO, name, text, pairs);
+  }
 
-    public static void warn(String name, String text, Object... pairs) {
-        log(Level.WARN, name, text, pairs);
-    }
+  public static void warn(String name, String text, Object... pairs) {
+    log(Level.WARN, name, text, pairs);
+  }
 
-    public static void error(String name, String text, Object... pairs) {
-        log(Level.ERROR, name, text, pairs);
-    }
+  public static void error(String name, String text, Object... pairs) {
+    log(Level.ERROR, name, text, pairs);
+  }
 
-    private static void log(Level level, String name, String text, Object... pairs) {
-        ThreadContext.put(JsonLinesWriter.EVENT, name);
-        for (int i = 0; i < pairs.length; i += 2) {
-            ThreadContext.put((String) pairs[i], pairs[i + 1]);
-        }
-        try {
-            ProviderRegistry.getLoggingProvider().log(CALLER, null, level, null, null, text, (Object[]) null);
-        } finally {
-            ThreadContext.clear();
-        }
+  private static void log(Level level, String name, String text, Object... pairs) {
+    ThreadContext.put(JsonLinesWriter.EVENT, name);
+    for (int i = 0; i < pairs.length; i += 2) {
+      ThreadContext.put((String) pairs[i], pairs[i + 1]);
     }
-
-    /** Chooses JSON lines; before the first line is logged. */
-    public static void jsonLines() {
-        org.tinylog.configuration.Configuration.set("writer", "json lines");
-        org.tinylog.configuration.Configuration.set("writer.level", "info");
+    try {
+      ProviderRegistry.getLoggingProvider()
+          .log(CALLER, null, level, null, null, text, (Object[]) null);
+    } finally {
+      ThreadContext.clear();
     }
+  }
+
+  /** Chooses JSON lines; before the first line is logged. */
+  public static void jsonLines() {
+    org.tinylog.configuration.Configuration.set("writer", "json lines");
+    org.tinylog.configuration.Configuration.set("writer.level", "info");
+  }
 }
--- a/src/main/java/tansytrack/operator/OperatorFile.java
+++ b/src/main/java/tansytrack/operator/OperatorFile.java
@@ -32,237 +32,352 @@
 import tansytrack.operator.proto.Rate;
 import tansytrack.settings.Unusable;
 
-/** The operators' file, read and checked; what it does not name is off. Errors name file, line, column, field, what is allowed. */
+/**
+ * The operators' file, read and checked; what it does not name is off. Errors name file, line,
+ * column, field, what is allowed.
+ */
 public final class OperatorFile {
 
-    private static final long MS = 1_000_000L;
-    private static final long HOUR = 3_600_000_000_000L;
-    private static final int LONGEST_DECIMAL = 24;
+  private static final long MS = 1_000_000L;
+  private static final long HOUR = 3_600_000_000_000L;
+  private static final int LONGEST_DECIMAL = 24;
 
-    /** The ledger's section; times in nanoseconds. */
-    public record LedgerSection(Path folder, boolean afterCommit, boolean intentsFirst, boolean bounces, long mostWait, long commitEvery,
-            int mostUnwritten, Periods periods,
-            Rates rates, Closing closing, List<QuotaLine> quotas, String billingText) { }
+  /** The ledger's section; times in nanoseconds. */
+  public record LedgerSection(
+      Path folder,
+      boolean afterCommit,
+      boolean intentsFirst,
+      boolean bounces,
+      long mostWait,
+      long commitEvery,
+      int mostUnwritten,
+      Periods periods,
+      Rates rates,
+      Closing closing,
+      List<QuotaLine> quotas,
+      String billingText) {}
 
-    /** Use in a period that is worth a warning; 0: no bound. */
-    public record QuotaLine(String tenant, long tasks, long work) { }
+  /** Use in a period that is worth a warning; 0: no bound. */
+  public record QuotaLine(String tenant, long tasks, long work) {}
 
-    /** The other managers; times in nanoseconds, addresses as they stand. */
-    public record FleetSection(String name, String place, String address, List<PeerLine> peers, long probeEvery, int mostBytes,
-            long settle) { }
+  /** The other managers; times in nanoseconds, addresses as they stand. */
+  public record FleetSection(
+      String name,
+      String place,
+      String address,
+      List<PeerLine> peers,
+      long probeEvery,
+      int mostBytes,
+      long settle) {}
 
-    /** One of them. */
-    public record PeerLine(String name, String address, boolean seed) { }
+  /** One of them. */
+  public record PeerLine(String name, String address, boolean seed) {}
 
-    private final LedgerSection ledger;
-    private final boolean jsonLines;
-    private final FleetSection fleet;
+  private final LedgerSection ledger;
+  private final boolean jsonLines;
+  private final FleetSection fleet;
 
-    private OperatorFile(boolean jsonLines, LedgerSection ledger, FleetSection fleet) {
-        this.jsonLines = jsonLines;
-        this.ledger = ledger;
-        this.fleet = fleet;
-    }
+  private OperatorFile(boolean jsonLines, LedgerSection ledger, FleetSection fleet) {
+    this.jsonLines = jsonLines;
+    this.ledger = ledger;
+    this.fleet = fleet;
+  }
 
-    /** The section on the other managers, or null. */
-    public FleetSection fleet() {
-        return fleet;
-    }
+  /** The section on the other managers, or null. */
+  public FleetSection fleet() {
+    return fleet;
+  }
 
-    /** The ledger's section, or null. */
-    public LedgerSection ledger() {
-        return ledger;
-    }
+  /** The ledger's section, or null. */
+  public LedgerSection ledger() {
+    return ledger;
+  }
 
-    /** Are log lines JSON objects? */
-    public boolean jsonLines() {
-        return jsonLines;
-    }
+  /** Are log lines JSON objects? */
+  public boolean jsonLines() {
+    return jsonLines;
+  }
 
-    public static OperatorFile read(String file) {
-        String text;
-        try {
-            text = Files.readString(Path.of(file), StandardCharsets.UTF_8);
-        } catch (IOException e) {
-            throw new Unusable(file + ": cannot be read: " + e);
-        }
-        return of(file, text);
+  public static OperatorFile read(String file) {
+    String text;
+    try {
+      text = Files.readString(Path.of(file), StandardCharsets.UTF_8);
+    } catch (IOException e) {
+      throw new Unusable(file + ": cannot be read: " + e);
     }
+    return of(file, text);
+  }
 
-    public static OperatorFile of(String file, String text) {
-        Operator.Builder made = Operator.newBuilder();
-        TextFormatParseInfoTree.Builder places = TextFormatParseInfoTree.builder();
-        try {
-            TextFormat.Parser.newBuilder().setParseInfoTreeBuilder(places).build().merge(text, made);
-        } catch (TextFormat.ParseException e) {
-            throw new Unusable(file + ':' + e.getMessage());
-        }
-        Operator all = made.build();
-        Place root = new Place(file, places.build());
-        return new OperatorFile(all.getLog().getForm() == Log.Form.JSON_LINES, all.hasLedger() ? ledger(all.getLedger(),
-                root.in(Operator.getDescriptor().findFieldByName("ledger"), 0)) : null, all.hasFleet() ? fleet(all.getFleet(),
-                root.in(Operator.getDescriptor().findFieldByName("fleet"), 0)) : null);
+  public static OperatorFile of(String file, String text) {
+    Operator.Builder made = Operator.newBuilder();
+    TextFormatParseInfoTree.Builder places = TextFormatParseInfoTree.builder();
+    try {
+      TextFormat.Parser.newBuilder().setParseInfoTreeBuilder(places).build().merge(text, made);
+    } catch (TextFormat.ParseException e) {
+      throw new Unusable(file + ':' + e.getMessage());
     }
+    Operator all = made.build();
+    Place root = new Place(file, places.build());
+    return new OperatorFile(
+        all.getLog().getForm() == Log.Form.JSON_LINES,
+        all.hasLedger()
+            ? ledger(
+                all.getLedger(), root.in(Operator.getDescriptor().findFieldByName("ledger"), 0))
+            : null,
+        all.hasFleet()
+            ? fleet(all.getFleet(), root.in(Operator.getDescriptor().findFieldByName("fleet"), 0))
+            : null);
+  }
 
-    /** Where a section stands, to name its fields by line and column. */
-    private record Place(String file, TextFormatParseInfoTree tree) {
-
-        Place in(FieldDescriptor field, int index) {
-            return new Place(file, tree.getNestedTree(field, index));
-        }
+  /** Where a section stands, to name its fields by line and column. */
+  private record Place(String file, TextFormatParseInfoTree tree) {
 
-        Unusable wrong(FieldDescriptor field, int index, Object value, String allowed) {
-            List<TextFormatParseLocation> places = tree.getLocations(field);
-            TextFormatParseLocation at = index < places.size() ? places.get(index) : null;
-            String where = at == null ? "" : ":" + (at.getLine() + 1) + ':' + (at.getColumn() + 1);
-            return new Unusable(file + where + ": " + field.getName() + ": "
-                    + (where.isEmpty() ? "missing" : "'" + value + "'") + "; allowed: " + allowed);
-        }
+    Place in(FieldDescriptor field, int index) {
+      return new Place(file, tree.getNestedTree(field, index));
     }
 
-    private static LedgerSection ledger(Ledger from, Place place) {
-        if (from.getFolder().isBlank()) {
-            throw place.wrong(field(Ledger.getDescriptor(), "folder"), 0, from.getFolder(), "a folder on a disk that lasts");
-        }
-        int every = ranged(from.getCommitEveryMs(), 5, 1, 1000, Ledger.getDescriptor(), "commit_every_ms", place);
-        int most = ranged(from.getMostUnwritten(), 16384, 64, 1 << 20, Ledger.getDescriptor(), "most_unwritten", place);
-        int wait = ranged(from.getMostWaitMs(), 100, 1, 10000, Ledger.getDescriptor(), "most_wait_ms", place);
-        FieldDescriptor section = field(Ledger.getDescriptor(), "billing");
-        Place billingPlace = from.hasBilling() ? place.in(section, 0) : place;
-        Billing billing = from.getBilling();
-        Periods periods = periods(billing, billingPlace);
-        if (billing.getGraceHours() < 0) {
-            throw billingPlace.wrong(field(Billing.getDescriptor(), "grace_hours"), 0, billing.getGraceHours(), "0 and more");
-        }
-        List<QuotaLine> quotas = new ArrayList<>();
-        for (int i = 0; i < billing.getQuotasCount(); i++) {
-            Quota quota = billing.getQuotas(i);
-            if (quota.getTasks() < 0 || quota.getWorkSeconds() < 0) {
-                throw billingPlace.wrong(field(Billing.getDescriptor(), "quotas"), i, quota.getTenant(), "amounts from 0 on");
-            }
-            quotas.add(new QuotaLine(quota.getTenant(), quota.getTasks(), quota.getWorkSeconds() * 1_000_000_000L));
-        }
-        return new LedgerSection(Path.of(from.getFolder()), from.getAnswers() == Ledger.Wait.AFTER_COMMIT,
-                from.getForwards() == Ledger.Wait.AFTER_COMMIT, from.getWhenFull() == Ledger.WhenFull.BOUNCE,
-                wait * MS, every * MS,
-                most, periods, rates(billing, from.getWaste() == Ledger.Waste.TENANT, billingPlace),
-                new Closing(periods, billing.getGraceHours() * HOUR), quotas,
-                TextFormat.printer().emittingSingleLine(true).printToString(billing) + " waste: " + from.getWaste());
+    Unusable wrong(FieldDescriptor field, int index, Object value, String allowed) {
+      List<TextFormatParseLocation> places = tree.getLocations(field);
+      TextFormatParseLocation at = index < places.size() ? places.get(index) : null;
+      String where = at == null ? "" : ":" + (at.getLine() + 1) + ':' + (at.getColumn() + 1);
+      return new Unusable(
+          file
+              + where
+              + ": "
+              + field.getName()
+              + ": "
+              + (where.isEmpty() ? "missing" : "'" + value + "'")
+              + "; allowed: "
+              + allowed);
     }
+  }
 
-    private static FleetSection fleet(Fleet from, Place place) {
-        Descriptors.Descriptor section = Fleet.getDescriptor();
-        Set<String> names = new HashSet<>();
-        Set<String> addresses = new HashSet<>();
-        if (!from.getName().isEmpty()) {
-            names.add(named(from.getName(), section, place));
-        }
-        addresses.add(address(from.getAddress(), section, place));
-        List<PeerLine> peers = new ArrayList<>();
-        for (int i = 0; i < from.getPeersCount(); i++) {
-            Peer peer = from.getPeers(i);
-            Place at = place.in(field(section, "peers"), i);
-            if (!names.add(named(peer.getName(), Peer.getDescriptor(), at))) {
-                throw at.wrong(field(Peer.getDescriptor(), "name"), 0, peer.getName(), "each manager once, this one left out");
-            }
-            if (!addresses.add(address(peer.getAddress(), Peer.getDescriptor(), at))) {
-                throw at.wrong(field(Peer.getDescriptor(), "address"), 0, peer.getAddress(), "an address of its own for each manager");
-            }
-            peers.add(new PeerLine(peer.getName(), peer.getAddress(), peer.getSeed()));
-        }
-        if (peers.isEmpty()) {
-            throw place.wrong(field(section, "peers"), 0, "", "one and more");
-        }
-        return new FleetSection(from.getName(), from.getPlace(), from.getAddress(), List.copyOf(peers),
-                ranged(from.getProbeEveryMs(), 500, 100, 10_000, section, "probe_every_ms", place) * MS,
-                ranged(from.getMostBytesASecond(), 16_384, 2048, 1 << 20, section, "most_bytes_a_second", place),
-                ranged(from.getSettleS(), 30, 1, 3600, section, "settle_s", place) * 1000 * MS);
+  private static LedgerSection ledger(Ledger from, Place place) {
+    if (from.getFolder().isBlank()) {
+      throw place.wrong(
+          field(Ledger.getDescriptor(), "folder"),
+          0,
+          from.getFolder(),
+          "a folder on a disk that lasts");
     }
+    int every =
+        ranged(
+            from.getCommitEveryMs(), 5, 1, 1000, Ledger.getDescriptor(), "commit_every_ms", place);
+    int most =
+        ranged(
+            from.getMostUnwritten(),
+            16384,
+            64,
+            1 << 20,
+            Ledger.getDescriptor(),
+            "most_unwritten",
+            place);
+    int wait =
+        ranged(from.getMostWaitMs(), 100, 1, 10000, Ledger.getDescriptor(), "most_wait_ms", place);
+    FieldDescriptor section = field(Ledger.getDescriptor(), "billing");
+    Place billingPlace = from.hasBilling() ? place.in(section, 0) : place;
+    Billing billing = from.getBilling();
+    Periods periods = periods(billing, billingPlace);
+    if (billing.getGraceHours() < 0) {
+      throw billingPlace.wrong(
+          field(Billing.getDescriptor(), "grace_hours"), 0, billing.getGraceHours(), "0 and more");
+    }
+    List<QuotaLine> quotas = new ArrayList<>();
+    for (int i = 0; i < billing.getQuotasCount(); i++) {
+      Quota quota = billing.getQuotas(i);
+      if (quota.getTasks() < 0 || quota.getWorkSeconds() < 0) {
+        throw billingPlace.wrong(
+            field(Billing.getDescriptor(), "quotas"), i, quota.getTenant(), "amounts from 0 on");
+      }
+      quotas.add(
+          new QuotaLine(
+              quota.getTenant(), quota.getTasks(), quota.getWorkSeconds() * 1_000_000_000L));
+    }
+    return new LedgerSection(
+        Path.of(from.getFolder()),
+        from.getAnswers() == Ledger.Wait.AFTER_COMMIT,
+        from.getForwards() == Ledger.Wait.AFTER_COMMIT,
+        from.getWhenFull() == Ledger.WhenFull.BOUNCE,
+        wait * MS,
+        every * MS,
+        most,
+        periods,
+        rates(billing, from.getWaste() == Ledger.Waste.TENANT, billingPlace),
+        new Closing(periods, billing.getGraceHours() * HOUR),
+        quotas,
+        TextFormat.printer().emittingSingleLine(true).printToString(billing)
+            + " waste: "
+            + from.getWaste());
+  }
 
-    private static String named(String name, Descriptors.Descriptor of, Place place) {
-        if (!name.matches("[A-Za-z0-9][A-Za-z0-9._-]{0,47}")) {
-            throw place.wrong(field(of, "name"), 0, name, "1 to 48 of letters, digits, '.', '_' and '-', a letter or digit first");
-        }
-        return name;
+  private static FleetSection fleet(Fleet from, Place place) {
+    Descriptors.Descriptor section = Fleet.getDescriptor();
+    Set<String> names = new HashSet<>();
+    Set<String> addresses = new HashSet<>();
+    if (!from.getName().isEmpty()) {
+      names.add(named(from.getName(), section, place));
+    }
+    addresses.add(address(from.getAddress(), section, place));
+    List<PeerLine> peers = new ArrayList<>();
+    for (int i = 0; i < from.getPeersCount(); i++) {
+      Peer peer = from.getPeers(i);
+      Place at = place.in(field(section, "peers"), i);
+      if (!names.add(named(peer.getName(), Peer.getDescriptor(), at))) {
+        throw at.wrong(
+            field(Peer.getDescriptor(), "name"),
+            0,
+            peer.getName(),
+            "each manager once, this one left out");
+      }
+      if (!addresses.add(address(peer.getAddress(), Peer.getDescriptor(), at))) {
+        throw at.wrong(
+            field(Peer.getDescriptor(), "address"),
+            0,
+            peer.getAddress(),
+            "an address of its own for each manager");
+      }
+      peers.add(new PeerLine(peer.getName(), peer.getAddress(), peer.getSeed()));
     }
+    if (peers.isEmpty()) {
+      throw place.wrong(field(section, "peers"), 0, "", "one and more");
+    }
+    return new FleetSection(
+        from.getName(),
+        from.getPlace(),
+        from.getAddress(),
+        List.copyOf(peers),
+        ranged(from.getProbeEveryMs(), 500, 100, 10_000, section, "probe_every_ms", place) * MS,
+        ranged(
+            from.getMostBytesASecond(),
+            16_384,
+            2048,
+            1 << 20,
+            section,
+            "most_bytes_a_second",
+            place),
+        ranged(from.getSettleS(), 30, 1, 3600, section, "settle_s", place) * 1000 * MS);
+  }
 
-    private static String address(String text, Descriptors.Descriptor of, Place place) {
-        boolean form = text.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}");
-        boolean range = form && Arrays.stream(text.substring(0, text.indexOf(':')).split("\\.")).mapToInt(Integer::parseInt)
-                .allMatch(one -> one < 256) && Integer.parseInt(text.substring(text.indexOf(':') + 1)) < 65536;
-        if (!range) {
-            throw place.wrong(field(of, "address"), 0, text, "an IPv4 address with a port, as in 10.0.0.7:7946");
-        }
-        return text;
+  private static String named(String name, Descriptors.Descriptor of, Place place) {
+    if (!name.matches("[A-Za-z0-9][A-Za-z0-9._-]{0,47}")) {
+      throw place.wrong(
+          field(of, "name"),
+          0,
+          name,
+          "1 to 48 of letters, digits, '.', '_' and '-', a letter or digit first");
     }
+    return name;
+  }
 
-    private static FieldDescriptor field(Descriptors.Descriptor of, String name) {
-        return of.findFieldByName(name);
+  private static String address(String text, Descriptors.Descriptor of, Place place) {
+    boolean form = text.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}");
+    boolean range =
+        form
+            && Arrays.stream(text.substring(0, text.indexOf(':')).split("\\."))
+                .mapToInt(Integer::parseInt)
+                .allMatch(one -> one < 256)
+            && Integer.parseInt(text.substring(text.indexOf(':') + 1)) < 65536;
+    if (!range) {
+      throw place.wrong(
+          field(of, "address"), 0, text, "an IPv4 address with a port, as in 10.0.0.7:7946");
     }
+    return text;
+  }
 
-    private static int ranged(int value, int otherwise, int least, int most,
-            Descriptors.Descriptor of, String name, Place place) {
-        if (value != 0 && (value < least || value > most)) {
-            throw place.wrong(field(of, name), 0, value, least + " to " + most);
-        }
-        return value == 0 ? otherwise : value;
+  private static FieldDescriptor field(Descriptors.Descriptor of, String name) {
+    return of.findFieldByName(name);
+  }
+
+  private static int ranged(
+      int value,
+      int otherwise,
+      int least,
+      int most,
+      Descriptors.Descriptor of,
+      String name,
+      Place place) {
+    if (value != 0 && (value < least || value > most)) {
+      throw place.wrong(field(of, name), 0, value, least + " to " + most);
     }
+    return value == 0 ? otherwise : value;
+  }
 
-    private static Periods periods(Billing billing, Place place) {
-        try {
-            Periods.Length length = Periods.Length.valueOf(billing.getPeriod().name());
-            return new Periods(length, ZoneId.of(billing.getZone().isEmpty() ? "UTC" : billing.getZone()));
-        } catch (DateTimeException e) {
-            throw place.wrong(field(Billing.getDescriptor(), "zone"), 0, billing.getZone(),
-                    "an IANA time zone, as in Asia/Kolkata");
-        } catch (IllegalArgumentException e) {
-            throw place.wrong(field(Billing.getDescriptor(), "period"), 0, billing.getPeriod(), "MONTH, WEEK, DAY");
-        }
+  private static Periods periods(Billing billing, Place place) {
+    try {
+      Periods.Length length = Periods.Length.valueOf(billing.getPeriod().name());
+      return new Periods(
+          length, ZoneId.of(billing.getZone().isEmpty() ? "UTC" : billing.getZone()));
+    } catch (DateTimeException e) {
+      throw place.wrong(
+          field(Billing.getDescriptor(), "zone"),
+          0,
+          billing.getZone(),
+          "an IANA time zone, as in Asia/Kolkata");
+    } catch (IllegalArgumentException e) {
+      throw place.wrong(
+          field(Billing.getDescriptor(), "period"), 0, billing.getPeriod(), "MONTH, WEEK, DAY");
     }
+  }
 
-    private static Rates rates(Billing billing, boolean wasteBilled, Place place) {
-        int decimals = billing.hasDecimals() ? billing.getDecimals() : 2;
-        if (decimals < 0 || decimals > 9) {
-            throw place.wrong(field(Billing.getDescriptor(), "decimals"), 0, decimals, "0 to 9");
-        }
-        RoundingMode rounding = switch (billing.getRounding()) {
-            case HALF_UP -> RoundingMode.HALF_UP;
-            case UP -> RoundingMode.UP;
-            case DOWN -> RoundingMode.DOWN;
-            default -> RoundingMode.HALF_EVEN;
+  private static Rates rates(Billing billing, boolean wasteBilled, Place place) {
+    int decimals = billing.hasDecimals() ? billing.getDecimals() : 2;
+    if (decimals < 0 || decimals > 9) {
+      throw place.wrong(field(Billing.getDescriptor(), "decimals"), 0, decimals, "0 to 9");
+    }
+    RoundingMode rounding =
+        switch (billing.getRounding()) {
+          case HALF_UP -> RoundingMode.HALF_UP;
+          case UP -> RoundingMode.UP;
+          case DOWN -> RoundingMode.DOWN;
+          default -> RoundingMode.HALF_EVEN;
         };
-        List<Rates.Rate> rates = new ArrayList<>();
-        for (int i = 0; i < billing.getRatesCount(); i++) {
-            Rate rate = billing.getRates(i);
-            Place at = place.in(field(Billing.getDescriptor(), "rates"), i);
-            LocalDate from;
-            try {
-                from = rate.getFromDate().isEmpty() ? LocalDate.EPOCH : LocalDate.parse(rate.getFromDate());
-            } catch (DateTimeException e) {
-                throw at.wrong(field(Rate.getDescriptor(), "from_date"), 0, rate.getFromDate(), "a day, as in 2026-12-01");
-            }
-            Rates.Rate made = new Rates.Rate(rate.getTenant(), rate.getGrade(), from,
-                    price(rate.getPerTask(), "per_task", at), price(rate.getPerWorkSecond(), "per_work_second", at),
-                    price(rate.getPerGbSecond(), "per_gb_second", at), price(rate.getPerMbReturned(), "per_mb_returned", at));
-            for (Rates.Rate other : rates) {
-                if (other.tenant().equals(made.tenant()) && other.grade().equals(made.grade())
-                        && other.from().equals(made.from())) {
-                    throw place.wrong(field(Billing.getDescriptor(), "rates"), i, rate.getTenant() + '/' + rate.getGrade()
-                            + " from " + from, "one rate for a tenant, grade and day");
-                }
-            }
-            rates.add(made);
+    List<Rates.Rate> rates = new ArrayList<>();
+    for (int i = 0; i < billing.getRatesCount(); i++) {
+      Rate rate = billing.getRates(i);
+      Place at = place.in(field(Billing.getDescriptor(), "rates"), i);
+      LocalDate from;
+      try {
+        from = rate.getFromDate().isEmpty() ? LocalDate.EPOCH : LocalDate.parse(rate.getFromDate());
+      } catch (DateTimeException e) {
+        throw at.wrong(
+            field(Rate.getDescriptor(), "from_date"),
+            0,
+            rate.getFromDate(),
+            "a day, as in 2026-12-01");
+      }
+      Rates.Rate made =
+          new Rates.Rate(
+              rate.getTenant(),
+              rate.getGrade(),
+              from,
+              price(rate.getPerTask(), "per_task", at),
+              price(rate.getPerWorkSecond(), "per_work_second", at),
+              price(rate.getPerGbSecond(), "per_gb_second", at),
+              price(rate.getPerMbReturned(), "per_mb_returned", at));
+      for (Rates.Rate other : rates) {
+        if (other.tenant().equals(made.tenant())
+            && other.grade().equals(made.grade())
+            && other.from().equals(made.from())) {
+          throw place.wrong(
+              field(Billing.getDescriptor(), "rates"),
+              i,
+              rate.getTenant() + '/' + rate.getGrade() + " from " + from,
+              "one rate for a tenant, grade and day");
         }
-        return new Rates(List.copyOf(rates), decimals, rounding, wasteBilled);
+      }
+      rates.add(made);
     }
+    return new Rates(List.copyOf(rates), decimals, rounding, wasteBilled);
+  }
 
-    private static BigDecimal price(String text, String name, Place place) {
-        if (text.isEmpty()) {
-            return BigDecimal.ZERO;
-        }
-        if (text.length() <= LONGEST_DECIMAL && text.matches("[0-9]+(\\.[0-9]+)?")) {
-            return new BigDecimal(text);
-        }
-        throw place.wrong(field(Rate.getDescriptor(), name), 0, text, "a plain decimal from 0 on, as in \"0.0125\"");
+  private static BigDecimal price(String text, String name, Place place) {
+    if (text.isEmpty()) {
+      return BigDecimal.ZERO;
+    }
+    if (text.length() <= LONGEST_DECIMAL && text.matches("[0-9]+(\\.[0-9]+)?")) {
+      return new BigDecimal(text);
     }
+    throw place.wrong(
+        field(Rate.getDescriptor(), name), 0, text, "a plain decimal from 0 on, as in \"0.0125\"");
+  }
 }
--- a/src/main/java/tansytrack/parts/Num.java
+++ b/src/main/java/tansytrack/parts/Num.java
@@ -3,28 +3,28 @@
 /** Arithmetic that several parts share. */
 public final class Num {
 
-    private Num() { }
+  private Num() {}
 
-    /** A running mean after one more sample; NaN until the first. */
-    public static double mean(double old, double sample, double weight) {
-        return Double.isNaN(old) ? sample : old + weight * (sample - old);
-    }
+  /** A running mean after one more sample; NaN until the first. */
+  public static double mean(double old, double sample, double weight) {
+    return Double.isNaN(old) ? sample : old + weight * (sample - old);
+  }
 
-    public static double clamp(double value, double least, double most) {
-        return Math.max(least, Math.min(most, value));
-    }
+  public static double clamp(double value, double least, double most) {
+    return Math.max(least, Math.min(most, value));
+  }
 
-    /** The index that a point between 0 and 1 falls on when each takes room by its weight. */
-    public static int pick(double[] weights, double point) {
-        double total = 0;
-        for (double weight : weights) {
-            total += weight;
-        }
-        double left = point * total;
-        int at = 0;
-        while (at < weights.length - 1 && left >= weights[at]) {
-            left -= weights[at++];
-        }
-        return at;
+  /** The index that a point between 0 and 1 falls on when each takes room by its weight. */
+  public static int pick(double[] weights, double point) {
+    double total = 0;
+    for (double weight : weights) {
+      total += weight;
+    }
+    double left = point * total;
+    int at = 0;
+    while (at < weights.length - 1 && left >= weights[at]) {
+      left -= weights[at++];
     }
+    return at;
+  }
 }
--- a/src/main/java/tansytrack/parts/Recent.java
+++ b/src/main/java/tansytrack/parts/Recent.java
@@ -5,28 +5,28 @@
 /** What happened of late: times and amounts, forgotten from the oldest on. */
 public final class Recent {
 
-    private final ArrayDeque<long[]> happened = new ArrayDeque<>();
+  private final ArrayDeque<long[]> happened = new ArrayDeque<>();
 
-    public void add(long at, long amount) {
-        happened.add(new long[] {at, amount});
-    }
+  public void add(long at, long amount) {
+    happened.add(new long[] {at, amount});
+  }
 
-    /** Forgets what happened before that time. */
-    public void forget(long before) {
-        while (!happened.isEmpty() && happened.peek()[0] < before) {
-            happened.poll();
-        }
+  /** Forgets what happened before that time. */
+  public void forget(long before) {
+    while (!happened.isEmpty() && happened.peek()[0] < before) {
+      happened.poll();
     }
+  }
 
-    public int count() {
-        return happened.size();
-    }
+  public int count() {
+    return happened.size();
+  }
 
-    public long sum() {
-        long sum = 0;
-        for (long[] one : happened) {
-            sum += one[1];
-        }
-        return sum;
+  public long sum() {
+    long sum = 0;
+    for (long[] one : happened) {
+      sum += one[1];
     }
+    return sum;
+  }
 }
--- a/src/main/java/tansytrack/service/FileLooks.java
+++ b/src/main/java/tansytrack/service/FileLooks.java
@@ -8,58 +8,62 @@
 import org.tinylog.Logger;
 
 /**
- * Looks at the configuration file in place of SIGHUP. Guards against a start under nohup or the like: a signal that was
- * ignored when a JVM started stays ignored, so that a manager would go on asking a command channel that has moved, and send to
- * engines drained since. Harm: a file that is replaced is taken without a word from whoever replaced it.
+ * Looks at the configuration file in place of SIGHUP. Guards against a start under nohup or the
+ * like: a signal that was ignored when a JVM started stays ignored, so that a manager would go on
+ * asking a command channel that has moved, and send to engines drained since. Harm: a file that is
+ * replaced is taken without a word from whoever replaced it.
  */
 final class FileLooks implements Runnable {
 
-    private static final long PAUSE = 250_000_000L;     // between two looks; the platform counts 4 s from the signal on
+  private static final long PAUSE =
+      250_000_000L; // between two looks; the platform counts 4 s from the signal on
 
-    private final Path path;
-    private final Runnable changed;
-    private List<Object> seen;
+  private final Path path;
+  private final Runnable changed;
+  private List<Object> seen;
 
-    /** What changes from now on counts. */
-    FileLooks(String path, Runnable changed) {
-        this.path = Path.of(path);
-        this.changed = changed;
-        seen = look();
-    }
+  /** What changes from now on counts. */
+  FileLooks(String path, Runnable changed) {
+    this.path = Path.of(path);
+    this.changed = changed;
+    seen = look();
+  }
 
-    /** What tells one state of the file from the next; empty where there is none. */
-    private List<Object> look() {
-        try {
-            BasicFileAttributes now = Files.readAttributes(path, BasicFileAttributes.class);
-            return List.of(now.lastModifiedTime(), now.size(), String.valueOf(now.fileKey()));
-        } catch (IOException e) {
-            return List.of();
-        }
+  /** What tells one state of the file from the next; empty where there is none. */
+  private List<Object> look() {
+    try {
+      BasicFileAttributes now = Files.readAttributes(path, BasicFileAttributes.class);
+      return List.of(now.lastModifiedTime(), now.size(), String.valueOf(now.fileKey()));
+    } catch (IOException e) {
+      return List.of();
     }
+  }
 
-    void start() {
-        Logger.warn("SIGHUP was ignored when this program was started (nohup?) and stays so; {} is looked at every {} ms instead",
-                path, PAUSE / 1_000_000L);
-        Thread thread = new Thread(this, "looks");
-        thread.setDaemon(true);
-        thread.start();
-    }
+  void start() {
+    Logger.warn(
+        "SIGHUP was ignored when this program was started (nohup?) and stays so; {} is looked at every {} ms instead",
+        path,
+        PAUSE / 1_000_000L);
+    Thread thread = new Thread(this, "looks");
+    thread.setDaemon(true);
+    thread.start();
+  }
 
-    @Override
-    public void run() {
-        try {
-            while (true) {
-                ConfigFile.nap(PAUSE);
-                List<Object> now = look();
-                if (!now.equals(seen)) {
-                    seen = now;
-                    if (!now.isEmpty()) {
-                        changed.run();
-                    }
-                }
-            }
-        } catch (IOException e) {
-            // told to end
+  @Override
+  public void run() {
+    try {
+      while (true) {
+        ConfigFile.nap(PAUSE);
+        List<Object> now = look();
+        if (!now.equals(seen)) {
+          seen = now;
+          if (!now.isEmpty()) {
+            changed.run();
+          }
         }
+      }
+    } catch (IOException e) {
+      // told to end
     }
+  }
 }
--- a/src/main/java/tansytrack/service/Installed.java
+++ b/src/main/java/tansytrack/service/Installed.java
@@ -18,99 +18,120 @@
 import tansytrack.operator.OperatorFile;
 import tansytrack.settings.Config;
 import tansytrack.settings.Unusable;
-import tansytrack.state.TaskWatch;
 
 /** What the operators' file switches on; loaded only where there is one. */
 final class Installed {
 
-    private static final int DIGEST_BYTES = 6;
+  private static final int DIGEST_BYTES = 6;
 
-    private Installed() { }
+  private Installed() {}
 
-    /** Reads the file; before the first line is logged, as it chooses their form. */
-    static Service.Extras extras(String file) {
-        OperatorFile all = OperatorFile.read(file);
-        if (all.jsonLines()) {
-            Event.jsonLines();
-        }
-        return new Service.Extras(watch(file, all.ledger()), siblings(file, all.fleet()));
+  /** Reads the file; before the first line is logged, as it chooses their form. */
+  static Service.Extras extras(String file) {
+    OperatorFile all = OperatorFile.read(file);
+    if (all.jsonLines()) {
+      Event.jsonLines();
     }
+    return new Service.Extras(watch(file, all.ledger()), siblings(file, all.fleet()));
+  }
 
-    private static Service.WatchMaker watch(String file, OperatorFile.LedgerSection ledger) {
-        if (ledger == null) {
-            return Service.WatchMaker.NONE;
-        }
-        return (config, timers, inbox) -> {
-            try {
-                return Recorder.start(ledger, config.name(), config.settings().grades(), timers, inbox);
-            } catch (IOException e) {
-                throw new Unusable(file + ": ledger: " + e.getMessage());
-            }
-        };
+  private static Service.WatchMaker watch(String file, OperatorFile.LedgerSection ledger) {
+    if (ledger == null) {
+      return Service.WatchMaker.NONE;
     }
+    return (config, timers, inbox) -> {
+      try {
+        return Recorder.start(ledger, config.name(), config.settings().grades(), timers, inbox);
+      } catch (IOException e) {
+        throw new Unusable(file + ": ledger: " + e.getMessage());
+      }
+    };
+  }
 
-    private static Service.SiblingsMaker siblings(String file, OperatorFile.FleetSection fleet) {
-        if (fleet == null) {
-            return Service.SiblingsMaker.NONE;
-        }
-        return (config, count) -> {
-            String name = fleet.name().isEmpty() ? config.name() : fleet.name();
-            if (fleet.peers().stream().anyMatch(peer -> peer.name().equals(name))) {
-                throw new Unusable(file + ": fleet: peers: '" + name + "' is this manager's own name; allowed: the others");
-            }
-            String version = Installed.class.getPackage().getImplementationVersion();
-            try {
-                return FleetLink.start(fleet, name, version == null ? "unpackaged" : version, digest(config),
-                        config.settings().siblings(), count);
-            } catch (IOException e) {
-                throw new Unusable(file + ": fleet: " + e.getMessage());
-            }
-        };
+  private static Service.SiblingsMaker siblings(String file, OperatorFile.FleetSection fleet) {
+    if (fleet == null) {
+      return Service.SiblingsMaker.NONE;
     }
+    return (config, count) -> {
+      String name = fleet.name().isEmpty() ? config.name() : fleet.name();
+      if (fleet.peers().stream().anyMatch(peer -> peer.name().equals(name))) {
+        throw new Unusable(
+            file
+                + ": fleet: peers: '"
+                + name
+                + "' is this manager's own name; allowed: the others");
+      }
+      String version = Installed.class.getPackage().getImplementationVersion();
+      try {
+        return FleetLink.start(
+            fleet,
+            name,
+            version == null ? "unpackaged" : version,
+            digest(config),
+            config.settings().siblings(),
+            count);
+      } catch (IOException e) {
+        throw new Unusable(file + ": fleet: " + e.getMessage());
+      }
+    };
+  }
 
-    /** Of the settings, alike for all managers that were told the same, in whatever order their sets stand. */
-    private static String digest(Config config) {
-        try {
-            byte[] all = MessageDigest.getInstance("SHA-256")
-                    .digest(plain(config.settings().withSeed(0)).getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(all, 0, DIGEST_BYTES);
-        } catch (ReflectiveOperationException | NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);             // each Java has the one, and settings are public records
-        }
+  /**
+   * Of the settings, alike for all managers that were told the same, in whatever order their sets
+   * stand.
+   */
+  private static String digest(Config config) {
+    try {
+      byte[] all =
+          MessageDigest.getInstance("SHA-256")
+              .digest(plain(config.settings().withSeed(0)).getBytes(StandardCharsets.UTF_8));
+      return HexFormat.of().formatHex(all, 0, DIGEST_BYTES);
+    } catch (ReflectiveOperationException | NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e); // each Java has the one, and settings are public records
     }
+  }
 
-    private static String plain(Object value) throws ReflectiveOperationException {
-        List<String> parts = new ArrayList<>();
-        if (value instanceof Record) {
-            for (RecordComponent one : value.getClass().getRecordComponents()) {
-                parts.add(one.getName() + '=' + plain(one.getAccessor().invoke(value)));
-            }
-        } else if (value instanceof Map<?, ?> map) {
-            for (Map.Entry<?, ?> one : map.entrySet()) {
-                parts.add(one.getKey() + "=" + plain(one.getValue()));
-            }
-            Collections.sort(parts);
-        } else if (value instanceof Collection<?> all) {
-            for (Object one : all) {
-                parts.add(plain(one));
-            }
-            if (value instanceof Set) {
-                Collections.sort(parts);
-            }
-        } else {
-            return String.valueOf(value);
-        }
-        return parts.toString();
+  private static String plain(Object value) throws ReflectiveOperationException {
+    List<String> parts = new ArrayList<>();
+    if (value instanceof Record) {
+      for (RecordComponent one : value.getClass().getRecordComponents()) {
+        parts.add(one.getName() + '=' + plain(one.getAccessor().invoke(value)));
+      }
+    } else if (value instanceof Map<?, ?> map) {
+      for (Map.Entry<?, ?> one : map.entrySet()) {
+        parts.add(one.getKey() + "=" + plain(one.getValue()));
+      }
+      Collections.sort(parts);
+    } else if (value instanceof Collection<?> all) {
+      for (Object one : all) {
+        parts.add(plain(one));
+      }
+      if (value instanceof Set) {
+        Collections.sort(parts);
+      }
+    } else {
+      return String.valueOf(value);
     }
+    return parts.toString();
+  }
 
-    /** Reads it and says what is on; opens nothing. */
-    static String said(String file) {
-        OperatorFile all = OperatorFile.read(file);
-        OperatorFile.LedgerSection ledger = all.ledger();
-        OperatorFile.FleetSection fleet = all.fleet();
-        String said = (ledger == null ? "" : "; ledger in " + ledger.folder() + ", "
-                + ledger.rates().rates().size() + " rates, answers " + (ledger.afterCommit() ? "after commit" : "at once"))
-                + (fleet == null ? "" : "; fleet of " + (fleet.peers().size() + 1) + " at " + fleet.address());
-        return said.isEmpty() ? "; nothing more is switched on" : said;
-    }
+  /** Reads it and says what is on; opens nothing. */
+  static String said(String file) {
+    OperatorFile all = OperatorFile.read(file);
+    OperatorFile.LedgerSection ledger = all.ledger();
+    OperatorFile.FleetSection fleet = all.fleet();
+    String said =
+        (ledger == null
+                ? ""
+                : "; ledger in "
+                    + ledger.folder()
+                    + ", "
+                    + ledger.rates().rates().size()
+                    + " rates, answers "
+                    + (ledger.afterCommit() ? "after commit" : "at once"))
+            + (fleet == null
+                ? ""
+                : "; fleet of " + (fleet.peers().size() + 1) + " at " + fleet.address());
+    return said.isEmpty() ? "; nothing more is switched on" : said;
+  }
 }
--- a/src/main/java/tansytrack/settings/Config.java
+++ b/src/main/java/tansytrack/settings/Config.java
@@ -7,114 +7,135 @@
 import tansytrack.api.Settings;
 
 /** All that a workload manager is told when it starts; times in nanoseconds. */
-public record Config(String name, String listen, String channel, Object known, Settings settings,
-        List<String> columns, long idleTime, int mostDescriptors) {
+public record Config(
+    String name,
+    String listen,
+    String channel,
+    Object known,
+    Settings settings,
+    List<String> columns,
+    long idleTime,
+    int mostDescriptors) {
 
-    private static final List<String> REPORTED = List.of("cpu_share", "busy_reqs", "pending", "x0", "x1");
-    private static final Map<String, String> OTHER_NAMES = Map.of("util", "cpu_share", "inflight", "busy_reqs",
-            "queue", "pending");
+  private static final List<String> REPORTED =
+      List.of("cpu_share", "busy_reqs", "pending", "x0", "x1");
+  private static final Map<String, String> OTHER_NAMES =
+      Map.of("util", "cpu_share", "inflight", "busy_reqs", "queue", "pending");
 
-    /** From the parsed JSON of the configuration; the settings in it become the pairs that the bench would send. */
-    public static Config of(Object json) {
-        Map<?, ?> all = map(json, "the configuration");
-        Pairs pairs = new Pairs();
-        flatten("", map(all.get("settings"), "settings"), pairs);
-        long seed;
-        try {
-            seed = Long.parseUnsignedLong(text(all, "seed"), 16);
-        } catch (NumberFormatException e) {
-            throw new Unusable("seed is not a hex number");
-        }
-        Object sockets = map(all.get("limits"), "limits").get("sockets");
-        if (!(sockets instanceof Number)) {
-            throw new Unusable("limits.sockets is not a number");
-        }
-        Settings settings = pairs.settings(seed);
-        if (settings.grades().isEmpty()) {
-            throw new Unusable("settings.grades is empty");
-        }
-        return new Config(text(all, "name"), text(all, "listen"), text(all, "channel"), all.get("known"), settings,
-                pairs.columns(), pairs.time("policy_limits.conn_idle_ms"), ((Number) sockets).intValue());
+  /**
+   * From the parsed JSON of the configuration; the settings in it become the pairs that the bench
+   * would send.
+   */
+  public static Config of(Object json) {
+    Map<?, ?> all = map(json, "the configuration");
+    Pairs pairs = new Pairs();
+    flatten("", map(all.get("settings"), "settings"), pairs);
+    long seed;
+    try {
+      seed = Long.parseUnsignedLong(text(all, "seed"), 16);
+    } catch (NumberFormatException e) {
+      throw new Unusable("seed is not a hex number");
     }
-
-    /** How long a connection to an engine may take to come up. */
-    public long connectTime() {
-        return settings.levers().connectTime();
+    Object sockets = map(all.get("limits"), "limits").get("sockets");
+    if (!(sockets instanceof Number)) {
+      throw new Unusable("limits.sockets is not a number");
     }
-
-    /** The same manager elsewhere, with other engines. */
-    public Config moved(String otherListen, String otherChannel, Object otherKnown) {
-        return new Config(name, otherListen, otherChannel, otherKnown, settings, columns, idleTime,
-                mostDescriptors);
+    Settings settings = pairs.settings(seed);
+    if (settings.grades().isEmpty()) {
+      throw new Unusable("settings.grades is empty");
     }
+    return new Config(
+        text(all, "name"),
+        text(all, "listen"),
+        text(all, "channel"),
+        all.get("known"),
+        settings,
+        pairs.columns(),
+        pairs.time("policy_limits.conn_idle_ms"),
+        ((Number) sockets).intValue());
+  }
 
-    /** What differs in another one that a running manager cannot take over, by name; empty: nothing. */
-    public String fixedDifference(Config other) {
-        List<String> differ = new ArrayList<>();
-        if (!listen.equals(other.listen)) {
-            differ.add("listen");
-        }
-        // The seed is new with each start, so it says nothing of the settings.
-        if (!settings.equals(other.settings.withSeed(settings.seed()))
-                || idleTime != other.idleTime || !columns.equals(other.columns)) {
-            differ.add("settings");
-        }
-        return String.join(", ", differ);
-    }
+  /** How long a connection to an engine may take to come up. */
+  public long connectTime() {
+    return settings.levers().connectTime();
+  }
 
-    private static Map<?, ?> map(Object value, String what) {
-        if (value instanceof Map) {
-            return (Map<?, ?>) value;
-        }
-        throw new Unusable(what + " is not an object");
+  /** The same manager elsewhere, with other engines. */
+  public Config moved(String otherListen, String otherChannel, Object otherKnown) {
+    return new Config(
+        name, otherListen, otherChannel, otherKnown, settings, columns, idleTime, mostDescriptors);
+  }
+
+  /**
+   * What differs in another one that a running manager cannot take over, by name; empty: nothing.
+   */
+  public String fixedDifference(Config other) {
+    List<String> differ = new ArrayList<>();
+    if (!listen.equals(other.listen)) {
+      differ.add("listen");
     }
+    // The seed is new with each start, so it says nothing of the settings.
+    if (!settings.equals(other.settings.withSeed(settings.seed()))
+        || idleTime != other.idleTime
+        || !columns.equals(other.columns)) {
+      differ.add("settings");
+    }
+    return String.join(", ", differ);
+  }
 
-    private static String text(Map<?, ?> from, String name) {
-        if (from.get(name) instanceof String) {
-            return (String) from.get(name);
-        }
-        throw new Unusable(name + " is not a string");
+  private static Map<?, ?> map(Object value, String what) {
+    if (value instanceof Map) {
+      return (Map<?, ?>) value;
     }
+    throw new Unusable(what + " is not an object");
+  }
 
-    private static void flatten(String path, Map<?, ?> object, Pairs into) {
-        object.forEach((name, value) -> put(path + name, value, into));
+  private static String text(Map<?, ?> from, String name) {
+    if (from.get(name) instanceof String) {
+      return (String) from.get(name);
     }
+    throw new Unusable(name + " is not a string");
+  }
 
-    private static void put(String path, Object value, Pairs into) {
-        if (value instanceof Map) {
-            flatten(path + '.', (Map<?, ?>) value, into);
-        } else if (value instanceof List) {
-            List<?> list = (List<?>) value;
-            if (list.stream().anyMatch(Map.class::isInstance)) {
-                into.put(path + ".count", Integer.toString(list.size()));
-                for (int i = 0; i < list.size(); i++) {
-                    put(path + '.' + i, list.get(i), into);
-                }
-            } else {
-                into.put(path, String.join(",", list.stream().map(Config::plain).toList()));
-            }
-        } else if (value != null) {
-            into.put(path, plain(value));
+  private static void flatten(String path, Map<?, ?> object, Pairs into) {
+    object.forEach((name, value) -> put(path + name, value, into));
+  }
+
+  private static void put(String path, Object value, Pairs into) {
+    if (value instanceof Map) {
+      flatten(path + '.', (Map<?, ?>) value, into);
+    } else if (value instanceof List) {
+      List<?> list = (List<?>) value;
+      if (list.stream().anyMatch(Map.class::isInstance)) {
+        into.put(path + ".count", Integer.toString(list.size()));
+        for (int i = 0; i < list.size(); i++) {
+          put(path + '.' + i, list.get(i), into);
         }
+      } else {
+        into.put(path, String.join(",", list.stream().map(Config::plain).toList()));
+      }
+    } else if (value != null) {
+      into.put(path, plain(value));
     }
+  }
 
-    private static String plain(Object value) {
-        return value == null ? "-" : value.toString().replace(' ', '_').replace(',', '_');
-    }
+  private static String plain(Object value) {
+    return value == null ? "-" : value.toString().replace(' ', '_').replace(',', '_');
+  }
 
-    /** The place of a reported figure among the columns, or -1. */
-    public int column(String name) {
-        int at = columns.indexOf(name);
-        return at >= 0 ? at : columns.indexOf(OTHER_NAMES.getOrDefault(name, name));
-    }
+  /** The place of a reported figure among the columns, or -1. */
+  public int column(String name) {
+    int at = columns.indexOf(name);
+    return at >= 0 ? at : columns.indexOf(OTHER_NAMES.getOrDefault(name, name));
+  }
 
-    /** A report from the figures of all columns. */
-    public LoadReport report(double[] figures) {
-        double[] all = new double[REPORTED.size()];
-        for (int i = 0; i < all.length; i++) {
-            int at = column(REPORTED.get(i));
-            all[i] = at < 0 ? Double.NaN : figures[at];
-        }
-        return new LoadReport(all[0], all[1], all[2], all[3], all[4]);
+  /** A report from the figures of all columns. */
+  public LoadReport report(double[] figures) {
+    double[] all = new double[REPORTED.size()];
+    for (int i = 0; i < all.length; i++) {
+      int at = column(REPORTED.get(i));
+      all[i] = at < 0 ? Double.NaN : figures[at];
     }
+    return new LoadReport(all[0], all[1], all[2], all[3], all[4]);
+  }
 }
--- a/src/main/java/tansytrack/state/Inquiry.java
+++ b/src/main/java/tansytrack/state/Inquiry.java
@@ -8,96 +8,98 @@
 import tansytrack.wire.Junk;
 
 /**
- * Asks engines, after a start, what became of forwards that the life before left out: an engine knows a query until it was
- * not asked for in 2 s. One that has ended tells its work; one that still runs is given up, as nobody waits for it. Some are
- * asked at a time, so that a start does not take the connections that tasks need.
+ * Asks engines, after a start, what became of forwards that the life before left out: an engine
+ * knows a query until it was not asked for in 2 s. One that has ended tells its work; one that
+ * still runs is given up, as nobody waits for it. Some are asked at a time, so that a start does
+ * not take the connections that tasks need.
  */
 final class Inquiry {
 
-    private static final int AT_A_TIME = 8;
-    private static final int MOST = 4096;
-    private static final long WITHIN = 600_000_000L;        // an engine holds a question open for 250 ms at most
+  private static final int AT_A_TIME = 8;
+  private static final int MOST = 4096;
+  private static final long WITHIN =
+      600_000_000L; // an engine holds a question open for 250 ms at most
 
-    private final Manager manager;
-    private final Timers timers;
-    private final TaskWatch watch;
-    private final ArrayDeque<TaskWatch.Left> left = new ArrayDeque<>();
+  private final Manager manager;
+  private final Timers timers;
+  private final TaskWatch watch;
+  private final ArrayDeque<TaskWatch.Left> left = new ArrayDeque<>();
 
-    Inquiry(Manager manager, Timers timers, TaskWatch watch) {
-        this.manager = manager;
-        this.timers = timers;
-        this.watch = watch;
-    }
+  Inquiry(Manager manager, Timers timers, TaskWatch watch) {
+    this.manager = manager;
+    this.timers = timers;
+    this.watch = watch;
+  }
 
-    void start(Collection<TaskWatch.Left> all) {
-        List<TaskWatch.Left> some = List.copyOf(all);
-        left.addAll(some.subList(Math.max(0, some.size() - MOST), some.size()));
-        for (int i = 0; i < AT_A_TIME; i++) {
-            next();
-        }
+  void start(Collection<TaskWatch.Left> all) {
+    List<TaskWatch.Left> some = List.copyOf(all);
+    left.addAll(some.subList(Math.max(0, some.size() - MOST), some.size()));
+    for (int i = 0; i < AT_A_TIME; i++) {
+      next();
     }
+  }
 
-    private void next() {
-        TaskWatch.Left one = left.poll();
-        EngineLines engine = one == null ? null : manager.engine(one.engine());
-        if (engine != null) {
-            new Question(one, engine).ask();
-        } else if (one != null) {
-            manager.later(this::next);          // it is no engine of ours any more
-        }
+  private void next() {
+    TaskWatch.Left one = left.poll();
+    EngineLines engine = one == null ? null : manager.engine(one.engine());
+    if (engine != null) {
+      new Question(one, engine).ask();
+    } else if (one != null) {
+      manager.later(this::next); // it is no engine of ours any more
     }
+  }
 
-    /** One of them. */
-    private final class Question implements HttpLine.Caller {
-        private final TaskWatch.Left about;
-        private final EngineLines engine;
-        private final Timers.Timer timer;
-        private HttpLine line;
-        private boolean over;
+  /** One of them. */
+  private final class Question implements HttpLine.Caller {
+    private final TaskWatch.Left about;
+    private final EngineLines engine;
+    private final Timers.Timer timer;
+    private HttpLine line;
+    private boolean over;
 
-        Question(TaskWatch.Left about, EngineLines engine) {
-            this.about = about;
-            this.engine = engine;
-            timer = timers.at(timers.now() + WITHIN, this::late);
-        }
+    Question(TaskWatch.Left about, EngineLines engine) {
+      this.about = about;
+      this.engine = engine;
+      timer = timers.at(timers.now() + WITHIN, this::late);
+    }
 
-        void ask() {
-            line = engine.call("GET", "/o/" + about.task() + "/0", this);
-            if (line == null) {
-                end();
-            }
-        }
+    void ask() {
+      line = engine.call("GET", "/o/" + about.task() + "/0", this);
+      if (line == null) {
+        end();
+      }
+    }
 
-        @Override
-        public void answered(Http.Answer answer) throws Junk {
-            manager.counters().add("inquiries.answered");
-            if (answer.status() == 200) {
-                watch.told(about, true, Math.round(answer.number("work-ms", 0) * 1e6));
-            } else if (answer.status() == 202) {
-                engine.aside("DELETE", "/o/" + about.task(), EngineLines.NOTHING, false, gone -> { });
-                watch.told(about, false, 0);
-            }
-            end();
-        }
+    @Override
+    public void answered(Http.Answer answer) throws Junk {
+      manager.counters().add("inquiries.answered");
+      if (answer.status() == 200) {
+        watch.told(about, true, Math.round(answer.number("work-ms", 0) * 1e6));
+      } else if (answer.status() == 202) {
+        engine.aside("DELETE", "/o/" + about.task(), EngineLines.NOTHING, false, gone -> {});
+        watch.told(about, false, 0);
+      }
+      end();
+    }
 
-        @Override
-        public void failed(HttpLine.Failure why) {
-            end();
-        }
+    @Override
+    public void failed(HttpLine.Failure why) {
+      end();
+    }
 
-        private void late() {
-            if (!over && line != null) {
-                line.drop();
-            }
-            end();
-        }
+    private void late() {
+      if (!over && line != null) {
+        line.drop();
+      }
+      end();
+    }
 
-        private void end() {
-            if (!over) {
-                over = true;
-                timer.cancel();
-                manager.later(Inquiry.this::next);
-            }
-        }
+    private void end() {
+      if (!over) {
+        over = true;
+        timer.cancel();
+        manager.later(Inquiry.this::next);
+      }
     }
+  }
 }
--- a/src/main/java/tansytrack/state/Intake.java
+++ b/src/main/java/tansytrack/state/Intake.java
@@ -8,86 +8,101 @@
 /** Makes a task of a statement's fields, or says which field is of no use. */
 final class Intake {
 
-    private static final double MS = 1e6;
-    private static final double MOST = 1e9;             // of any amount: keeps sums of times in range
+  private static final double MS = 1e6;
+  private static final double MOST = 1e9; // of any amount: keeps sums of times in range
 
-    private static final int LONGEST_AMOUNT = 24;       // digits of a double, and some
+  private static final int LONGEST_AMOUNT = 24; // digits of a double, and some
 
-    private final Set<String> grades;
-    private final Set<String> tenants;
+  private final Set<String> grades;
+  private final Set<String> tenants;
 
-    Intake(Set<String> grades, Set<String> tenants) {
-        this.grades = grades;
-        this.tenants = tenants;
-    }
+  Intake(Set<String> grades, Set<String> tenants) {
+    this.grades = grades;
+    this.tenants = tenants;
+  }
 
-    /** The task, whose last byte came at that time. */
-    TaskOffer offer(Statement statement, long at) throws Junk {
-        String id = needed(statement, "id");
-        hex("id", id);
-        String grade = needed(statement, "class");
-        if (!grades.contains(grade)) {
-            throw new Junk("field class: no such class");
-        }
-        String tenant = statement.field("tenant");
-        if (tenant != null && !tenants.contains(tenant)) {
-            throw new Junk("field tenant: no such tenant");
-        }
-        String key = statement.field("key");
-        double wait = amount("wait", needed(statement, "wait"));
-        double cost = amount("cost", statement.field("cost"));
-        double memory = amount("mb", statement.field("mb"));
-        return new TaskOffer(id, grade, tenant == null ? "" : tenant, key == null ? null : hex("key", key),
-                at + Math.round(wait * MS), Math.round(cost * MS), memory, statement.group());
+  /** The task, whose last byte came at that time. */
+  TaskOffer offer(Statement statement, long at) throws Junk {
+    String id = needed(statement, "id");
+    hex("id", id);
+    String grade = needed(statement, "class");
+    if (!grades.contains(grade)) {
+      throw new Junk("field class: no such class");
+    }
+    String tenant = statement.field("tenant");
+    if (tenant != null && !tenants.contains(tenant)) {
+      throw new Junk("field tenant: no such tenant");
     }
+    String key = statement.field("key");
+    double wait = amount("wait", needed(statement, "wait"));
+    double cost = amount("cost", statement.field("cost"));
+    double memory = amount("mb", statement.field("mb"));
+    return new TaskOffer(
+        id,
+        grade,
+        tenant == null ? "" : tenant,
+        key == null ? null : hex("key", key),
+        at + Math.round(wait * MS),
+        Math.round(cost * MS),
+        memory,
+        statement.group());
+  }
 
-    /** The mark by which engines know a repeat, or null: passed on as it is, so it must be a plain word. */
-    static String stamp(Statement statement) throws Junk {
-        String stamp = statement.field("once");
-        if (stamp != null && !stamp.matches("[0-9A-Za-z_.-]{1,64}")) {
-            throw new Junk("field once: not a word of 1 to 64 letters and digits");
-        }
-        return stamp;
+  /**
+   * The mark by which engines know a repeat, or null: passed on as it is, so it must be a plain
+   * word.
+   */
+  static String stamp(Statement statement) throws Junk {
+    String stamp = statement.field("once");
+    if (stamp != null && !stamp.matches("[0-9A-Za-z_.-]{1,64}")) {
+      throw new Junk("field once: not a word of 1 to 64 letters and digits");
     }
+    return stamp;
+  }
 
-    private static String needed(Statement statement, String field) throws Junk {
-        String value = statement.field(field);
-        if (value == null || value.isEmpty()) {
-            throw new Junk("field " + field + ": missing");
-        }
-        return value;
+  private static String needed(Statement statement, String field) throws Junk {
+    String value = statement.field(field);
+    if (value == null || value.isEmpty()) {
+      throw new Junk("field " + field + ": missing");
     }
+    return value;
+  }
 
-    private static long hex(String field, String value) throws Junk {
-        long bits = 0;
-        for (int i = 0; i < 16; i++) {
-            char c = value.length() == 16 ? value.charAt(i) : 0;
-            int digit = c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10
-                    : c >= 'A' && c <= 'F' ? c - 'A' + 10 : -1;
-            if (digit < 0) {
-                throw new Junk("field " + field + ": not 16 hex digits");
-            }
-            bits = bits << 4 | digit;
-        }
-        return bits;
+  private static long hex(String field, String value) throws Junk {
+    long bits = 0;
+    for (int i = 0; i < 16; i++) {
+      char c = value.length() == 16 ? value.charAt(i) : 0;
+      int digit =
+          c >= '0' && c <= '9'
+              ? c - '0'
+              : c >= 'a' && c <= 'f' ? c - 'a' + 10 : c >= 'A' && c <= 'F' ? c - 'A' + 10 : -1;
+      if (digit < 0) {
+        throw new Junk("field " + field + ": not 16 hex digits");
+      }
+      bits = bits << 4 | digit;
     }
+    return bits;
+  }
 
-    /** A plain decimal from 0 on: what Java's own reader takes besides (1d, 0x1p3, 1e3) no engine would. */
-    static double amount(String field, String value) throws Junk {
-        if (value == null) {
-            return 0;
-        }
-        boolean plain = !value.isEmpty() && value.length() <= LONGEST_AMOUNT;
-        int points = 0;
-        for (int i = 0; i < value.length(); i++) {
-            char c = value.charAt(i);
-            points += c == '.' ? 1 : 0;
-            plain &= c >= '0' && c <= '9' || c == '.' && i > 0 && i < value.length() - 1;
-        }
-        double amount = plain && points <= 1 ? Double.parseDouble(value) : MOST;
-        if (amount >= MOST) {
-            throw new Junk("field " + field + ": not a number in range");
-        }
-        return amount;
+  /**
+   * A plain decimal from 0 on: what Java's own reader takes besides (1d, 0x1p3, 1e3) no engine
+   * would.
+   */
+  static double amount(String field, String value) throws Junk {
+    if (value == null) {
+      return 0;
+    }
+    boolean plain = !value.isEmpty() && value.length() <= LONGEST_AMOUNT;
+    int points = 0;
+    for (int i = 0; i < value.length(); i++) {
+      char c = value.charAt(i);
+      points += c == '.' ? 1 : 0;
+      plain &= c >= '0' && c <= '9' || c == '.' && i > 0 && i < value.length() - 1;
+    }
+    double amount = plain && points <= 1 ? Double.parseDouble(value) : MOST;
+    if (amount >= MOST) {
+      throw new Junk("field " + field + ": not a number in range");
     }
+    return amount;
+  }
 }
--- a/src/main/java/tansytrack/state/Probe.java
+++ b/src/main/java/tansytrack/state/Probe.java
@@ -9,59 +9,64 @@
 /** A question for an engine's load. */
 final class Probe implements HttpLine.Caller {
 
-    private static final int TRIES = 2;             // further ones
+  private static final int TRIES = 2; // further ones
 
-    private final Manager manager;
-    private final EngineLines engine;
-    private HttpLine line;
-    private Timers.Timer timer;
-    private boolean over;
-    private int tries;
+  private final Manager manager;
+  private final EngineLines engine;
+  private HttpLine line;
+  private Timers.Timer timer;
+  private boolean over;
+  private int tries;
 
-    Probe(Manager manager, EngineLines engine) {
-        this.manager = manager;
-        this.engine = engine;
-    }
+  Probe(Manager manager, EngineLines engine) {
+    this.manager = manager;
+    this.engine = engine;
+  }
 
-    /** Asks; its end comes later, never within this call. */
-    void start(Timers timers, long within) {
-        line = engine.call("GET", "/stats", this);
-        timer = timers.at(timers.now() + within, this::late);
-        if (line == null) {
-            manager.later(() -> end(Outcome.NEVER_SENT, null));
-        }
+  /** Asks; its end comes later, never within this call. */
+  void start(Timers timers, long within) {
+    line = engine.call("GET", "/stats", this);
+    timer = timers.at(timers.now() + within, this::late);
+    if (line == null) {
+      manager.later(() -> end(Outcome.NEVER_SENT, null));
     }
+  }
 
-    @Override
-    public void answered(Http.Answer answer) throws Junk {
-        LoadReport report = manager.report(answer);
-        end(answer.status() == 200 ? Outcome.OK : answer.status() == 503 ? Outcome.FULL : Outcome.ERROR, report);
-    }
+  @Override
+  public void answered(Http.Answer answer) throws Junk {
+    LoadReport report = manager.report(answer);
+    end(
+        answer.status() == 200 ? Outcome.OK : answer.status() == 503 ? Outcome.FULL : Outcome.ERROR,
+        report);
+  }
 
-    /** One spoilt answer or reset connection says nothing of the engine: it is asked again, within the same time. */
-    @Override
-    public void failed(HttpLine.Failure why) {
-        boolean again = why == HttpLine.Failure.BROKEN || why == HttpLine.Failure.UNSENT;
-        line = again && tries++ < TRIES ? engine.call("GET", "/stats", this) : null;
-        if (line == null) {
-            end(why == HttpLine.Failure.BROKEN ? Outcome.RESET : Outcome.UNREACHED, null);
-        }
+  /**
+   * One spoilt answer or reset connection says nothing of the engine: it is asked again, within the
+   * same time.
+   */
+  @Override
+  public void failed(HttpLine.Failure why) {
+    boolean again = why == HttpLine.Failure.BROKEN || why == HttpLine.Failure.UNSENT;
+    line = again && tries++ < TRIES ? engine.call("GET", "/stats", this) : null;
+    if (line == null) {
+      end(why == HttpLine.Failure.BROKEN ? Outcome.RESET : Outcome.UNREACHED, null);
     }
+  }
 
-    private void late() {
-        if (!over) {
-            if (line != null) {
-                line.drop();
-            }
-            end(Outcome.TIME_OUT, null);
-        }
+  private void late() {
+    if (!over) {
+      if (line != null) {
+        line.drop();
+      }
+      end(Outcome.TIME_OUT, null);
     }
+  }
 
-    private void end(Outcome outcome, LoadReport report) {
-        if (!over) {
-            over = true;
-            timer.cancel();
-            manager.probed(engine, outcome, report);
-        }
+  private void end(Outcome outcome, LoadReport report) {
+    if (!over) {
+      over = true;
+      timer.cancel();
+      manager.probed(engine, outcome, report);
     }
+  }
 }
--- a/src/main/java/tansytrack/state/TaskWatch.java
+++ b/src/main/java/tansytrack/state/TaskWatch.java
@@ -5,46 +5,68 @@
 import tansytrack.api.Outcome;
 import tansytrack.api.TaskOffer;
 
-/** Hears what tasks do, in the loop; it must not block, and decides nothing about them. Times in nanoseconds. */
+/**
+ * Hears what tasks do, in the loop; it must not block, and decides nothing about them. Times in
+ * nanoseconds.
+ */
 public interface TaskWatch {
 
-    /** How a task stopped being owed an answer. */
-    enum End { HANDLED, BOUNCED, ABORTED, ABANDONED, TIME_UP }
+  /** How a task stopped being owed an answer. */
+  enum End {
+    HANDLED,
+    BOUNCED,
+    ABORTED,
+    ABANDONED,
+    TIME_UP
+  }
 
-    /** A forward that the life before left out. */
-    record Left(String task, String engine) { }
+  /** A forward that the life before left out. */
+  record Left(String task, String engine) {}
 
-    /** Hears nothing. */
-    TaskWatch NONE = new TaskWatch() { };
+  /** Hears nothing. */
+  TaskWatch NONE = new TaskWatch() {};
 
-    default void taken(long now, TaskOffer offer) { }
+  default void taken(long now, TaskOffer offer) {}
 
-    /** May new tasks come in, as far as what must be kept of them can be? */
-    default boolean admits() {
-        return true;
-    }
+  /** May new tasks come in, as far as what must be kept of them can be? */
+  default boolean admits() {
+    return true;
+  }
 
-    /** A forward is to go out, by running go, once, here or a moment later in the loop. */
-    default void sent(long now, String task, int index, String engine, long memoryMb, Runnable go) {
-        go.run();
-    }
+  /** A forward is to go out, by running go, once, here or a moment later in the loop. */
+  default void sent(long now, String task, int index, String engine, long memoryMb, Runnable go) {
+    go.run();
+  }
 
-    /** A forward ended; served: what it brought goes to the client. */
-    default void ended(long now, String task, int index, Outcome outcome, long work, double memoryMb, boolean served) { }
+  /** A forward ended; served: what it brought goes to the client. */
+  default void ended(
+      long now,
+      String task,
+      int index,
+      Outcome outcome,
+      long work,
+      double memoryMb,
+      boolean served) {}
 
-    /** The task's answer, which is to be given by running say, once, here or a moment later in the loop. */
-    default void answered(long now, String task, End end, long bytes, Runnable say) {
-        say.run();
-    }
+  /**
+   * The task's answer, which is to be given by running say, once, here or a moment later in the
+   * loop.
+   */
+  default void answered(long now, String task, End end, long bytes, Runnable say) {
+    say.run();
+  }
 
-    /** What engines are to be asked about, once, after the start. */
-    default Collection<Left> left() {
-        return List.of();
-    }
+  /** What engines are to be asked about, once, after the start. */
+  default Collection<Left> left() {
+    return List.of();
+  }
 
-    /** What an engine said of it: ended, with its work, or given up now. */
-    default void told(Left about, boolean ended, long work) { }
+  /** What an engine said of it: ended, with its work, or given up now. */
+  default void told(Left about, boolean ended, long work) {}
 
-    /** Nothing comes any more; what is still to be given is given. Called by the loop's thread at its end. */
-    default void close() { }
+  /**
+   * Nothing comes any more; what is still to be given is given. Called by the loop's thread at its
+   * end.
+   */
+  default void close() {}
 }
--- a/src/main/java/tansytrack/wire/Junk.java
+++ b/src/main/java/tansytrack/wire/Junk.java
@@ -2,34 +2,34 @@
 
 /** A peer said what its protocol does not allow. */
 public final class Junk extends Exception {
-    private static final long serialVersionUID = 1L;
+  private static final long serialVersionUID = 1L;
 
-    private final boolean cutOff;
+  private final boolean cutOff;
 
-    public Junk(String what) {
-        this(what, false);
-    }
+  public Junk(String what) {
+    this(what, false);
+  }
 
-    public Junk(String what, boolean cutOff) {
-        super(what, null, false, false);
-        this.cutOff = cutOff;
-    }
+  public Junk(String what, boolean cutOff) {
+    super(what, null, false, false);
+    this.cutOff = cutOff;
+  }
 
-    /** What was wrong, without the figures and words of this one case. */
-    String reason() {
-        StringBuilder reason = new StringBuilder();
-        for (char c : getMessage().toCharArray()) {
-            if (c == ':' || c == '\'' || Character.isDigit(c)) {
-                break;
-            }
-            reason.append(c);
-        }
-        String plain = reason.toString().strip().replace(' ', '_');
-        return plain.isEmpty() ? "other" : plain;
+  /** What was wrong, without the figures and words of this one case. */
+  String reason() {
+    StringBuilder reason = new StringBuilder();
+    for (char c : getMessage().toCharArray()) {
+      if (c == ':' || c == '\'' || Character.isDigit(c)) {
+        break;
+      }
+      reason.append(c);
     }
+    String plain = reason.toString().strip().replace(' ', '_');
+    return plain.isEmpty() ? "other" : plain;
+  }
 
-    /** Is all right as far as it goes, and only its end is missing? */
-    public boolean cutOff() {
-        return cutOff;
-    }
+  /** Is all right as far as it goes, and only its end is missing? */
+  public boolean cutOff() {
+    return cutOff;
+  }
 }
--- a/src/main/java/tansytrack/wire/Statement.java
+++ b/src/main/java/tansytrack/wire/Statement.java
@@ -6,260 +6,281 @@
 import java.util.Map;
 import java.util.Set;
 
-/** A statement as a client writes it: fields in a comment ahead, and the group of tables in a schema's name. */
+/**
+ * A statement as a client writes it: fields in a comment ahead, and the group of tables in a
+ * schema's name.
+ */
 public final class Statement {
 
-    private static final Set<String> BEFORE_TABLES = Set.of("from", "join", "into", "update", "table", "only", "copy");
-    private static final Set<String> AFTER_TABLES = Set.of("where", "select", "group", "order", "set", "values",
-            "on", "using", "having", "limit", "returning", "union", "except", "intersect");
-    private static final String STAGING = "staging";
+  private static final Set<String> BEFORE_TABLES =
+      Set.of("from", "join", "into", "update", "table", "only", "copy");
+  private static final Set<String> AFTER_TABLES =
+      Set.of(
+          "where",
+          "select",
+          "group",
+          "order",
+          "set",
+          "values",
+          "on",
+          "using",
+          "having",
+          "limit",
+          "returning",
+          "union",
+          "except",
+          "intersect");
+  private static final String STAGING = "staging";
 
-    private final Map<String, String> fields = new HashMap<>();
-    private final byte[] text;
-    private final byte[] body;
-    private int at;
-    private String word;            // the name just read, in lower case; null for anything else
-    private boolean bare;           // not in quotation marks, so it may be a key word
+  private final Map<String, String> fields = new HashMap<>();
+  private final byte[] text;
+  private final byte[] body;
+  private int at;
+  private String word; // the name just read, in lower case; null for anything else
+  private boolean bare; // not in quotation marks, so it may be a key word
 
-    private Statement(byte[] text, int from) {
-        this.text = text;
-        body = Arrays.copyOfRange(text, from, text.length);
-        at = from;
-    }
+  private Statement(byte[] text, int from) {
+    this.text = text;
+    body = Arrays.copyOfRange(text, from, text.length);
+    at = from;
+  }
 
-    public static Statement read(byte[] text) throws Junk {
-        int from = blanks(text, 0);
-        if (from + 1 >= text.length || text[from] != '/' || text[from + 1] != '*') {
-            return new Statement(text, from);
-        }
-        int to = from + 2;
-        while (to + 1 < text.length && !(text[to] == '*' && text[to + 1] == '/')) {
-            to++;
-        }
-        if (to + 1 >= text.length) {
-            throw new Junk("comment without an end");
-        }
-        Statement made = new Statement(text, blanks(text, to + 2));
-        made.fields(from + 2, to);
-        return made;
+  public static Statement read(byte[] text) throws Junk {
+    int from = blanks(text, 0);
+    if (from + 1 >= text.length || text[from] != '/' || text[from + 1] != '*') {
+      return new Statement(text, from);
     }
-
-    /** The value of a field in the leading comment, or null. */
-    public String field(String name) {
-        return fields.get(name);
+    int to = from + 2;
+    while (to + 1 < text.length && !(text[to] == '*' && text[to + 1] == '/')) {
+      to++;
     }
-
-    /** Is it these words, in any case and with blanks round them? */
-    public boolean is(String words) {
-        return body.length < 2 * words.length() && string(text.length - body.length, text.length).strip()
-                .equalsIgnoreCase(words);
+    if (to + 1 >= text.length) {
+      throw new Junk("comment without an end");
     }
+    Statement made = new Statement(text, blanks(text, to + 2));
+    made.fields(from + 2, to);
+    return made;
+  }
 
-    /** The statement without that comment. */
-    public byte[] body() {
-        return body;
-    }
+  /** The value of a field in the leading comment, or null. */
+  public String field(String name) {
+    return fields.get(name);
+  }
 
-    private static int blanks(byte[] text, int from) {
-        int at = from;
-        while (at < text.length && blank(text[at])) {
-            at++;
-        }
-        return at;
-    }
+  /** Is it these words, in any case and with blanks round them? */
+  public boolean is(String words) {
+    return body.length < 2 * words.length()
+        && string(text.length - body.length, text.length).strip().equalsIgnoreCase(words);
+  }
 
-    private static boolean blank(byte b) {
-        return b == ' ' || b == '\n' || b == '\r' || b == '\t' || b == '\f';
-    }
+  /** The statement without that comment. */
+  public byte[] body() {
+    return body;
+  }
 
-    private void fields(int from, int to) {
-        for (int i = from; i < to;) {
-            int end = i;
-            int equals = -1;
-            while (end < to && text[end] != ',') {
-                equals = equals < 0 && text[end] == '=' ? end : equals;
-                end++;
-            }
-            if (equals > 0) {
-                fields.put(string(i, equals).strip(), string(equals + 1, end).strip());
-            }
-            i = end + 1;
-        }
+  private static int blanks(byte[] text, int from) {
+    int at = from;
+    while (at < text.length && blank(text[at])) {
+      at++;
     }
+    return at;
+  }
 
-    private String string(int from, int to) {
-        return new String(text, from, to - from, java.nio.charset.StandardCharsets.UTF_8);
-    }
+  private static boolean blank(byte b) {
+    return b == ' ' || b == '\n' || b == '\r' || b == '\t' || b == '\f';
+  }
 
-    /**
-     * The number behind the underscore in the name of the schema that is read or written, or -1. A name where a table
-     * stands goes before any other: an alias may look like a schema too.
-     */
-    public long group() {
-        long other = -1;
-        boolean tables = false;     // a list of tables is open
-        boolean wanted = false;     // a table's name would stand here
-        String schema = null;       // a name that a dot may follow
-        boolean dotted = false;
-        while (next()) {
-            if (word == null) {
-                byte b = text[at - 1];
-                wanted = b == ',' ? tables : b == '.' && wanted || b == '(' && wanted;
-                dotted = b == '.' && schema != null;
-                schema = dotted ? schema : null;
-                continue;
-            }
-            if (dotted) {
-                long group = number(schema);
-                if (group >= 0 && wanted) {
-                    return group;
-                }
-                other = other < 0 ? group : other;
-                wanted = false;
-                schema = null;
-                dotted = false;
-            } else if (bare && BEFORE_TABLES.contains(word)) {
-                tables = true;
-                wanted = true;
-                schema = null;
-            } else if (bare && AFTER_TABLES.contains(word)) {
-                tables = false;
-                wanted = false;
-                schema = null;
-            } else {
-                wanted &= schema == null;
-                schema = word;
-            }
-        }
-        return other;
+  private void fields(int from, int to) {
+    for (int i = from; i < to; ) {
+      int end = i;
+      int equals = -1;
+      while (end < to && text[end] != ',') {
+        equals = equals < 0 && text[end] == '=' ? end : equals;
+        end++;
+      }
+      if (equals > 0) {
+        fields.put(string(i, equals).strip(), string(equals + 1, end).strip());
+      }
+      i = end + 1;
     }
+  }
 
-    private static long number(String schema) {
-        int under = schema.lastIndexOf('_');
-        if (under < 1 || under == schema.length() - 1 || schema.length() - under > 16 || schema.equals(STAGING)) {
-            return -1;
-        }
-        long number = 0;
-        for (int i = under + 1; i < schema.length(); i++) {
-            char c = schema.charAt(i);
-            if (c < '0' || c > '9') {
-                return -1;
-            }
-            number = number * 10 + c - '0';
+  private String string(int from, int to) {
+    return new String(text, from, to - from, java.nio.charset.StandardCharsets.UTF_8);
+  }
+
+  /**
+   * The number behind the underscore in the name of the schema that is read or written, or -1. A
+   * name where a table stands goes before any other: an alias may look like a schema too.
+   */
+  public long group() {
+    long other = -1;
+    boolean tables = false; // a list of tables is open
+    boolean wanted = false; // a table's name would stand here
+    String schema = null; // a name that a dot may follow
+    boolean dotted = false;
+    while (next()) {
+      if (word == null) {
+        byte b = text[at - 1];
+        wanted = b == ',' ? tables : b == '.' && wanted || b == '(' && wanted;
+        dotted = b == '.' && schema != null;
+        schema = dotted ? schema : null;
+        continue;
+      }
+      if (dotted) {
+        long group = number(schema);
+        if (group >= 0 && wanted) {
+          return group;
         }
-        return number;
+        other = other < 0 ? group : other;
+        wanted = false;
+        schema = null;
+        dotted = false;
+      } else if (bare && BEFORE_TABLES.contains(word)) {
+        tables = true;
+        wanted = true;
+        schema = null;
+      } else if (bare && AFTER_TABLES.contains(word)) {
+        tables = false;
+        wanted = false;
+        schema = null;
+      } else {
+        wanted &= schema == null;
+        schema = word;
+      }
     }
+    return other;
+  }
 
-    private byte peek(int ahead) {
-        return at + ahead < text.length ? text[at + ahead] : 0;
+  private static long number(String schema) {
+    int under = schema.lastIndexOf('_');
+    if (under < 1
+        || under == schema.length() - 1
+        || schema.length() - under > 16
+        || schema.equals(STAGING)) {
+      return -1;
+    }
+    long number = 0;
+    for (int i = under + 1; i < schema.length(); i++) {
+      char c = schema.charAt(i);
+      if (c < '0' || c > '9') {
+        return -1;
+      }
+      number = number * 10 + c - '0';
     }
+    return number;
+  }
 
-    /** Reads the next name or sign, past blanks, comments and strings; false at the end. */
-    private boolean next() {
-        word = null;
-        while (at < text.length) {
-            byte b = text[at];
-            if (blank(b)) {
-                at++;
-            } else if (b == '-' && peek(1) == '-') {
-                while (at < text.length && text[at] != '\n') {
-                    at++;
-                }
-            } else if (b == '/' && peek(1) == '*') {
-                comment();
-            } else if (b == '\'') {
-                quoted('\'', false);
-            } else if ((b == 'e' || b == 'E') && peek(1) == '\'') {
-                at++;
-                quoted('\'', true);
-            } else if (b == '$' && dollars()) {
-                continue;
-            } else if (b == '"') {
-                int from = at;
-                quoted('"', false);
-                word = string(from + 1, Math.max(from + 1, at - 1));
-                bare = false;
-                return true;
-            } else if (letter(b)) {
-                int from = at;
-                while (at < text.length && (letter(text[at]) || digit(text[at]) || text[at] == '$')) {
-                    at++;
-                }
-                word = string(from, at).toLowerCase(Locale.ROOT);
-                bare = true;
-                return true;
-            } else if (digit(b)) {
-                while (at < text.length && (letter(text[at]) || digit(text[at]) || text[at] == '.')) {
-                    at++;
-                }
-            } else {
-                at++;
-                return true;
-            }
+  private byte peek(int ahead) {
+    return at + ahead < text.length ? text[at + ahead] : 0;
+  }
+
+  /** Reads the next name or sign, past blanks, comments and strings; false at the end. */
+  private boolean next() {
+    word = null;
+    while (at < text.length) {
+      byte b = text[at];
+      if (blank(b)) {
+        at++;
+      } else if (b == '-' && peek(1) == '-') {
+        while (at < text.length && text[at] != '\n') {
+          at++;
         }
-        return false;
+      } else if (b == '/' && peek(1) == '*') {
+        comment();
+      } else if (b == '\'') {
+        quoted('\'', false);
+      } else if ((b == 'e' || b == 'E') && peek(1) == '\'') {
+        at++;
+        quoted('\'', true);
+      } else if (b == '$' && dollars()) {
+        continue;
+      } else if (b == '"') {
+        int from = at;
+        quoted('"', false);
+        word = string(from + 1, Math.max(from + 1, at - 1));
+        bare = false;
+        return true;
+      } else if (letter(b)) {
+        int from = at;
+        while (at < text.length && (letter(text[at]) || digit(text[at]) || text[at] == '$')) {
+          at++;
+        }
+        word = string(from, at).toLowerCase(Locale.ROOT);
+        bare = true;
+        return true;
+      } else if (digit(b)) {
+        while (at < text.length && (letter(text[at]) || digit(text[at]) || text[at] == '.')) {
+          at++;
+        }
+      } else {
+        at++;
+        return true;
+      }
     }
+    return false;
+  }
 
-    private static boolean letter(byte b) {
-        return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b == '_' || b < 0;
-    }
+  private static boolean letter(byte b) {
+    return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b == '_' || b < 0;
+  }
 
-    private static boolean digit(byte b) {
-        return b >= '0' && b <= '9';
-    }
+  private static boolean digit(byte b) {
+    return b >= '0' && b <= '9';
+  }
 
-    private void comment() {
-        int depth = 0;
-        while (at < text.length) {
-            if (text[at] == '/' && peek(1) == '*') {
-                depth++;
-                at += 2;
-            } else if (text[at] == '*' && peek(1) == '/') {
-                at += 2;
-                if (--depth == 0) {
-                    return;
-                }
-            } else {
-                at++;
-            }
+  private void comment() {
+    int depth = 0;
+    while (at < text.length) {
+      if (text[at] == '/' && peek(1) == '*') {
+        depth++;
+        at += 2;
+      } else if (text[at] == '*' && peek(1) == '/') {
+        at += 2;
+        if (--depth == 0) {
+          return;
         }
+      } else {
+        at++;
+      }
     }
+  }
 
-    /** Past a string or a quoted name; a doubled mark stands for itself. */
-    private void quoted(char mark, boolean escapes) {
+  /** Past a string or a quoted name; a doubled mark stands for itself. */
+  private void quoted(char mark, boolean escapes) {
+    at++;
+    while (at < text.length) {
+      if (escapes && text[at] == '\\') {
+        at += 2;
+      } else if (text[at] != mark) {
         at++;
-        while (at < text.length) {
-            if (escapes && text[at] == '\\') {
-                at += 2;
-            } else if (text[at] != mark) {
-                at++;
-            } else if (peek(1) == mark) {
-                at += 2;
-            } else {
-                at++;
-                return;
-            }
-        }
-        at = Math.min(at, text.length);
+      } else if (peek(1) == mark) {
+        at += 2;
+      } else {
+        at++;
+        return;
+      }
     }
+    at = Math.min(at, text.length);
+  }
 
-    /** Past a string between dollar marks, if one starts here. */
-    private boolean dollars() {
-        int end = at + 1;
-        while (end < text.length && (letter(text[end]) || digit(text[end]) && end > at + 1)) {
-            end++;
-        }
-        if (end == text.length || text[end] != '$') {
-            return false;
-        }
-        int length = end + 1 - at;
-        for (int i = end + 1; i + length <= text.length; i++) {
-            if (Arrays.equals(text, i, i + length, text, at, at + length)) {
-                at = i + length;
-                return true;
-            }
-        }
-        at = text.length;
+  /** Past a string between dollar marks, if one starts here. */
+  private boolean dollars() {
+    int end = at + 1;
+    while (end < text.length && (letter(text[end]) || digit(text[end]) && end > at + 1)) {
+      end++;
+    }
+    if (end == text.length || text[end] != '$') {
+      return false;
+    }
+    int length = end + 1 - at;
+    for (int i = end + 1; i + length <= text.length; i++) {
+      if (Arrays.equals(text, i, i + length, text, at, at + length)) {
+        at = i + length;
         return true;
+      }
     }
+    at = text.length;
+    return true;
+  }
 }
