An attempt ends by its engine's word; time counts only where nothing is reached

Engines answered all open questions early each 2.000 s: they look every 2 s for queries that were not asked for in 2 s, so that one may run for 4 s. Ruled out: broken connections before the refusal (none), engines that had died (they answered).

Lines at fault: OpenForward.failed (REFUSED as the end), UNASKED of 2.4 s, giveUp (one DELETE, then time), and time taken for proof at an engine that accepts connections and answers nothing.

Change: AttemptCancellation repeats DELETE until one comes through, with 4.4 s behind the last question as the bound; calls wait for connections that are up where the engine refuses new ones; a dead process needs a break, three refusals, no connection and an engine listed ready; an engine that stands still ends nothing by time.

--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -2,9 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Collections;
 import java.util.IdentityHashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import tansytrack.wire.Http;
 import tansytrack.wire.HttpLine;
@@ -16,6 +18,7 @@
 final class EngineLines implements HttpLine.Holder {
 
   static final byte[] NOTHING = new byte[0];
+  static final long ANY_TIME = Long.MIN_VALUE;
   private static final int LONGEST =
       1 << 16; // twice a page with its head, and what may come before it
   private static final long REST =
@@ -31,6 +34,12 @@
   private final ArrayDeque<Idle> idle = new ArrayDeque<>(); // the last used at the end
   private final Map<HttpLine, Timers.Timer> coming =
       new IdentityHashMap<>(); // until up, or given up
+  private final Set<HttpLine> lines = Collections.newSetFromMap(new IdentityHashMap<>());
+  private final ArrayDeque<Runnable> waiting = new ArrayDeque<>(); // for a connection to be free
+  private boolean refusing; // the last connection that was tried was refused
+  private long refusedAt;
+  private long heardAt = ANY_TIME; // the last whole answer to any call
+  private boolean unresponsive; // a connection came up since then and stayed silent
   private InetSocketAddress address;
   int forwards; // out, as the connections hold them
   private boolean takes; // ready, as last listed: something new may begin there
@@ -101,15 +110,66 @@
     }
   }
 
+  /** A whole answer came from it, to whatever call. */
+  void heard() {
+    heardAt = timers.now();
+    unresponsive = false;
+  }
+
+  /** A call on that connection, which is up, was left without an answer for longer than allowed. */
+  void unanswered(HttpLine line) {
+    unresponsive |= line.cameAt() > heardAt;
+  }
+
+  /**
+   * Does it accept connections and answer nothing? Then its process may stand still, and with it
+   * the clock by which it drops what nobody asks for. A machine that is cut off accepts none.
+   */
+  boolean unresponsive() {
+    return unresponsive;
+  }
+
+  /** Is any connection to it up? Then its process lives, or its machine has fallen silent. */
+  boolean connected() {
+    return lines.stream().anyMatch(HttpLine::up);
+  }
+
+  /**
+   * Runs a call as soon as there is a connection for it: at once, or, where the engine refuses new
+   * connections and some are up, in turn as those become free. Guards against losing touch with
+   * what an engine still runs that takes no new connections, as it drains or holds all it can; a
+   * call may wait behind others there.
+   */
+  void whenAvailable(Runnable call) {
+    waiting.add(call);
+    serveWaiting();
+  }
+
+  private void serveWaiting() {
+    while (!waiting.isEmpty()) {
+      if (refusing && connected()) {
+        if (idle.isEmpty()) {
+          return; // the next connection that becomes free serves it
+        }
+        long rests = rests();
+        if (rests > 0) {
+          timers.at(timers.now() + rests, this::serveWaiting);
+          return;
+        }
+      }
+      waiting.poll().run();
+    }
+  }
+
   /**
-   * The free connection that was used last, of those that have rested. Rest counts from the end of
-   * a stall: what came on it meanwhile may not have been read yet, and would pass for the answer to
-   * the next call.
+   * The free connection that was used last, of those that have rested and have brought an answer
+   * since the given time. Rest counts from the end of a stall: what came on it meanwhile may not
+   * have been read yet, and would pass for the answer to the next call.
    */
-  private HttpLine rested() {
+  private HttpLine rested(long answeredSince) {
     for (Iterator<Idle> last = idle.descendingIterator(); last.hasNext(); ) {
       Idle one = last.next();
-      if (rests(one) <= 0 || sockets.open() >= limits.most) {
+      if (one.since >= answeredSince && (rests(one) <= 0 || sockets.open() >= limits.most)) {
         last.remove();
         return one.line;
       }
@@ -133,19 +193,25 @@
 
   /** Makes a call on a free connection or a new one; null where there are no descriptors left. */
   HttpLine call(String method, String path, String fields, byte[] body, HttpLine.Caller by) {
-    return call(method, path, fields, body, false, by);
+    return call(method, path, fields, body, ANY_TIME, by);
   }
 
   private HttpLine call(
-      String method, String path, String fields, byte[] body, boolean fresh, HttpLine.Caller by) {
+      String method,
+      String path,
+      String fields,
+      byte[] body,
+      long answeredSince,
+      HttpLine.Caller by) {
     trim();
-    HttpLine line = fresh ? null : rested();
+    HttpLine line = rested(answeredSince);
     if (line == null) {
       if (sockets.open() >= limits.most) {
         counters.add("calls.no_descriptor");
         return null;
       }
       line = new HttpLine(sockets, address, LONGEST, this);
+      lines.add(line);
       counters.add("connections.to_engines");
       HttpLine late = line;
       coming.put(line, timers.at(timers.now() + limits.connectTime, () -> late(late, by)));
@@ -165,11 +231,13 @@
    * read, and so is one that stays silent for the time that a connection may take to come up, as a
    * call may never be taken up. Guards against taking the silence of a machine that is cut off for
    * that of one that hangs: its old connections stay open and swallow all, but no new one comes up.
+   * Silence counts only while the engine answers nobody; else it is that connection's fault.
    *
-   * @param fresh no connection that is open already is of use: the engine has been silent on one
+   * @param answeredSince of the connections that are open only those are of use that have brought
+   *     an answer since, as the engine was silent before
    */
-  void aside(String method, String path, byte[] body, boolean fresh, Consumer<Boolean> done) {
-    new Aside(method, path, body, fresh, done).start();
+  void aside(String method, String path, byte[] body, long answeredSince, Consumer<Boolean> done) {
+    new Aside(method, path, body, answeredSince, done).start();
   }
 
   private final class Aside implements HttpLine.Caller {
@@ -179,29 +247,36 @@
     private final Consumer<Boolean> done;
     private HttpLine line;
     private Timers.Timer timer;
-    private boolean fresh;
+    private final long startedAt = timers.now();
+    private long answeredSince;
+    private boolean fresh; // the connection came up for this call
     private boolean written;
     private int tries;
     private int silent; // whole calls without a word, on connections that came up for them
 
-    Aside(String method, String path, byte[] body, boolean fresh, Consumer<Boolean> done) {
+    Aside(String method, String path, byte[] body, long answeredSince, Consumer<Boolean> done) {
       this.method = method;
       this.path = path;
       this.body = body;
-      this.fresh = fresh;
+      this.answeredSince = answeredSince;
       this.done = done;
     }
 
     void start() {
+      whenAvailable(this::call);
+    }
+
+    private void call() {
       tries++;
       written = false;
-      line = call(method, path, "", body, fresh, this);
-      fresh |= line != null && !line.up();
+      line = EngineLines.this.call(method, path, "", body, answeredSince, this);
+      fresh = line != null && !line.up();
       timer = timers.at(timers.now() + (line == null ? 0 : limits.connectTime), this::late);
     }
 
     @Override
     public void answered(Http.Answer answer) {
+      heard();
       timer.cancel();
       done.accept(true);
     }
@@ -223,14 +298,17 @@
 
     void late() {
       if (line != null) {
+        if (line.up()) {
+          unanswered(line);
+        }
         line.drop();
       }
       silent += written && fresh ? 1 : 0;
-      fresh = true;
+      answeredSince = timers.now();
       if (written && silent < 2 && tries < TRIES) {
         start();
       } else {
-        done.accept(silent > 1);
+        done.accept(silent > 1 && heardAt < startedAt);
       }
     }
   }
@@ -246,17 +324,27 @@
   @Override
   public void free(HttpLine line) {
     forget(line);
+    refusing &= line.cameAt() <= refusedAt;
     if (retired || !line.to().equals(address)) {
       line.drop();
     } else {
       idle.add(new Idle(line, timers.now()));
+      serveWaiting();
     }
   }
 
   @Override
   public void lost(HttpLine line) {
     forget(line);
+    lines.remove(line);
     idle.removeIf(one -> one.line == line);
+    if (line.refused()) {
+      refusing = true;
+      refusedAt = timers.now();
+    }
+    if (!waiting.isEmpty()) {
+      timers.at(timers.now(), this::serveWaiting); // not within the end of another's call
+    }
   }
 
   private void forget(HttpLine line) {
--- a/src/main/java/tansytrack/state/Inquiry.java
+++ b/src/main/java/tansytrack/state/Inquiry.java
@@ -76,7 +76,8 @@
       if (answer.status() == 200) {
         watch.told(about, true, Math.round(answer.number("work-ms", 0) * 1e6));
       } else if (answer.status() == 202) {
-        engine.aside("DELETE", "/o/" + about.task(), EngineLines.NOTHING, false, gone -> {});
+        engine.aside(
+            "DELETE", "/o/" + about.task(), EngineLines.NOTHING, EngineLines.ANY_TIME, gone -> {});
         watch.told(about, false, 0);
       }
       end();
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -20,21 +20,18 @@
   static final int COLUMNS = 3;
   private static final int MOST_PAGES = 64; // a result is 48,000 bytes, a page 6,000 at most
   private static final int MOST_BYTES = 1 << 16;
-  // An engine holds a question open for 250 ms at most, and drops a query that was not asked for in
-  // 2 s; the rest is
-  // for the way there and for clocks.
-  private static final long HELD_OPEN = 250_000_000L;
-  private static final long MARGIN = 150_000_000L;
-  private static final long UNASKED = 2_000_000_000L + HELD_OPEN + MARGIN;
+  private static final long HELD_OPEN = AttemptCancellation.HELD_OPEN;
+  private static final long MARGIN = AttemptCancellation.MARGIN;
   private static final long OVERDUE =
       HELD_OPEN + 2 * MARGIN; // a call without its answer by then has lost it
-  private static final long OVERTAKEN =
-      100_000_000L; // far more than a connection takes to come up and carry a call
   private static final int MOST_BROKEN =
       8; // calls in a row: one in four spoilt makes this one in 65,000
   private static final long LATEST =
       50_000_000L; // a starting call is made again up to so long behind its decision
   private static final long PAUSE = 10_000_000L; // before each further one, by how many came before
+  private static final long REFUSED_PAUSE = 50_000_000L; // likewise, before one that may be refused
+  private static final int MOST_PAUSES = 5;
+  private static final int REFUSALS_OF_THE_DEAD = 3; // in a row, behind a reset: its process died
 
   final OpenTask task;
   final int index;
@@ -53,6 +50,9 @@
   private boolean silent; // an answer was overdue since the last whole one
   private boolean stalled; // a call ever went without an answer: it may yet be taken up
   private int broken; // calls in a row that brought nothing whole
+  private int refusals; // of those, the last ones in a row that were refused
+  private boolean
+      reset; // a call ever broke since the last whole answer, on a connection that was up
   private Timers.Timer callTimer;
   private boolean cancelled;
   private boolean over;
@@ -111,10 +111,13 @@
   }
 
   private void ask(String what) {
-    if (!over && !cancelled) {
-      asking = what;
-      called(engine.call("GET", path + what, this));
-    }
+    engine.whenAvailable(
+        () -> {
+          if (!over && !cancelled) {
+            asking = what;
+            called(engine.call("GET", path + what, this));
+          }
+        });
   }
 
   private void askRested(String what) {
@@ -150,6 +153,7 @@
       page(answer);
     }
     quiet();
+    engine.heard();
     report = told == null ? report : told;
     left = true;
     heard |= status == 200 || status == 202;
@@ -157,6 +161,8 @@
     boolean again = broken > 0 || silent;
     boolean wasSilent = silent;
     broken = 0;
+    refusals = 0;
+    reset = false;
     silent = false;
     if (status == 200 || status == 202) {
       if (status == 200 && pages.size() == pageCount) {
@@ -169,7 +175,7 @@
     } else if (again && asking != null && (wasSilent || !notRun)) {
       // Not known after a break. Not an error: that would say it runs no more, and a key would not
       // rest.
-      letGo(Outcome.RESET, !wasSilent && !stalled);
+      letGo(Outcome.RESET);
     } else if (status == 503) {
       end(notRun ? Outcome.FULL : Outcome.ERROR);
     } else {
@@ -218,6 +224,9 @@
       HttpLine open = line;
       stalled = true;
       boolean up = open.up(); // then the call may have come to the engine
+      if (up) {
+        engine.unanswered(open);
+      }
       open.drop();
       failed(up ? HttpLine.Failure.BROKEN : HttpLine.Failure.LATE);
     }
@@ -225,9 +234,9 @@
 
   /**
    * Guards against spoilt answers, resets and silence, which cost a call and not the task: the
-   * query is asked for again while its engine must still have it. Only a refused connection right
-   * after prompt breaks is a process that died, and what that ran with it; a reset proves nothing,
-   * nor does a refusal where an earlier call stalled.
+   * query is asked for again while its engine may still have it. A refused connection proves that
+   * this call did not run, no more: an engine that drains, or holds all the connections that it
+   * can, refuses new ones and works on.
    */
   @Override
   public void failed(HttpLine.Failure why) {
@@ -238,32 +247,64 @@
     }
     manager.counters().add("calls." + why);
     broken++;
+    refusals = why == HttpLine.Failure.REFUSED ? refusals + 1 : 0;
     if (why == HttpLine.Failure.BROKEN) {
       left = true;
+      reset = true;
       askedAt = on.begunAt();
     }
     boolean late = why == HttpLine.Failure.LATE || timers.now() - calledAt > HELD_OPEN + MARGIN;
     silent |= late && left;
     if (!left) {
-      if (why == HttpLine.Failure.UNSENT && broken < MOST_BROKEN) {
-        manager.later(() -> postOpen(LATEST));
-      } else {
-        end(Outcome.UNREACHED); // the call itself never left: nothing ran
-      }
-    } else if (why == HttpLine.Failure.REFUSED && !silent && !stalled) {
+      notStarted(why);
+    } else if (processDied() || timers.now() > endsUnasked()) {
       end(Outcome.RESET);
-    } else if (timers.now() - askedAt > UNASKED) {
-      end(Outcome.RESET); // its engine has dropped it by now
-    } else if (broken >= MOST_BROKEN && !silent) {
+    } else if (broken >= MOST_BROKEN && !silent && refusals == 0) {
       lost();
     } else {
       String again = "/" + pages.size();
-      long pause =
-          silent ? Math.max(PAUSE, calledAt + OVERDUE - timers.now()) : (broken - 1) * PAUSE;
-      callTimer = timers.at(timers.now() + pause, () -> ask(again));
+      callTimer = timers.at(timers.now() + pause(), () -> ask(again));
+    }
+  }
+
+  private void notStarted(HttpLine.Failure why) {
+    if (why == HttpLine.Failure.UNSENT && broken < MOST_BROKEN) {
+      manager.later(() -> postOpen(LATEST));
+    } else {
+      end(Outcome.UNREACHED); // the call itself never left: nothing ran
     }
   }
 
+  /**
+   * A process that dies resets its connections, and nothing listens there any more. Each sign alone
+   * has other causes, so all have to be there: a call that broke promptly, no connection that is
+   * up, new ones refused again and again, and an engine that is not told to drain, as such refuse
+   * new ones too.
+   */
+  private boolean processDied() {
+    return reset
+        && refusals >= REFUSALS_OF_THE_DEAD
+        && !silent
+        && !stalled
+        && engine.takes()
+        && !engine.connected();
+  }
+
+  private long endsUnasked() {
+    return AttemptCancellation.endsUnasked(engine, askedAt, until);
+  }
+
+  private long pause() {
+    if (silent) {
+      return Math.max(PAUSE, calledAt + OVERDUE - timers.now());
+    }
+    if (refusals > 0) {
+      // Where connections are up, the next question waits for one of them.
+      return engine.connected() ? 0 : Math.min(refusals, MOST_PAUSES) * REFUSED_PAUSE;
+    }
+    return (broken - 1) * PAUSE;
+  }
+
   /**
    * Guards against a query that begins behind its time: this is no new decision, so it holds only
    * while nobody could have decided otherwise. Else the module hears that nothing was sent, and
@@ -314,7 +355,7 @@
     if (!over && timers.now() >= task.cutOffAt) {
       manager.timeUp(task);
     }
-    letGo(Outcome.TIME_OUT, true);
+    letGo(Outcome.TIME_OUT);
   }
 
   /**
@@ -323,51 +364,31 @@
    * vanished, the forward stays out until its engine must have dropped it for not being asked.
    */
   void cancel() {
-    letGo(Outcome.CANCELLED, true);
+    letGo(Outcome.CANCELLED);
   }
 
-  /**
-   * Its connections broke and it was not found again. Guards against a second copy beside one that
-   * a machine still held when it fell silent: DELETE may reach another process than the one that
-   * was sent to, so only the time counts. Holds for any restart or cut between; it costs up to 2.4
-   * s from the last question. Where all breaks were prompt it is the same process, and DELETE
-   * proves that nothing runs on.
-   */
+  /** Its connections broke and it was not found again. */
   private void lost() {
-    letGo(Outcome.RESET, !silent && !stalled);
+    letGo(Outcome.RESET);
   }
 
-  private void letGo(Outcome outcome, boolean trusted) {
+  /** From now on it is only to end; how it ended is said once that is sure. */
+  private void letGo(Outcome outcome) {
     if (!over && !cancelled) {
       cancelled = true;
       release();
-      giveUp(outcome, trusted, heard);
+      AttemptCancellation.Attempt attempt =
+          new AttemptCancellation.Attempt(
+              path,
+              askedAt,
+              until,
+              heard,
+              silent || stalled,
+              outcome == Outcome.RESET && (silent || stalled));
+      new AttemptCancellation(engine, timers, attempt, () -> end(outcome)).start();
     }
   }
 
-  /**
-   * Guards against a starting call that the one for giving up overtakes, as they go on different
-   * connections: where the engine has never said that it has the query, only a second such call,
-   * some time after the first, is proof. That it does not know it, right behind a break, says
-   * nothing of that.
-   */
-  private void giveUp(Outcome outcome, boolean trusted, boolean proves) {
-    engine.aside(
-        "DELETE",
-        path,
-        EngineLines.NOTHING,
-        silent || stalled,
-        gone -> {
-          if (!gone || !trusted) {
-            timers.at(askedAt + UNASKED, () -> end(outcome));
-          } else if (proves) {
-            end(outcome);
-          } else {
-            timers.at(timers.now() + OVERTAKEN, () -> giveUp(outcome, true, true));
-          }
-        });
-  }
-
   private void release() {
     if (line != null) {
       askedAt = line.up() ? line.begunAt() : askedAt;
@@ -382,7 +403,7 @@
           "PUT",
           path,
           Integer.toString(priority).getBytes(StandardCharsets.US_ASCII),
-          false,
+          EngineLines.ANY_TIME,
           gone -> {});
     }
   }
--- a/src/main/java/tansytrack/state/Probe.java
+++ b/src/main/java/tansytrack/state/Probe.java
@@ -35,6 +35,7 @@
   @Override
   public void answered(Http.Answer answer) throws Junk {
     LoadReport report = manager.report(answer);
+    engine.heard();
     end(
         answer.status() == 200 ? Outcome.OK : answer.status() == 503 ? Outcome.FULL : Outcome.ERROR,
         report);
--- a/src/main/java/tansytrack/wire/HttpLine.java
+++ b/src/main/java/tansytrack/wire/HttpLine.java
@@ -67,6 +67,16 @@
     return connection.up();
   }
 
+  /** When it came up. */
+  public long cameAt() {
+    return connection.cameAt();
+  }
+
+  /** The machine refused it: nothing listens there, or it takes no more connections. */
+  public boolean refused() {
+    return connection.refused();
+  }
+
   /**
    * When the open call, or the last one, could leave: as it was made, or once the connection was
    * up.
