A list of 6,200 engines is taken: the bound was 512 KiB, now 2 MiB; SHOW STATS stays readable

SHOW STATS of so many engines was longer than a session may hold, so that the session was cut: of thousands of engines the first ones are shown, and how many are not (engines.not_shown, engines.known).

--- a/src/main/java/tansytrack/service/Channel.java
+++ b/src/main/java/tansytrack/service/Channel.java
@@ -25,7 +25,11 @@
   private static final long SILENT = 500 * MS; // over the block: then the connection is given up
   private static final long PAUSE = 50 * MS; // before a new connection after one that failed
 
-  private static final int LONGEST = 1 << 20; // twice a list of thousands of engines
+  /**
+   * Bytes of the ring; a list may take half of it: 2 MiB, some 11,000 engines of 190 bytes each.
+   * The ring grows only as far as a list fills it.
+   */
+  private static final int LONGEST = 1 << 22;
 
   private final Sockets sockets;
   private final Timers timers;
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -55,6 +55,9 @@
   private static final String SHOW_FLEET = "show fleet";
   private static final String[] STATS = {"counter", "count"};
 
+  /** Characters of the counters by engine: their messages have to fit what a session may hold. */
+  private static final int LONGEST_ENGINE_STATS = 1 << 17;
+
   private final Config config;
   private final Timers timers;
   private final Sockets sockets;
@@ -292,17 +295,37 @@
     counters.all().forEach((kind, count) -> row(rows, kind, count));
     sockets.junk().forEach((reason, count) -> row(rows, "connections.junk." + reason, count));
     siblings.counts().forEach((kind, count) -> row(rows, kind, count));
-    // The module's view beside what is on the sockets: they differ only by news that it has not yet
-    // been told.
+    engineStats(rows);
+    return rows.toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  /**
+   * The module's view beside what is on the sockets: they differ only by news that it has not yet
+   * been told. Of thousands of engines the first ones are shown, and how many are not.
+   */
+  private void engineStats(StringBuilder rows) {
+    row(rows, "engines.known", engines.size());
+    int most = rows.length() + LONGEST_ENGINE_STATS;
+    int notShown = 0;
     for (EngineView view : module.view(timers.now())) {
-      EngineLines engine = engines.get(view.id());
-      String name = "engine." + view.id();
-      row(rows, name + ".forwards.module", view.forwards());
-      row(rows, name + ".forwards.sockets", engine == null ? 0 : engine.forwards);
-      row(rows, name + ".report.age.ms", view.reportAge() < 0 ? -1 : view.reportAge() / MS);
-      row(rows, name + ".excluded", view.excluded() ? 1 : 0);
+      if (rows.length() > most) {
+        notShown++;
+      } else {
+        engineStats(rows, view);
+      }
     }
-    return rows.toString().getBytes(StandardCharsets.UTF_8);
+    if (notShown > 0) {
+      row(rows, "engines.not_shown", notShown);
+    }
+  }
+
+  private void engineStats(StringBuilder rows, EngineView view) {
+    EngineLines engine = engines.get(view.id());
+    String name = "engine." + view.id();
+    row(rows, name + ".forwards.module", view.forwards());
+    row(rows, name + ".forwards.sockets", engine == null ? 0 : engine.forwards);
+    row(rows, name + ".report.age.ms", view.reportAge() < 0 ? -1 : view.reportAge() / MS);
+    row(rows, name + ".excluded", view.excluded() ? 1 : 0);
   }
 
   private byte[] fleet() {
