lab footprint: real managers before a list of thousands of engines, counted from outside

Starts manager processes with the flags of the run line before a stand-in channel of their own each, and reads resident memory, processor time, bytes of the channel, start, and when a change has come. FootprintTest: one manager, 50 engines, counts only.

--- a/src/main/java/tansytrack/LabCommands.java
+++ b/src/main/java/tansytrack/LabCommands.java
@@ -17,6 +17,8 @@
 import tansytrack.lab.LedgerBench;
 import tansytrack.lab.LoadCommand;
 import tansytrack.lab.StandIns;
+import tansytrack.lab.footprint.FootprintOptions;
+import tansytrack.lab.footprint.FootprintTable;
 import tansytrack.lab.proto.Experiment;
 import tansytrack.lab.world.Explorer;
 import tansytrack.settings.Unusable;
@@ -32,12 +34,13 @@
         required = true,
         metaVar = "COMMAND",
         handler = SubCommandHandler.class,
-        usage = "engines, run, load, fleet, explore or ledger-bench")
+        usage = "engines, run, load, fleet, footprint, explore or ledger-bench")
     @SubCommands({
       @SubCommand(name = "engines", impl = Engines.class),
       @SubCommand(name = "run", impl = Run.class),
       @SubCommand(name = "load", impl = Load.class),
       @SubCommand(name = "fleet", impl = Fleet.class),
+      @SubCommand(name = "footprint", impl = Footprint.class),
       @SubCommand(name = "explore", impl = Explore.class),
       @SubCommand(name = "ledger-bench", impl = Bench.class)
     })
@@ -45,7 +48,7 @@
 
     @Override
     public String about() {
-      return "lab: stand-ins and experiments on loopback. Commands: engines, run, load, fleet, explore, ledger-bench.";
+      return "lab: stand-ins and experiments on loopback. Commands: engines, run, load, fleet, footprint, explore, ledger-bench.";
     }
 
     @Override
@@ -189,6 +192,73 @@
     }
   }
 
+  /** What a manager's process costs. */
+  public static final class Footprint extends Guarded {
+    @Option(name = "--managers", metaVar = "N", usage = "processes")
+    private int managers = 1;
+
+    @Option(name = "--engines", metaVar = "N", usage = "engines listed")
+    private int engines = 100;
+
+    @Option(
+        name = "--siblings",
+        metaVar = "N",
+        usage = "managers that each process is told of; 0: as many as there are processes")
+    private int siblings;
+
+    @Option(
+        name = "--settle",
+        metaVar = "SECONDS",
+        usage = "between the last start and the first reading")
+    private int settle = 4;
+
+    @Option(name = "--seconds", metaVar = "N", usage = "of each reading")
+    private int seconds = 5;
+
+    @Option(
+        name = "--rate",
+        metaVar = "N",
+        usage = "statements a second to each manager in the reading under load; 0: none")
+    private int rate = 20;
+
+    @Option(name = "--jar", metaVar = "FILE", usage = "what runs; absent: this program")
+    private String jar;
+
+    @Option(
+        name = "--jvm",
+        metaVar = "FLAGS",
+        usage = "flags of the java command; absent: those of the run line")
+    private String jvm = FootprintOptions.RUN_LINE_FLAGS;
+
+    @Option(
+        name = "--out",
+        metaVar = "FOLDER",
+        usage = "where results are left; absent: a new temporary folder")
+    private String out;
+
+    @Override
+    public String about() {
+      return "lab footprint: real managers before a stand-in channel with a long list: memory, processor time at rest and under\n"
+          + "a light load, control bytes, start, how soon a change has reached all. Leaves result.csv, a row a manager.\n"
+          + "Exit code 1: a change did not reach all; 2: cannot be used, or a manager does not come up.";
+    }
+
+    @Override
+    protected int work() throws IOException {
+      FootprintOptions options =
+          new FootprintOptions(managers, engines, siblings, settle, seconds, rate, jar, jvm);
+      Path to = out == null ? Files.createTempDirectory("tansytrack-lab") : Path.of(out);
+      try {
+        boolean reached = FootprintTable.run(options, to, System.out);
+        System.out.println("results in " + to);
+        return reached ? 0 : DIFFERS;
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return DIFFERS;
+      }
+    }
+  }
+
   /** The search through states. */
   public static final class Explore extends Guarded {
     @Option(name = "--depth", metaVar = "N", usage = "choices in a row")
--- /dev/null
+++ b/src/main/java/tansytrack/lab/footprint/InstantEngines.java
@@ -0,0 +1,162 @@
+package tansytrack.lab.footprint;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.session.AttributeKey;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+
+/**
+ * A few listeners that stand for thousands of engines: each answers at once, whatever engine was
+ * meant, and says that it is idle. Counts the bytes of load questions apart from those of tasks.
+ */
+final class InstantEngines implements AutoCloseable {
+
+  private static final AttributeKey REST = new AttributeKey(InstantEngines.class, "rest");
+  private static final int LISTENERS = 4;
+  private static final int BACKLOG = 4096;
+  private static final int LONGEST_CALL = 1 << 16;
+  private static final String LOAD = "X-Load: busy_reqs:0\r\n";
+  private static final byte[] STATS =
+      bytes("HTTP/1.1 200 OK\r\n" + LOAD + "Content-Length: 0\r\n\r\n");
+  private static final String ROWS = "monday\t12\tnone\n";
+  private static final byte[] RESULT =
+      bytes(
+          "HTTP/1.1 200 OK\r\nPage-Count: 1\r\nPeak-Mb: 1\r\nWork-Ms: 1.0\r\n"
+              + LOAD
+              + "Content-Length: "
+              + ROWS.length()
+              + "\r\n\r\n"
+              + ROWS);
+  private static final byte[] NO_CONTENT = bytes("HTTP/1.1 204 No Content\r\n\r\n");
+
+  private final NioSocketAcceptor acceptor = new NioSocketAcceptor();
+  private final List<String> addresses = new ArrayList<>();
+  private final AtomicLong probes = new AtomicLong();
+  private final AtomicLong probeBytesIn = new AtomicLong();
+  private final AtomicLong probeBytesOut = new AtomicLong();
+  private final AtomicLong tasks = new AtomicLong();
+
+  InstantEngines() throws IOException {
+    acceptor.setReuseAddress(true);
+    acceptor.setBacklog(BACKLOG);
+    acceptor.getSessionConfig().setTcpNoDelay(true);
+    acceptor.setHandler(new Handler());
+    for (int number = 1; number <= LISTENERS; number++) {
+      acceptor.bind(new InetSocketAddress("127.0.0." + number, 0));
+    }
+    acceptor.getLocalAddresses().stream()
+        .map(InetSocketAddress.class::cast)
+        .map(at -> at.getAddress().getHostAddress() + ':' + at.getPort())
+        .sorted()
+        .forEach(addresses::add);
+  }
+
+  List<String> addresses() {
+    return addresses;
+  }
+
+  /** Load questions answered. */
+  long probes() {
+    return probes.get();
+  }
+
+  /** Their bytes, heads included. */
+  long probeBytesIn() {
+    return probeBytesIn.get();
+  }
+
+  /** Those of their answers. */
+  long probeBytesOut() {
+    return probeBytesOut.get();
+  }
+
+  /** Tasks begun. */
+  long tasks() {
+    return tasks.get();
+  }
+
+  /** Connections open at this moment. */
+  int connections() {
+    return acceptor.getManagedSessionCount();
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private final class Handler extends IoHandlerAdapter {
+
+    @Override
+    public void messageReceived(IoSession session, Object message) {
+      IoBuffer buffer = (IoBuffer) message;
+      byte[] part = new byte[buffer.remaining()];
+      buffer.get(part);
+      String rest = (String) session.getAttribute(REST, "");
+      String text = rest + new String(part, StandardCharsets.ISO_8859_1);
+      int length = callLength(text);
+      while (length > 0) {
+        answer(session, text.substring(0, length));
+        text = text.substring(length);
+        length = callLength(text);
+      }
+      session.setAttribute(REST, text);
+      if (text.length() > LONGEST_CALL) {
+        session.closeNow();
+      }
+    }
+
+    /** The length of the first call with its body, or 0 while it is not whole. */
+    private int callLength(String text) {
+      int head = text.indexOf("\r\n\r\n") + 4;
+      if (head < 4) {
+        return 0;
+      }
+      int body = 0;
+      for (String line : text.substring(0, head).split("\r\n")) {
+        if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+          body = Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
+        }
+      }
+      return text.length() < head + body ? 0 : head + body;
+    }
+
+    private void answer(IoSession session, String call) {
+      byte[] answer;
+      if (call.startsWith("GET /stats")) {
+        answer = STATS;
+        probes.incrementAndGet();
+        probeBytesIn.addAndGet(call.length());
+        probeBytesOut.addAndGet(answer.length);
+      } else if (call.startsWith("POST /o")) {
+        answer = RESULT;
+        tasks.incrementAndGet();
+      } else {
+        answer = NO_CONTENT;
+      }
+      session.write(IoBuffer.wrap(answer));
+    }
+
+    @Override
+    public void inputClosed(IoSession session) {
+      session.closeNow();
+    }
+
+    @Override
+    public void exceptionCaught(IoSession session, Throwable cause) {
+      session.closeNow();
+    }
+  }
+
+  @Override
+  public void close() {
+    acceptor.dispose(false);
+  }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/lab/footprint/MeasuredManager.java
@@ -0,0 +1,139 @@
+package tansytrack.lab.footprint;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import tansytrack.lab.LabClient;
+
+/** A manager in a process of its own, started as an operator would, and what it was told. */
+final class MeasuredManager implements AutoCloseable {
+
+  private static final int PATIENCE_MS = 2000; // for one handshake
+  private static final long PAUSE_MS = 5; // between two tries to reach it
+  private static final String SETTINGS =
+      "{\"siblings\":%d,\"zone\":\"%s\",\"skus\":[\"%s\"],\"extra\":{\"cpu_of_kind\":[8],"
+          + "\"memory_by_kind_mb\":[8192],\"memory_heeded\":true,\"grant_cap\":0.5,"
+          + "\"ranks_heeded\":true,\"tells_cost\":true,\"threads_by_class\":[1],\"is_load\":[false],"
+          + "\"class_waits\":[false]},\"grades\":[{\"name\":\"query\",\"repeat\":\"idempotent\","
+          + "\"objective_ms\":1000,\"deadline_ms\":3000,\"worth\":1}],\"tenants\":[{\"name\":\"t0\","
+          + "\"portion\":1}],\"policy_limits\":{\"may_probe\":true,\"cancel\":true,"
+          + "\"max_attempts\":3,\"connect_timeout_ms\":250,\"conn_idle_ms\":30000,"
+          + "\"retry_after\":true,\"max_retry_after_ms\":500},\"reporting\":{\"columns\":"
+          + "[\"busy_reqs\"],\"how\":\"pull\"},\"rules\":{\"answer_slack_ms\":20,"
+          + "\"drain_grace_ms\":1000}}";
+  private static final String CONFIGURATION =
+      "{\"name\":\"%s\",\"listen\":\"%s\",\"seed\":\"%x\",\"limits\":{\"cores\":1.0,"
+          + "\"memory_mb\":192,\"sockets\":1024},\"channel\":\"%s\",\"known\":%s,\"settings\":%s}";
+
+  private final String name;
+  private final Path folder;
+  private final FootprintOptions options;
+  private final CountingChannel channel;
+  private final InetSocketAddress listen;
+  private Process process;
+  private long launchedAt;
+
+  /** Writes its configuration: that list is known to it before the channel tells anything. */
+  MeasuredManager(int number, Path parent, FootprintOptions options, ListEvents events)
+      throws IOException {
+    this.options = options;
+    name = "manager-" + number;
+    folder = Files.createDirectories(parent.resolve(name));
+    channel = new CountingChannel(events);
+    InetAddress host = InetAddress.getLoopbackAddress();
+    try (ServerSocket free = new ServerSocket(0, 1, host)) {
+      listen = new InetSocketAddress(host, free.getLocalPort());
+    }
+    String settings =
+        String.format(SETTINGS, options.siblingsTold(), EngineList.FIRST_PLACE, EngineList.KIND);
+    String address = host.getHostAddress() + ':' + listen.getPort();
+    String configuration =
+        String.format(
+            CONFIGURATION, name, address, number + 1, channel.address(), events.known(), settings);
+    Files.writeString(configurationFile(), configuration);
+  }
+
+  private Path configurationFile() {
+    return folder.resolve("config.json");
+  }
+
+  private Path log() {
+    return folder.resolve("log.txt");
+  }
+
+  CountingChannel channel() {
+    return channel;
+  }
+
+  InetSocketAddress address() {
+    return listen;
+  }
+
+  /** Starts the process. */
+  void launch() throws IOException {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(List.of(options.jvmFlags().strip().split("\\s+")));
+    String classes = options.jar() == null ? System.getProperty("java.class.path") : options.jar();
+    command.addAll(List.of("-cp", classes, "tansytrack.Main", "serve"));
+    ProcessBuilder builder =
+        new ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(new File(log().toString()));
+    builder.environment().put("ROUTER_CONFIG", configurationFile().toString());
+    launchedAt = System.nanoTime();
+    process = builder.start();
+  }
+
+  /** Waits until a client is answered, and gives the time since the launch. */
+  long awaitService(long until) throws IOException, InterruptedException {
+    while (process.isAlive() && System.nanoTime() < until) {
+      try (LabClient client = new LabClient(listen, PATIENCE_MS)) {
+        client.ask("");
+        return System.nanoTime() - launchedAt;
+      } catch (IOException e) {
+        Thread.sleep(PAUSE_MS);
+      }
+    }
+    throw new IOException(name + " does not serve in time; see " + log());
+  }
+
+  ProcessFigures figures() throws IOException {
+    return ProcessFigures.of(process.toHandle());
+  }
+
+  /** Is its process still there? */
+  boolean alive() {
+    return process != null && process.isAlive();
+  }
+
+  /** SIGTERM. */
+  void terminate() {
+    if (process != null) {
+      process.destroy();
+    }
+  }
+
+  /** Waits for its end until then, and kills it where it has not come. */
+  void end(long until) throws InterruptedException {
+    long left = Math.max(0, until - System.nanoTime());
+    if (process != null && !process.waitFor(left, TimeUnit.NANOSECONDS)) {
+      process.destroyForcibly().waitFor();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    if (process != null) {
+      process.destroyForcibly();
+    }
+    channel.close();
+  }
+}
--- /dev/null
+++ b/src/test/java/tansytrack/lab/footprint/FootprintTest.java
@@ -0,0 +1,63 @@
+package tansytrack.lab.footprint;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import tansytrack.settings.Unusable;
+
+/** The measurement of real managers: what it counts, and what it refuses. */
+class FootprintTest {
+
+  private static final String FLAGS = FootprintOptions.RUN_LINE_FLAGS;
+
+  @Test
+  void oneManagerIsMeasuredAndEnded(@TempDir Path folder) throws IOException, InterruptedException {
+    FootprintOptions options = new FootprintOptions(1, 50, 0, 0, 1, 20, null, FLAGS);
+    try (FootprintRun run = new FootprintRun(options, folder)) {
+      FootprintResult result = run.play();
+      assertThat(result.managers()).hasSize(1);
+      ManagerFootprint manager = result.managers().get(0);
+      assertThat(manager.reached()).isTrue();
+      assertThat(manager.residentKb()).isPositive();
+      assertThat(manager.startBytesDown()).isPositive();
+      assertThat(manager.restBytesUp()).isPositive();
+      assertThat(manager.handled()).isPositive();
+      assertThat(result.engines().probes()).isPositive();
+      assertThat(result.listBytes()).isBetween(50 * 100, 50 * 250);
+      assertThat(run.anyAlive()).isFalse();
+    }
+  }
+
+  @Test
+  void figuresAreReadFromTheStatusOfAProcess() throws IOException {
+    List<String> status = List.of("Name:\tjava", "VmHWM:\t   90000 kB", "VmRSS:\t   80000 kB");
+    ProcessFigures earlier = ProcessFigures.parsed(status, Duration.ofMillis(100), 0);
+    ProcessFigures later =
+        ProcessFigures.parsed(status, Duration.ofMillis(200), Duration.ofSeconds(10).toNanos());
+    assertThat(later.residentKb()).isEqualTo(80_000);
+    assertThat(later.mostResidentKb()).isEqualTo(90_000);
+    assertThat(later.coreShareSince(earlier)).isEqualTo(0.01);
+  }
+
+  @Test
+  void whatIsOutOfBoundsIsNamedWithWhatIsAllowed() {
+    assertThatThrownBy(() -> new FootprintOptions(0, 50, 0, 0, 1, 20, null, FLAGS))
+        .isInstanceOf(Unusable.class)
+        .hasMessage("--managers '0'; allowed: 1 to 200");
+    assertThatThrownBy(() -> new FootprintOptions(1, 20_001, 0, 0, 1, 20, null, FLAGS))
+        .isInstanceOf(Unusable.class)
+        .hasMessage("--engines '20001'; allowed: 1 to 20000");
+    assertThatThrownBy(() -> new FootprintOptions(1, 50, 0, 0, 0, 20, null, FLAGS))
+        .isInstanceOf(Unusable.class)
+        .hasMessage("--seconds '0'; allowed: 1 to 600");
+    assertThatThrownBy(() -> new FootprintOptions(1, 50, 0, 0, 1, 20, "no-such.jar", FLAGS))
+        .isInstanceOf(Unusable.class)
+        .hasMessage("--jar 'no-such.jar'; allowed: a file that exists");
+  }
+}
