--- a/src/main/java/tansytrack/service/Channel.java
+++ b/src/main/java/tansytrack/service/Channel.java
@@ -70,6 +70,7 @@
   private void nodes(Map<String, Object> nodes) throws Junk {
     List<EngineEntry> entries = new ArrayList<>();
     Map<String, InetSocketAddress> addresses = new HashMap<>();
+    Map<String, String> words = new HashMap<>(); // places and kinds: each once in memory
     for (Object member : Json.list(nodes.get("members"), "members")) {
       Map<String, Object> one = Json.map(member, "a member");
       String id = Json.text(one.get("id"), "id");
@@ -87,8 +88,8 @@
           new EngineEntry(
               id,
               amount(one, "size", 1),
-              word(one, "locality"),
-              word(one, "flavor"),
+              words.computeIfAbsent(word(one, "locality"), same -> same),
+              words.computeIfAbsent(word(one, "flavor"), same -> same),
               (int) amount(one, "cell", 0),
               state,
               Math.round(amount(one, "up_since_ms", 0) * MS)));
--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -99,7 +99,7 @@
 
   Service(Config config, BiFunction<Settings, Actions, Decisions> start, Extras extras)
       throws Junk {
-    this.config = config;
+    this.config = config.withoutKnown();
     timers.now(clock.getAsLong());
     watch = extras.watch().make(config, timers, inbox::add);
     siblings = extras.siblings().make(config, count -> inbox.add(() -> this.siblings(count)));
@@ -301,7 +301,7 @@
         "new configuration: command channel at {}{}",
         next.channel(),
         rest.isEmpty() ? "" : "; takes a restart: " + rest);
-    config = next;
+    config = next.withoutKnown();
     manager.descriptors(next.mostDescriptors());
     channel.move(to, next.known());
   }
--- a/src/main/java/tansytrack/settings/Config.java
+++ b/src/main/java/tansytrack/settings/Config.java
@@ -60,6 +60,11 @@
     return settings.levers().connectTime();
   }
 
+  /** The same without the engines: thousands of them take megabytes, and are needed once. */
+  public Config withoutKnown() {
+    return moved(listen, channel, null);
+  }
+
   /** The same manager elsewhere, with other engines. */
   public Config moved(String otherListen, String otherChannel, Object otherKnown) {
     return new Config(
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -22,15 +22,16 @@
       10_000_000L; // of a connection before its next call: what else belongs
   // to the last answer comes by then
   private static final int TRIES = 4; // of a call that connections break under
+  private static final int USUAL = 2; // connections: of thousands of engines few have more
 
   final String id;
   private final Sockets sockets;
   private final Timers timers;
   private final Limits limits;
   private final Counters counters;
-  private final ArrayDeque<Idle> idle = new ArrayDeque<>(); // the last used at the end
+  private final ArrayDeque<Idle> idle = new ArrayDeque<>(USUAL); // the last used at the end
   private final Map<HttpLine, Timers.Timer> coming =
-      new IdentityHashMap<>(); // until up, or given up
+      new IdentityHashMap<>(USUAL); // until up, or given up
   private InetSocketAddress address;
   int forwards; // out, as the connections hold them
   private boolean takes; // ready, as last listed: something new may begin there
--- a/src/main/java/tansytrack/wire/Json.java
+++ b/src/main/java/tansytrack/wire/Json.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
   private static final int DEEPEST = 32; // far deeper than any message here
 
   private final byte[] text;
+  private final Map<String, String> names = new HashMap<>(); // of members: each once in memory
   private int at;
   private int depth;
 
@@ -123,7 +125,7 @@
       if (at == text.length || text[at] != '"') {
         throw junk("no name");
       }
-      String name = string();
+      String name = names.computeIfAbsent(string(), same -> same);
       if (!next(':')) {
         throw junk("no colon");
       }
@@ -155,6 +157,9 @@
     while (at < text.length && text[at] != '"' && text[at] != '\\') {
       at++;
     }
+    if (at < text.length && text[at] == '"') {
+      return new String(text, from, at++ - from, StandardCharsets.UTF_8);
+    }
     StringBuilder made = new StringBuilder();
     while (true) {
       made.append(new String(text, from, at - from, StandardCharsets.UTF_8));
--- a/src/main/java/tansytrack/wire/Ring.java
+++ b/src/main/java/tansytrack/wire/Ring.java
@@ -78,11 +78,15 @@
       throw new IndexOutOfBoundsException(from + count);
     }
     byte[] copy = new byte[count];
+    copyTo(copy, from, count);
+    return copy;
+  }
+
+  private void copyTo(byte[] copy, int from, int count) {
     int start = head + from & bytes.length - 1;
     int first = Math.min(count, bytes.length - start);
     System.arraycopy(bytes, start, copy, 0, first);
     System.arraycopy(bytes, 0, copy, first, count - first);
-    return copy;
   }
 
   public void skip(int count) {
@@ -111,7 +115,7 @@
     }
     if (wanted > bytes.length) {
       byte[] grown = new byte[wanted];
-      System.arraycopy(copy(0, size), 0, grown, 0, size);
+      copyTo(grown, 0, size);
       bytes = grown;
       head = 0;
     }
