--- a/src/main/java/tansytrack/FleetCommands.java
+++ b/src/main/java/tansytrack/FleetCommands.java
@@ -56,7 +56,8 @@
 
     @Override
     public String about() {
-      return "fleet show: its members as that manager sees them, itself first. Exit code 1: it keeps in touch with nobody; 2: it\n"
+      return "fleet show: its members as that manager sees them, itself first. Exit code 1: it"
+          + " keeps in touch with nobody; 2: it\n"
           + "cannot be asked.";
     }
 
--- a/src/main/java/tansytrack/LedgerCommands.java
+++ b/src/main/java/tansytrack/LedgerCommands.java
@@ -67,9 +67,10 @@
 
     @Override
     public String about() {
-      return "ledger: what each tenant used. Commands: show, periods, close, correct, export, ack, merge, reconcile,\n"
-          + "resolve, verify. "
-          + "Exit code 1: done, but what was found is not as it should be; 2: cannot be used, nothing was written.";
+      return "ledger: what each tenant used. Commands: show, periods, close, correct, export, ack,"
+          + " merge, reconcile,\n"
+          + "resolve, verify. Exit code 1: done, but what was found is not as it should be;"
+          + " 2: cannot be used, nothing was written.";
     }
 
     @Override
@@ -204,7 +205,8 @@
 
     @Override
     public String about() {
-      return "ledger show: what each tenant used in a period, by service grade, what came after it was closed, and amendments.";
+      return "ledger show: what each tenant used in a period, by service grade, what came after it"
+          + " was closed, and amendments.";
     }
 
     @Override
@@ -270,7 +272,8 @@
   public static final class PeriodList extends Billed {
     @Override
     public String about() {
-      return "ledger periods: each period with entries, and whether it is closed. Those whose grace is over are closed first.";
+      return "ledger periods: each period with entries, and whether it is closed. Those whose grace"
+          + " is over are closed first.";
     }
 
     @Override
@@ -376,7 +379,8 @@
 
     @Override
     public String about() {
-      return "ledger correct: adds an amendment to a period, open or closed, or withdraws one. Nothing is rewritten.";
+      return "ledger correct: adds an amendment to a period, open or closed, or withdraws one."
+          + " Nothing is rewritten.";
     }
 
     @Override
@@ -455,7 +459,8 @@
 
     @Override
     public String about() {
-      return "ledger export: finishes what was begun, then places all new lines in numbered batches. A number always has the same bytes.";
+      return "ledger export: finishes what was begun, then places all new lines in numbered"
+          + " batches. A number always has the same bytes.";
     }
 
     @Override
@@ -541,7 +546,8 @@
 
     @Override
     public String about() {
-      return "ledger merge: several managers' ledgers as one: tasks by manager, numbers that are missing, contradictions.\n"
+      return "ledger merge: several managers' ledgers as one: tasks by manager, numbers that are"
+          + " missing, contradictions.\n"
           + "Exit code 1: numbers are missing, or two ledgers say different things.";
     }
 
@@ -608,7 +614,8 @@
 
     @Override
     public String about() {
-      return "ledger reconcile: ledgers against the engines' statements; what stands on one side only, with its likely cause.\n"
+      return "ledger reconcile: ledgers against the engines' statements; what stands on one side"
+          + " only, with its likely cause.\n"
           + "Exit code 1: something stands on one side only without an innocent cause.";
     }
 
@@ -660,7 +667,8 @@
 
     @Override
     public String about() {
-      return "ledger resolve: an amendment for each task whose end nobody told and of which the engines' statements tell what ran.\n"
+      return "ledger resolve: an amendment for each task whose end nobody told and of which the"
+          + " engines' statements tell what ran.\n"
           + "A statement may be read in again.";
     }
 
@@ -698,7 +706,8 @@
   public static final class Verify extends Billed {
     @Override
     public String about() {
-      return "ledger verify: checks every invariant of a ledger and says the first breach. Exit code 1: one is broken.";
+      return "ledger verify: checks every invariant of a ledger and says the first breach. Exit"
+          + " code 1: one is broken.";
     }
 
     @Override
--- a/src/main/java/tansytrack/Main.java
+++ b/src/main/java/tansytrack/Main.java
@@ -46,7 +46,8 @@
 
     @Override
     public String about() {
-      return "serve: runs one workload manager as the file that ROUTER_CONFIG names says, until SIGTERM.\n"
+      return "serve: runs one workload manager as the file that ROUTER_CONFIG names says, until"
+          + " SIGTERM.\n"
           + "Exit code 2: the configuration cannot be used; 3: a failure inside.";
     }
 
@@ -84,7 +85,8 @@
 
     @Override
     public String about() {
-      return "check: reads a configuration and says what is wrong with it. Exit code 2: it cannot be used.";
+      return "check: reads a configuration and says what is wrong with it. Exit code 2: it cannot"
+          + " be used.";
     }
 
     @Override
@@ -102,8 +104,10 @@
 
     @Override
     public String about() {
-      return "rehearse: serves some made-up tasks on loopback with the settings of a configuration, and ends. The\n"
-          + "build makes its class-data archive of this. Exit code 2: the configuration cannot be used.";
+      return "rehearse: serves some made-up tasks on loopback with the settings of a configuration,"
+          + " and ends. The\n"
+          + "build makes its class-data archive of this. Exit code 2: the configuration"
+          + " cannot be used.";
     }
 
     @Override
@@ -127,6 +131,7 @@
     }
   }
 
+  /** Runs the command that the arguments name and ends with its exit code. */
   public static void main(String[] args) throws IOException {
     System.exit(run(args));
   }
@@ -141,7 +146,8 @@
       System.err.println(
           "usage: "
               + PROGRAM
-              + "serve | adapter | check [FILE] | rehearse [FILE] | ledger ... | fleet ... | lab ... | version   (each with --help)");
+              + "serve | adapter | check [FILE] | rehearse [FILE] | ledger ... | fleet ... | lab"
+              + " ... | version   (each with --help)");
       return Command.UNUSABLE;
     }
     Command asked = main.command.asked();
--- a/src/main/java/tansytrack/adapter/Adapter.java
+++ b/src/main/java/tansytrack/adapter/Adapter.java
@@ -43,6 +43,7 @@
   private long lineNumber;
   private boolean failed;
 
+  /** An adapter over the decisions of this program. */
   public Adapter(InputStream in, OutputStream out, PrintStream err) {
     this(in, out, err, Decide::new);
   }
--- a/src/main/java/tansytrack/adapter/Fields.java
+++ b/src/main/java/tansytrack/adapter/Fields.java
@@ -44,14 +44,14 @@
           return length > 0;
         }
       }
-      byte b = chunk[chunkAt++];
-      if (b == '\n') {
+      byte sign = chunk[chunkAt++];
+      if (sign == '\n') {
         return true;
       }
       if (length == line.length) {
         line = java.util.Arrays.copyOf(line, length * 2);
       }
-      line[length++] = b;
+      line[length++] = sign;
     }
   }
 
@@ -75,7 +75,7 @@
   }
 
   private boolean absent() {
-    return end - start == 1 && line[start] == '-' || end == start;
+    return (end - start == 1 && line[start] == '-') || end == start;
   }
 
   boolean more() {
@@ -124,23 +124,23 @@
   }
 
   private long fixed(String what, int places, int from, int to) {
-    int i = from;
-    boolean minus = i < to && line[i] == '-';
-    i += minus ? 1 : 0;
+    int next = from;
+    boolean minus = next < to && line[next] == '-';
+    next += minus ? 1 : 0;
     long value = 0;
     int after = -1;
     boolean digits = false;
-    for (; i < to; i++) {
-      byte b = line[i];
-      if (b == '.' && after < 0) {
+    for (; next < to; next++) {
+      byte sign = line[next];
+      if (sign == '.' && after < 0) {
         after = 0;
-      } else if (b >= '0' && b <= '9') {
+      } else if (sign >= '0' && sign <= '9') {
         digits = true;
         if (after < places) {
           if (value > (Long.MAX_VALUE - 9) / 10) {
             throw new Malformed(what + " is too large");
           }
-          value = value * 10 + (b - '0');
+          value = value * 10 + (sign - '0');
           after += after >= 0 ? 1 : 0;
         }
       } else {
@@ -179,7 +179,7 @@
     int from = start;
     for (int i = start; i <= end; i++) {
       if (i == end || line[i] == ',') {
-        boolean none = i == from || i - from == 1 && line[from] == '-';
+        boolean none = i == from || (i - from == 1 && line[from] == '-');
         if (count < into.length) {
           into[count++] = none ? Double.NaN : fixed(what, 9, from, i) / 1e9;
         }
--- a/src/main/java/tansytrack/command/Command.java
+++ b/src/main/java/tansytrack/command/Command.java
@@ -14,10 +14,13 @@
   @Option(name = "--help", aliases = "-h", help = true, usage = "say what this command does")
   private boolean help;
 
+  /** What `--help` prints before the options. */
   public abstract String about();
 
+  /** Runs the command and gives its exit code. */
   public abstract int run() throws IOException;
 
+  /** Whether `--help` was among the options. */
   public final boolean helpAsked() {
     return help;
   }
--- a/src/main/java/tansytrack/fleet/Facts.java
+++ b/src/main/java/tansytrack/fleet/Facts.java
@@ -43,7 +43,7 @@
       return false;
     }
     boolean later = old == null || fact.overrules(old.fact);
-    if (later || fact.sameVersion(old.fact) && next.endsAt < old.endsAt) {
+    if (later || (fact.sameVersion(old.fact) && next.endsAt < old.endsAt)) {
       if (old != null) {
         ends.remove(old);
       }
@@ -103,10 +103,12 @@
     return one.fact.aged(Math.max(0, one.fact.lasts() - (one.endsAt - now)));
   }
 
+  /** How many facts are held. */
   public int size() {
     return held.size();
   }
 
+  /** How many facts were refused for want of room. */
   public long refused() {
     return refused;
   }
--- a/src/main/java/tansytrack/fleet/Fleet.java
+++ b/src/main/java/tansytrack/fleet/Fleet.java
@@ -89,6 +89,7 @@
   /** A full exchange that this member leads, page by page. */
   private record Exchange(String address, long sequence, String from, int tries, long until) {}
 
+  /** A membership that knows itself alone; everything random in it comes from the seed. */
   public Fleet(Rules rules, Word self, long seed, long now) {
     this.rules = rules;
     this.self = self;
@@ -102,10 +103,12 @@
 
   // ---- What is asked of it ----
 
+  /** How many members are thought to run now; the number changes with each change. */
   public View view() {
     return new View(changes, there, inPlace);
   }
 
+  /** What this member says of itself. */
   public Word self() {
     return self;
   }
@@ -121,6 +124,7 @@
     return member == null ? -1 : member.since;
   }
 
+  /** The facts that members pass on to each other. */
   public Facts facts() {
     return facts;
   }
@@ -130,6 +134,7 @@
     return counts;
   }
 
+  /** How much this member doubts itself, 0 for not at all. */
   public int health() {
     return health;
   }
@@ -148,6 +153,7 @@
 
   // ---- What it is told ----
 
+  /** Does what is due by that time. */
   public List<Action> tick(long at) {
     wake(at);
     if (probe != null && !probe.answered && !probe.helped && now >= probe.askAt) {
@@ -598,8 +604,8 @@
             hold(member, word.as(Standing.ALIVE, ""));
           }
           if (!member.word.standing().there()
-              || member.word.standing() == Standing.SUSPECT
-                  && now - member.suspectedAt >= least()) {
+              || (member.word.standing() == Standing.SUSPECT
+                  && now - member.suspectedAt >= least())) {
             hold(member, word);
           } else {
             accuse(member, word.by());
@@ -673,7 +679,7 @@
     int expected = Math.min(rules.helpers(), Math.max(0, there - 2));
     double part = expected == 0 ? 1 : Math.log(member.accusers.size()) / Math.log(expected + 1);
     double times = rules.most() - (rules.most() - 1) * Math.min(1, Math.max(0, part));
-    return member.suspectedAt + (long) (least() * times) * (1 + health);
+    return member.suspectedAt + ((long) (least() * times)) * (1 + health);
   }
 
   private long nextEnd() {
--- a/src/main/java/tansytrack/fleet/Rules.java
+++ b/src/main/java/tansytrack/fleet/Rules.java
@@ -34,6 +34,7 @@
 
   private static final long MS = 1_000_000L;
 
+  /** The usual rules, with the usual timing and bound on sending. */
   public static Rules usual(List<String> seeds) {
     return usual(seeds, 500 * MS, 16_384);
   }
--- a/src/main/java/tansytrack/fleet/Word.java
+++ b/src/main/java/tansytrack/fleet/Word.java
@@ -38,10 +38,12 @@
         : life != other.life ? life > other.life : standing.compareTo(other.standing) > 0;
   }
 
+  /** Whether both speak of the same incarnation and the same life of the member. */
   public boolean sameTerm(Word other) {
     return incarnation == other.incarnation && life == other.life;
   }
 
+  /** Whether name and address can be those of a member. */
   public boolean usable() {
     return !name.isEmpty()
         && name.charAt(0) < '~'
--- a/src/main/java/tansytrack/lab/Claims.java
+++ b/src/main/java/tansytrack/lab/Claims.java
@@ -13,6 +13,7 @@
 
   private Claims() {}
 
+  /** Compares each claim with the figure that it names; one without a figure is not held. */
   public static List<Judged> judge(List<Claim> claims, Map<String, Double> figures) {
     List<Judged> judged = new ArrayList<>();
     for (Claim claim : claims) {
--- a/src/main/java/tansytrack/lab/FleetRun.java
+++ b/src/main/java/tansytrack/lab/FleetRun.java
@@ -216,7 +216,7 @@
     }
     names.forEach(world::start);
     world.play(faults);
-    world.run(experiment.getSeconds() * 1000 * MS);
+    world.run(experiment.getSeconds() * 1000L * MS);
     return new Sightings(names, faults, world.seen(), world.now()).figures();
   }
 
--- a/src/main/java/tansytrack/lab/FleetTable.java
+++ b/src/main/java/tansytrack/lab/FleetTable.java
@@ -65,8 +65,10 @@
     List<Row> rows = new ArrayList<>();
     Rules rules = Rules.usual(List.of("m0", "m1", "m2"));
     String head =
-        "members,loss,first_suspicion_p50_ms,swim_expected_ms,known_dead_p50_ms,known_dead_p99_ms,not_known,"
-            + "suspected_an_hour,declared_dead_an_hour,bytes_a_second,letters_a_second,healed_p50_ms,healed_max_ms,not_healed";
+        "members,loss,first_suspicion_p50_ms,swim_expected_ms,known_dead_p50_ms,"
+            + "known_dead_p99_ms,not_known,"
+            + "suspected_an_hour,declared_dead_an_hour,bytes_a_second,letters_a_second,"
+            + "healed_p50_ms,healed_max_ms,not_healed";
     StringBuilder csv = new StringBuilder(head).append('\n');
     to.println(head);
     for (String size : sizes.split(",")) {
--- a/src/main/java/tansytrack/lab/FleetTraffic.java
+++ b/src/main/java/tansytrack/lab/FleetTraffic.java
@@ -92,7 +92,7 @@
   }
 
   private long longAgo() {
-    return System.nanoTime() - 1000 * Math.max(1, plan.getEngine().getWarmAfterMs()) * MS;
+    return System.nanoTime() - 1000L * Math.max(1, plan.getEngine().getWarmAfterMs()) * MS;
   }
 
   private static InetSocketAddress address(String text) {
--- a/src/main/java/tansytrack/lab/LabClient.java
+++ b/src/main/java/tansytrack/lab/LabClient.java
@@ -18,10 +18,12 @@
 
   /** What came back: HANDLED, or the SQLSTATE of the error with its text. */
   public record Answer(String code, String text, List<String> columns, List<List<String>> cells) {
+    /** How many rows came. */
     public int rows() {
       return cells.size();
     }
 
+    /** Whether the manager reported the task as done. */
     public boolean handled() {
       return code.equals("HANDLED");
     }
@@ -32,6 +34,7 @@
   private final Socket socket = new Socket();
   private final DataInputStream in;
 
+  /** Connects and goes through the start-up of the PostgreSQL protocol. */
   public LabClient(InetSocketAddress to, int patienceMs) throws IOException {
     socket.setTcpNoDelay(true);
     socket.setSoTimeout(patienceMs);
@@ -49,6 +52,7 @@
     answer();
   }
 
+  /** Sends one simple query and waits for its whole answer. */
   public Answer ask(String statement) throws IOException {
     byte[] text = (statement + '\0').getBytes(StandardCharsets.UTF_8);
     socket
@@ -93,19 +97,20 @@
       while (body.get() != 0) {
         // to its end
       }
-      into.add(new String(body.array(), from, body.position() - 1 - from, StandardCharsets.UTF_8));
+      into.add(text(body, from, body.position() - 1 - from));
       body.position(body.position() + BEHIND_NAME);
     }
   }
 
+  private static String text(ByteBuffer body, int from, int length) {
+    return new String(body.array(), body.arrayOffset() + from, length, StandardCharsets.UTF_8);
+  }
+
   private static List<String> row(ByteBuffer body) {
     List<String> row = new ArrayList<>();
     for (int left = body.getShort(); left > 0; left--) {
       int length = body.getInt();
-      row.add(
-          length < 0
-              ? ""
-              : new String(body.array(), body.position(), length, StandardCharsets.UTF_8));
+      row.add(length < 0 ? "" : text(body, body.position(), length));
       body.position(body.position() + Math.max(0, length));
     }
     return row;
--- a/src/main/java/tansytrack/lab/Laboratory.java
+++ b/src/main/java/tansytrack/lab/Laboratory.java
@@ -27,6 +27,7 @@
 
   private Laboratory() {}
 
+  /** Reads an experiment file and checks what holds for every kind of experiment. */
   public static Experiment read(String file) {
     Experiment read = TextFile.parsed(file, TextFile.text(file), Experiment.newBuilder()).build();
     if (read.hasFleet()) {
--- a/src/main/java/tansytrack/lab/LedgerBench.java
+++ b/src/main/java/tansytrack/lab/LedgerBench.java
@@ -33,6 +33,7 @@
   private final PrintStream out;
   private long tasks;
 
+  /** A bench that writes its figures to the stream. */
   public LedgerBench(PrintStream out) {
     this.out = out;
   }
--- a/src/main/java/tansytrack/lab/LedgerRun.java
+++ b/src/main/java/tansytrack/lab/LedgerRun.java
@@ -89,7 +89,8 @@
     long start = System.nanoTime();
     for (Fault fault : experiment.getFaultsList()) {
       long at =
-          fault.getAtMs() + (fault.getSpreadMs() > 0 ? chance.nextInt(fault.getSpreadMs()) : 0);
+          (long) fault.getAtMs()
+              + (fault.getSpreadMs() > 0 ? chance.nextInt(fault.getSpreadMs()) : 0);
       threads.add(StandInEngine.thread(() -> fault(fault, start + at * 1_000_000)));
     }
     threads.forEach(Thread::start);
@@ -101,6 +102,19 @@
     if (failure != null) {
       throw failure;
     }
+    endManagers();
+    Map<String, Double> figures = check.figures(managers, engines);
+    figures.put("tasks.asked", (double) asked.get());
+    figures.put("tasks.handled", (double) handled.get());
+    figures.put("tasks.refused", (double) refused.get());
+    figures.put("tasks.without_answer", (double) lost.get());
+    figures.put("exports.killed", (double) exportsKilled);
+    figures.put("managers.killed", (double) managersKilled);
+    return figures;
+  }
+
+  /** Ends every manager, then lets each export what is left. */
+  private void endManagers() throws IOException, InterruptedException {
     for (ManagerProcess one : managers) {
       if (!one.stop()) {
         throw new IOException(one.name + " did not end when told to");
@@ -111,14 +125,6 @@
         throw new IOException("the last export of " + one.name + " failed; see export.log");
       }
     }
-    Map<String, Double> figures = check.figures(managers, engines);
-    figures.put("tasks.asked", (double) asked.get());
-    figures.put("tasks.handled", (double) handled.get());
-    figures.put("tasks.refused", (double) refused.get());
-    figures.put("tasks.without_answer", (double) lost.get());
-    figures.put("exports.killed", (double) exportsKilled);
-    figures.put("managers.killed", (double) managersKilled);
-    return figures;
   }
 
   private void client(ManagerProcess to, long ids, SplittableRandom own) {
--- a/src/main/java/tansytrack/lab/LoadFile.java
+++ b/src/main/java/tansytrack/lab/LoadFile.java
@@ -88,12 +88,12 @@
               part.getRamp().getEndsMs() * MS);
       case STEPS -> {
         bounded("steps.rates: number", part.getSteps().getRatesCount(), 1, 10_000);
-        bounded("steps.each_ms", part.getSteps().getEachMs(), 1, 86_400_000);
+        bounded("steps.each_ms", (double) part.getSteps().getEachMs(), 1, 86_400_000);
         yield new Shape.Steps(
             List.copyOf(part.getSteps().getRatesList()), part.getSteps().getEachMs() * MS);
       }
       case BURSTS -> {
-        bounded("bursts.every_ms", part.getBursts().getEveryMs(), 1, 86_400_000);
+        bounded("bursts.every_ms", (double) part.getBursts().getEveryMs(), 1, 86_400_000);
         yield new Shape.Bursts(
             part.getBursts().getRate(),
             part.getBursts().getEveryMs() * MS,
@@ -101,16 +101,16 @@
             part.getBursts().getFirstMs() * MS);
       }
       case WAVE -> {
-        bounded("wave.day_ms", part.getWave().getDayMs(), 1, 86_400_000);
+        bounded("wave.day_ms", (double) part.getWave().getDayMs(), 1, 86_400_000);
         yield new Shape.Wave(
             part.getWave().getLeast(), part.getWave().getMost(), part.getWave().getDayMs() * MS);
       }
       case FESTIVAL -> {
-        bounded("festival.halves_ms", part.getFestival().getHalvesMs(), 1, 86_400_000);
+        bounded("festival.halves_ms", (double) part.getFestival().getHalvesMs(), 1, 86_400_000);
         bounded(
             "festival.fullest_ms",
-            part.getFestival().getFullestMs(),
-            part.getFestival().getOpensMs() + 1,
+            (double) part.getFestival().getFullestMs(),
+            (double) (part.getFestival().getOpensMs() + 1),
             86_400_000);
         yield new Shape.Festival(
             part.getFestival().getCalm(),
@@ -122,7 +122,8 @@
       default ->
           throw new Unusable(
               file
-                  + ": a part of the rate has no shape; allowed: constant, ramp, steps, bursts, wave, festival");
+                  + ": a part of the rate has no shape; allowed: constant, ramp, steps, bursts,"
+                  + " wave, festival");
     };
   }
 
--- a/src/main/java/tansytrack/lab/ManagerProcess.java
+++ b/src/main/java/tansytrack/lab/ManagerProcess.java
@@ -21,14 +21,22 @@
 
   private static final long PATIENCE_MS = 20_000;
   private static final String SETTINGS =
-      "{\"siblings\":1,\"skus\":[\"k\"],\"extra\":{\"cpu_of_kind\":[8],\"memory_by_kind_mb\":[8192],"
-          + "\"memory_heeded\":true,\"grant_cap\":0.5,\"ranks_heeded\":true,\"tells_cost\":true,\"threads_by_class\":[1,1],"
-          + "\"is_load\":[false,false],\"class_waits\":[false,false]},\"grades\":[{\"name\":\"query\",\"repeat\":\"idempotent\","
-          + "\"objective_ms\":1000,\"deadline_ms\":3000,\"worth\":1},{\"name\":\"load\",\"repeat\":\"at_most_once\","
-          + "\"objective_ms\":1000,\"deadline_ms\":3000,\"worth\":2}],\"tenants\":[{\"name\":\"t0\",\"portion\":1},"
-          + "{\"name\":\"t1\",\"portion\":2},{\"name\":\"t2\",\"portion\":3}],\"policy_limits\":{\"may_probe\":true,\"cancel\":true,"
-          + "\"max_attempts\":3,\"connect_timeout_ms\":250,\"conn_idle_ms\":30000,\"retry_after\":true,\"max_retry_after_ms\":500},"
-          + "\"reporting\":{\"columns\":[\"busy_reqs\"],\"how\":\"pull\"},\"rules\":{\"answer_slack_ms\":20,\"drain_grace_ms\":1000}}";
+      "{\"siblings\":1,\"skus\":[\"k\"],\"extra\":{\"cpu_of_kind\":[8],"
+          + "\"memory_by_kind_mb\":[8192],"
+          + "\"memory_heeded\":true,\"grant_cap\":0.5,\"ranks_heeded\":true,"
+          + "\"tells_cost\":true,\"threads_by_class\":[1,1],"
+          + "\"is_load\":[false,false],\"class_waits\":[false,false]},"
+          + "\"grades\":[{\"name\":\"query\",\"repeat\":\"idempotent\","
+          + "\"objective_ms\":1000,\"deadline_ms\":3000,\"worth\":1},{\"name\":\"load\","
+          + "\"repeat\":\"at_most_once\","
+          + "\"objective_ms\":1000,\"deadline_ms\":3000,\"worth\":2}],"
+          + "\"tenants\":[{\"name\":\"t0\",\"portion\":1},"
+          + "{\"name\":\"t1\",\"portion\":2},{\"name\":\"t2\",\"portion\":3}],"
+          + "\"policy_limits\":{\"may_probe\":true,\"cancel\":true,"
+          + "\"max_attempts\":3,\"connect_timeout_ms\":250,\"conn_idle_ms\":30000,"
+          + "\"retry_after\":true,\"max_retry_after_ms\":500},"
+          + "\"reporting\":{\"columns\":[\"busy_reqs\"],\"how\":\"pull\"},"
+          + "\"rules\":{\"answer_slack_ms\":20,\"drain_grace_ms\":1000}}";
 
   final String name;
   final Path folder;
@@ -51,7 +59,9 @@
             + (forwardsWait ? "AFTER_COMMIT" : "AT_ONCE")
             + "\n  answers: "
             + (answersWait ? "AFTER_COMMIT" : "AT_ONCE")
-            + "\n  billing { period: DAY rates { per_task: \"0.01\" per_work_second: \"0.5\" } }\n}\n");
+            + "\n"
+            + "  billing { period: DAY rates { per_task: \"0.01\" per_work_second: \"0.5\" } }\n"
+            + "}\n");
   }
 
   /** With that text as its operators' file, at a free port of that address. */
--- a/src/main/java/tansytrack/lab/StandInChannel.java
+++ b/src/main/java/tansytrack/lab/StandInChannel.java
@@ -21,12 +21,16 @@
   private final ServerSocket socket = new ServerSocket();
   private final List<String> events = new ArrayList<>();
 
+  /** Listens at the address at once; calls are answered on threads of its own. */
   public StandInChannel(InetSocketAddress at) throws IOException {
     socket.setReuseAddress(true);
     socket.bind(at, 256);
     StandInEngine.thread(this::accept).start();
   }
 
+  /**
+   * The address that it listens at, as host:port; the port is the real one where 0 was asked for.
+   */
   public String address() {
     return socket.getInetAddress().getHostAddress() + ':' + socket.getLocalPort();
   }
--- a/src/main/java/tansytrack/lab/StandInEngine.java
+++ b/src/main/java/tansytrack/lab/StandInEngine.java
@@ -62,7 +62,8 @@
       // Thousandths, so that what is told in text is what is counted.
       workMs =
           (leastMs * 1000
-                  + Math.floorMod(id.hashCode() * 0x9E3779B97F4A7C15L >>> 16, spreadMs * 1000 + 1))
+                  + Math.floorMod(
+                      (id.hashCode() * 0x9E3779B97F4A7C15L) >>> 16, spreadMs * 1000 + 1))
               / 1000.0;
     }
   }
@@ -98,9 +99,12 @@
     this.works = works;
     this.watcher = watcher;
     open(at);
-    clock.scheduleAtFixedRate(this::advance, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    every(TICK_MS, TICK_MS, this::advance);
   }
 
+  /**
+   * An engine whose queries take a time between two bounds, without a model of its cores or memory.
+   */
   public StandInEngine(String name, InetSocketAddress at, long leastMs, long spreadMs)
       throws IOException {
     this.name = name;
@@ -116,7 +120,13 @@
     socket.setReuseAddress(true);
     socket.bind(at, 1024);
     thread(this::accept).start();
-    clock.scheduleAtFixedRate(this::dropUnasked, UNASKED_MS, UNASKED_MS / 8, TimeUnit.MILLISECONDS);
+    every(UNASKED_MS, UNASKED_MS / 8, this::dropUnasked);
+  }
+
+  /** Repeats a step until the clock is shut down; an exception in one ends the repetition. */
+  @SuppressWarnings("FutureReturnValueIgnored") // nothing waits for the end of a repeated step
+  private void every(long firstMs, long everyMs, Runnable step) {
+    clock.scheduleAtFixedRate(step, firstMs, everyMs, TimeUnit.MILLISECONDS);
   }
 
   static Thread thread(Runnable what) {
@@ -125,10 +135,14 @@
     return thread;
   }
 
+  /** The engine's identity, as configurations name it. */
   public String name() {
     return name;
   }
 
+  /**
+   * The address that it listens at, as host:port; the port is the real one where 0 was asked for.
+   */
   public String address() {
     return socket.getInetAddress().getHostAddress() + ':' + socket.getLocalPort();
   }
@@ -171,12 +185,12 @@
     ByteArrayOutputStream head = new ByteArrayOutputStream();
     int tail = 0;
     while (tail != 0x0d0a0d0a) {
-      int b = in.read();
-      if (b < 0 || head.size() > LONGEST_HEAD) {
+      int octet = in.read();
+      if (octet < 0 || head.size() > LONGEST_HEAD) {
         throw new EOFException();
       }
-      head.write(b);
-      tail = tail << 8 | b;
+      head.write(octet);
+      tail = tail << 8 | octet;
     }
     return head.toString(StandardCharsets.UTF_8);
   }
@@ -377,6 +391,7 @@
     return rows;
   }
 
+  /** How many queries it was sent. */
   public synchronized long runs() {
     return all.size();
   }
--- a/src/main/java/tansytrack/lab/StandIns.java
+++ b/src/main/java/tansytrack/lab/StandIns.java
@@ -15,6 +15,10 @@
 
   private StandIns() {}
 
+  /**
+   * Starts a stand-in for every engine of a configuration, and for its command channel, until
+   * ended.
+   */
   public static void of(String file, int workMs, PrintStream out) throws IOException {
     try {
       Map<String, Object> all =
--- a/src/main/java/tansytrack/lab/load/Latencies.java
+++ b/src/main/java/tansytrack/lab/load/Latencies.java
@@ -22,14 +22,17 @@
     private double earned;
     private long tasks;
 
+    /** The earned part of what was asked for, 1 where nothing was. */
     public double share() {
       return asked == 0 ? 1 : earned / asked;
     }
 
+    /** How many tasks it counts. */
     public long tasks() {
       return tasks;
     }
 
+    /** Latency at a percentile, measured from the intended time of sending. */
     public long latency(double percentile) {
       return latency.getValueAtPercentile(percentile);
     }
@@ -63,26 +66,32 @@
     }
   }
 
+  /** Latency at a percentile over all tasks, measured from the intended time of sending. */
   public long latency(double percentile) {
     return latency.getValueAtPercentile(percentile);
   }
 
+  /** Time from the real sending to the answer at a percentile, over all tasks. */
   public long service(double percentile) {
     return service.getValueAtPercentile(percentile);
   }
 
+  /** How many tasks were counted in all. */
   public long tasks() {
     return all.tasks;
   }
 
+  /** The earned part of all that was asked for. */
   public double share() {
     return all.share();
   }
 
+  /** Counts by group, in the order of their names. */
   public Map<String, Window> groups() {
     return groups;
   }
 
+  /** Counts by second of the intended sending. */
   public Map<Long, Window> seconds() {
     return seconds;
   }
--- a/src/main/java/tansytrack/lab/load/Mix.java
+++ b/src/main/java/tansytrack/lab/load/Mix.java
@@ -26,6 +26,9 @@
   private final double tenantWeight;
   private final double gradeWeight;
 
+  /**
+   * The choice of tenants, query classes and data sets; the popular data sets move on after a time.
+   */
   public Mix(
       List<Weighted> tenants, List<GradeLoad> grades, int dataSets, double exponent, long moves) {
     this.tenants = List.copyOf(tenants);
--- a/src/main/java/tansytrack/lab/load/Punctuality.java
+++ b/src/main/java/tansytrack/lab/load/Punctuality.java
@@ -21,6 +21,7 @@
     this.part = part;
   }
 
+  /** Counts a task that was sent, by how much later than intended it went out. */
   public void sent(long intended, long at) {
     long by = Math.max(0, at - intended);
     late.recordValue(Math.min(by, late.getHighestTrackableValue()));
@@ -32,10 +33,12 @@
     unsent++;
   }
 
+  /** Whether the generator fell behind so far that the run's figures say nothing of the gateway. */
   public boolean isVoid() {
-    return unsent > 0 || late.getTotalCount() > 0 && over > part * late.getTotalCount();
+    return unsent > 0 || (late.getTotalCount() > 0 && over > part * late.getTotalCount());
   }
 
+  /** A summary for people, in one line. */
   public String said() {
     return late.getTotalCount()
         + " sent, "
--- a/src/main/java/tansytrack/lab/load/Schedule.java
+++ b/src/main/java/tansytrack/lab/load/Schedule.java
@@ -26,6 +26,9 @@
   private long number;
   private Arrival next;
 
+  /**
+   * A schedule of the given length; evenly spaced tasks, or Poisson arrivals drawn from the seed.
+   */
   public Schedule(Shape shape, Mix mix, long length, boolean even, long seed) {
     this.shape = shape;
     this.mix = mix;
--- a/src/main/java/tansytrack/lab/world/EngineModel.java
+++ b/src/main/java/tansytrack/lab/world/EngineModel.java
@@ -65,6 +65,7 @@
   private double slow = 1;
   private boolean fallen;
 
+  /** An engine of that make, started cold at that time. */
   public EngineModel(Spec spec, long startedAt) {
     this.spec = spec;
     this.startedAt = startedAt;
@@ -86,10 +87,12 @@
     slow = Math.max(1e-3, factor);
   }
 
+  /** Whether it ended for want of memory. */
   public boolean fallen() {
     return fallen;
   }
 
+  /** How many queries it runs or keeps waiting. */
   public int held() {
     return queries.size();
   }
@@ -131,6 +134,7 @@
     return Taken.STARTED;
   }
 
+  /** Cancels a query, if it is still there. */
   public void giveUp(long at, String id) {
     queries.remove(id);
   }
@@ -153,7 +157,9 @@
           Math.max(
               1,
               Math.min(
-                  at - now, Math.min(warmth(now) < 1 ? STEP : Long.MAX_VALUE, Math.ceil(soonest))));
+                  (double) (at - now),
+                  Math.min(
+                      (double) (warmth(now) < 1 ? STEP : Long.MAX_VALUE), Math.ceil(soonest))));
       for (Query one : queries.values()) {
         one.left -= step * each * one.threads;
       }
--- a/src/main/java/tansytrack/lab/world/Explorer.java
+++ b/src/main/java/tansytrack/lab/world/Explorer.java
@@ -38,6 +38,7 @@
    */
   public record Found(int states, int depth, List<Integer> broken) {}
 
+  /** An explorer where each letter passes through the function, which may change it. */
   public Explorer(BiFunction<String, Letter, Letter> post) {
     this.post = post;
   }
@@ -101,37 +102,47 @@
     /** Whether the choice can be made now; then it is. */
     boolean choose(int choice) {
       boolean any = !pending.isEmpty();
-      switch (choice) {
-        case 0:
-          return pass();
-        case 1:
-          return any && done(pending.remove(0));
-        case 2:
-          return pending.size() > 1 && done(pending.remove(pending.size() - 1));
-        case 3:
-          return any && pending.remove(0) != null;
-        case 4:
-          return any && done(pending.get(0));
-        case 5:
-          if (!cut) {
-            return cut = true;
-          }
-          return false;
-        case 6:
-          return cut && !healed && (healed = true);
-        case 7:
-          if (!killed) {
-            running.remove("c");
-            return killed = true;
-          }
-          return false;
-        default:
-          if (killed && !restarted) {
-            start("c");
-            return restarted = true;
-          }
-          return false;
+      return switch (choice) {
+        case 0 -> pass();
+        case 1 -> any && done(pending.remove(0));
+        case 2 -> pending.size() > 1 && done(pending.remove(pending.size() - 1));
+        case 3 -> any && pending.remove(0) != null;
+        case 4 -> any && done(pending.get(0));
+        case 5 -> cutLink();
+        case 6 -> healLink();
+        case 7 -> killThird();
+        default -> restartThird();
+      };
+    }
+
+    private boolean cutLink() {
+      boolean possible = !cut;
+      cut = true;
+      return possible;
+    }
+
+    private boolean healLink() {
+      boolean possible = cut && !healed;
+      healed |= possible;
+      return possible;
+    }
+
+    private boolean killThird() {
+      if (killed) {
+        return false;
       }
+      running.remove("c");
+      killed = true;
+      return true;
+    }
+
+    private boolean restartThird() {
+      if (!killed || restarted) {
+        return false;
+      }
+      start("c");
+      restarted = true;
+      return true;
     }
 
     private boolean done(Pending one) {
--- a/src/main/java/tansytrack/lab/world/Faults.java
+++ b/src/main/java/tansytrack/lab/world/Faults.java
@@ -12,6 +12,7 @@
     List<ProcessTrouble> processes,
     List<StreamTrouble> streams) {
 
+  /** Faults of links and processes alone, without operations by people. */
   public Faults(Weather base, List<LinkTrouble> links, List<ProcessTrouble> processes) {
     this(base, links, processes, List.of());
   }
--- a/src/main/java/tansytrack/lab/world/FleetWorld.java
+++ b/src/main/java/tansytrack/lab/world/FleetWorld.java
@@ -65,22 +65,27 @@
       this.place = place;
     }
 
+    /** The address that it has across all its lives. */
     public String address() {
       return address;
     }
 
+    /** The name under which it is a member. */
     public String name() {
       return name;
     }
 
+    /** The place that it stands in. */
     public String place() {
       return place;
     }
 
+    /** Whether its process runs now. */
     public boolean running() {
       return fleet != null;
     }
 
+    /** Its membership in this life, null while it does not run. */
     public Fleet fleet() {
       return fleet;
     }
@@ -93,6 +98,7 @@
     }
   }
 
+  /** An empty world; everything random in it comes from the seed. */
   public FleetWorld(Rules rules, long seed) {
     this.rules = rules;
     chance = new SplittableRandom(seed);
@@ -100,14 +106,17 @@
 
   // ---- The world's schedule ----
 
+  /** The virtual time. */
   public long now() {
     return now;
   }
 
+  /** Runs something at a virtual time, at once if that has passed. */
   public void at(long time, Runnable what) {
     events.add(new Event(Math.max(now, time), order++, what));
   }
 
+  /** Plays all events up to a virtual time. */
   public void run(long until) {
     while (!events.isEmpty() && events.peek().at <= until) {
       Event next = events.poll();
@@ -117,6 +126,7 @@
     now = until;
   }
 
+  /** Changes what all links do from now on. */
   public void weather(Weather next) {
     weather = next;
   }
@@ -155,10 +165,12 @@
 
   // ---- Members ----
 
+  /** The node at an address, made where there is none; it is not started. */
   public Node node(String address, String name, String place) {
     return nodes.computeIfAbsent(address, at -> new Node(at, name, place));
   }
 
+  /** The node at an address, or null. */
   public Node node(String address) {
     return nodes.get(address);
   }
@@ -176,6 +188,7 @@
     }
   }
 
+  /** All nodes, running or not, by address. */
   public Iterable<Node> nodes() {
     return nodes.values();
   }
@@ -197,6 +210,7 @@
     return node;
   }
 
+  /** Ends a node's process without a farewell. */
   public void kill(String address) {
     nodes.get(address).fleet = null;
   }
@@ -225,6 +239,7 @@
         });
   }
 
+  /** Moves a node's clock by a step. */
   public void step(String address, long by) {
     nodes.get(address).clockOff += by;
   }
@@ -313,6 +328,7 @@
     return wiretap;
   }
 
+  /** What members saw of each other, in order. */
   public List<Seen> seen() {
     return seen;
   }
--- a/src/main/java/tansytrack/lab/world/RuleCheck.java
+++ b/src/main/java/tansytrack/lab/world/RuleCheck.java
@@ -32,6 +32,7 @@
 
   /** Something that a stand-in saw. */
   public sealed interface Seen {
+    /** Time of the event, on the clock that all reporters share. */
     long at();
   }
 
--- a/src/main/java/tansytrack/lab/world/Way.java
+++ b/src/main/java/tansytrack/lab/world/Way.java
@@ -10,6 +10,7 @@
   private final SplittableRandom chance;
   private boolean bad; // in a bad stretch
 
+  /** A link whose losses and delays are drawn from the seed. */
   public Way(long seed) {
     chance = new SplittableRandom(seed);
   }
--- a/src/main/java/tansytrack/lab/world/Weather.java
+++ b/src/main/java/tansytrack/lab/world/Weather.java
@@ -14,6 +14,7 @@
 
   public static final Weather FINE = new Weather(0, 1, 0, 500_000L, 500_000L);
 
+  /** The same weather with another share of lost datagrams. */
   public Weather losing(double share) {
     return new Weather(share, burst, doubled, least, spread);
   }
--- a/src/main/java/tansytrack/ledger/Bill.java
+++ b/src/main/java/tansytrack/ledger/Bill.java
@@ -27,30 +27,37 @@
     private long bytes;
     private BigDecimal exact = BigDecimal.ZERO;
 
+    /** Tasks taken in. */
     public long tasks() {
       return tasks;
     }
 
+    /** Tasks answered with their result. */
     public long handled() {
       return handled;
     }
 
+    /** Tasks refused or failed. */
     public long bounced() {
       return bounced;
     }
 
+    /** Tasks whose end nobody knows, as their manager died. */
     public long unresolved() {
       return unresolved;
     }
 
+    /** Work that engines reported, in nanoseconds. */
     public long work() {
       return work;
     }
 
+    /** Work of forwards whose result was not used, in nanoseconds. */
     public long waste() {
       return waste;
     }
 
+    /** Bytes of results sent to clients. */
     public long bytes() {
       return bytes;
     }
@@ -73,6 +80,7 @@
   private final TreeMap<Whose, Sum> late = new TreeMap<>();
   private final List<Amendment> amendments = new ArrayList<>();
 
+  /** An empty bill of a period; closed at that time, 0 while it is open. */
   public Bill(String period, Periods periods, Rates rates, long closedAt) {
     this.period = period;
     this.periods = periods;
@@ -97,12 +105,14 @@
     sum.exact = sum.exact.add(rates.price(entry, periods.day(entry.takenAt())));
   }
 
+  /** Adds an amendment if it is for this period. */
   public void take(Amendment amendment) {
     if (amendment.period().equals(period)) {
       amendments.add(amendment);
     }
   }
 
+  /** Sums by tenant and query class. */
   public Map<Whose, Sum> sums() {
     return sums;
   }
@@ -112,6 +122,7 @@
     return late;
   }
 
+  /** The rounded amount of one sum. */
   public BigDecimal amount(Sum sum) {
     return rates.rounded(sum.exact);
   }
@@ -151,6 +162,7 @@
     return stand;
   }
 
+  /** All tenants that the bill names, in order. */
   public Set<String> tenants() {
     Set<String> tenants = new java.util.TreeSet<>();
     sums.keySet().forEach(whose -> tenants.add(whose.tenant()));
--- a/src/main/java/tansytrack/ledger/Bookkeeper.java
+++ b/src/main/java/tansytrack/ledger/Bookkeeper.java
@@ -31,6 +31,7 @@
 
   /** What a task of that grade earned in thousandths, by its end and the time that it took. */
   public interface Earnings {
+    /** Earnings in thousandths, by query class, end and time to the answer. */
     long milli(String grade, End end, long time);
   }
 
@@ -38,15 +39,18 @@
   private final Map<String, Open> open = new HashMap<>();
   private long sequence;
 
+  /** Entries whose earnings are computed by the given function. */
   public Bookkeeper(Earnings earnings) {
     this.earnings = earnings;
   }
 
+  /** A task was taken in; gives its number in this epoch. */
   public long taken(long now, String task, String tenant, String grade) {
     open.put(task, new Open(++sequence, tenant, grade, now));
     return sequence;
   }
 
+  /** A forward is about to go out. */
   public Line sent(long now, String task, int index, String engine, long grantedMb) {
     Open one = open.get(task);
     Use use = new Use(index, engine, now, 0, "", 0, 0, grantedMb, false);
@@ -88,6 +92,7 @@
     return new Line.Ended(one.sequence, use, forget(task, one));
   }
 
+  /** The client was answered; forwards may still be out. */
   public Line answered(long now, String task, End end, long bytes) {
     Open one = open.get(task);
     one.answered = true;
@@ -113,6 +118,7 @@
     return complete;
   }
 
+  /** How many tasks are not complete yet. */
   public int openTasks() {
     return open.size();
   }
--- a/src/main/java/tansytrack/ledger/ExportSteps.java
+++ b/src/main/java/tansytrack/ledger/ExportSteps.java
@@ -8,6 +8,7 @@
  */
 public final class ExportSteps {
 
+  /** What to do next with one batch, in the order of their happening. */
   public enum Step {
     SEAL,
     WRITE,
@@ -33,6 +34,7 @@
 
   private ExportSteps() {}
 
+  /** The step that follows from what is found on disk and in the store. */
   public static Step next(Found found) {
     if (found.sealed == null) {
       return found.linesLeft ? Step.SEAL : Step.DONE;
--- a/src/main/java/tansytrack/ledger/Gap.java
+++ b/src/main/java/tansytrack/ledger/Gap.java
@@ -14,6 +14,7 @@
     long lines,
     String cause) {
 
+  /** Whether a task's number falls into the gap. */
   public boolean covers(long sequence) {
     return firstSequence <= sequence && sequence <= lastSequence;
   }
--- a/src/main/java/tansytrack/ledger/Invariants.java
+++ b/src/main/java/tansytrack/ledger/Invariants.java
@@ -12,6 +12,7 @@
   private long exported;
   private String breach;
 
+  /** Checks the entry at the next position. */
   public void line(long at, Entry entry) {
     positioned(at);
     String name = "entry " + entry.epoch() + ':' + entry.sequence();
@@ -37,6 +38,7 @@
     }
   }
 
+  /** Checks the position of a line that is no entry. */
   public void line(long at) {
     positioned(at);
   }
@@ -88,10 +90,12 @@
     return breach;
   }
 
+  /** The last position that was seen. */
   public long positions() {
     return position;
   }
 
+  /** The number of the last batch that was seen. */
   public long batches() {
     return batch;
   }
--- a/src/main/java/tansytrack/ledger/Line.java
+++ b/src/main/java/tansytrack/ledger/Line.java
@@ -6,8 +6,10 @@
  */
 public sealed interface Line {
 
+  /** The number of the task in its epoch; 0 where the line is about no task. */
   long sequence();
 
+  /** Whether the entry of the task is complete with this line. */
   boolean complete();
 
   /** A forward is about to go out. */
--- a/src/main/java/tansytrack/ledger/Merged.java
+++ b/src/main/java/tansytrack/ledger/Merged.java
@@ -41,12 +41,14 @@
   private final TreeMap<Key, Set<Entry>> entries = new TreeMap<>();
   private final TreeMap<Key, Set<Gap>> gaps = new TreeMap<>();
 
+  /** Adds an entry; the same one from several ledgers or exports counts once. */
   public void add(String manager, Entry entry) {
     entries
         .computeIfAbsent(new Key(manager, entry.epoch(), entry.sequence()), key -> new HashSet<>(2))
         .add(entry);
   }
 
+  /** Adds a gap; the same one from several ledgers or exports counts once. */
   public void add(String manager, Gap gap) {
     gaps.computeIfAbsent(new Key(manager, gap.epoch(), gap.number()), key -> new HashSet<>(2))
         .add(gap);
@@ -60,10 +62,12 @@
         (key, said) -> gaps.computeIfAbsent(key, one -> new HashSet<>(2)).addAll(said));
   }
 
+  /** Entries by their key; more than one under a key contradict each other. */
   public Map<Key, Set<Entry>> entries() {
     return entries;
   }
 
+  /** All gaps, by manager and number. */
   public List<Gap> gaps() {
     return gaps.values().stream().flatMap(Set::stream).toList();
   }
@@ -124,9 +128,9 @@
 
   @Override
   public boolean equals(Object other) {
-    return other instanceof Merged
-        && ((Merged) other).entries.equals(entries)
-        && ((Merged) other).gaps.equals(gaps);
+    return other instanceof Merged merged
+        && merged.entries.equals(entries)
+        && merged.gaps.equals(gaps);
   }
 
   @Override
--- a/src/main/java/tansytrack/ledger/Outflow.java
+++ b/src/main/java/tansytrack/ledger/Outflow.java
@@ -31,6 +31,9 @@
   private long gapLines;
   private long answeredUndurable;
 
+  /**
+   * A hand-over that refuses lines above a bound, and gives up waiting for the disk after a time.
+   */
   public Outflow(long epoch, int mostUnwritten, long patience) {
     this.epoch = epoch;
     this.mostUnwritten = mostUnwritten;
@@ -144,18 +147,22 @@
     }
   }
 
+  /** Lines handed over that are not durable yet. */
   public long unwritten() {
     return handed - durable;
   }
 
+  /** Lines that the gap now open leaves out. */
   public long uncounted() {
     return gapLines;
   }
 
+  /** How many gaps were opened so far. */
   public long gaps() {
     return gaps;
   }
 
+  /** How many clients were answered before their entry was durable. */
   public long answeredUndurable() {
     return answeredUndurable;
   }
--- a/src/main/java/tansytrack/ledger/Periods.java
+++ b/src/main/java/tansytrack/ledger/Periods.java
@@ -18,6 +18,7 @@
 
   private static final long SECOND = 1_000_000_000L;
 
+  /** How long a period is: each is a calendar unit of its time zone. */
   public enum Length {
     MONTH,
     WEEK,
@@ -79,6 +80,7 @@
     return day.atStartOfDay(zone).toEpochSecond() * SECOND;
   }
 
+  /** The first moment of a period, in nanoseconds of the Unix clock. */
   public long start(String period) {
     return start(first(period));
   }
@@ -94,6 +96,7 @@
         });
   }
 
+  /** The day that a moment falls in, in the time zone of the periods. */
   public LocalDate day(long at) {
     return Instant.ofEpochSecond(Math.floorDiv(at, SECOND)).atZone(zone).toLocalDate();
   }
--- a/src/main/java/tansytrack/ledger/Rates.java
+++ b/src/main/java/tansytrack/ledger/Rates.java
@@ -47,7 +47,7 @@
       if (rate.fits(tenant, grade, day)
           && (best == null
               || rate.names() > best.names()
-              || rate.names() == best.names() && rate.from.isAfter(best.from))) {
+              || (rate.names() == best.names() && rate.from.isAfter(best.from)))) {
         best = rate;
       }
     }
@@ -73,6 +73,7 @@
         : price.multiply(amount).divide(unit, EXACT, RoundingMode.HALF_EVEN);
   }
 
+  /** The amount as it is billed, by the rounding that the operator chose. */
   public BigDecimal rounded(BigDecimal exact) {
     return exact.setScale(decimals, rounding);
   }
--- a/src/main/java/tansytrack/ledger/Reconciliation.java
+++ b/src/main/java/tansytrack/ledger/Reconciliation.java
@@ -40,6 +40,7 @@
   private final Set<String> engines = new TreeSet<>();
   private long agreed;
 
+  /** Takes a ledger entry with all its uses of engines. */
   public void take(Entry entry) {
     for (Use use : entry.uses()) {
       told.computeIfAbsent(new Place(use.engine(), entry.task()), place -> new ArrayList<>(1))
@@ -52,11 +53,13 @@
     engines.add(engine);
   }
 
+  /** Takes a run that an engine states. */
   public void take(Run run) {
     engines.add(run.engine);
     ran.computeIfAbsent(new Place(run.engine, run.task), place -> new ArrayList<>(1)).add(run);
   }
 
+  /** Compares both sides, by engine and task in the order of their names. */
   public List<Finding> findings() {
     agreed = 0;
     List<Finding> findings = new ArrayList<>();
@@ -117,7 +120,7 @@
         agreed++;
       }
     }
-    for (Run run : left) {
+    for (int unmatched = left.size(); unmatched > 0; unmatched--) {
       findings.add(
           new Finding(
               true,
@@ -125,8 +128,8 @@
               place.engine,
               place.task,
               uses.isEmpty()
-                  ? "no manager's ledger names it: a ledger is missing, or one crashed within its loss"
-                      + " window, or ran with a gap"
+                  ? "no manager's ledger names it: a ledger is missing, or one crashed within its"
+                      + " loss window, or ran with a gap"
                   : "the engine ran it once more than it was forwarded"));
     }
   }
--- a/src/main/java/tansytrack/ledger/Resolutions.java
+++ b/src/main/java/tansytrack/ledger/Resolutions.java
@@ -23,6 +23,7 @@
   private final Map<String, List<Reconciliation.Run>> runs = new HashMap<>();
   private final Set<String> resolved = new HashSet<>();
 
+  /** Resolutions that leave out what the amendments made before already say. */
   public Resolutions(Rates rates, Periods periods, List<Amendment> before) {
     this.rates = rates;
     this.periods = periods;
@@ -33,6 +34,7 @@
     }
   }
 
+  /** Takes a run that an engine states; the same statement twice counts once. */
   public void take(Reconciliation.Run run) {
     List<Reconciliation.Run> known = runs.computeIfAbsent(run.task(), task -> new ArrayList<>(1));
     if (!known.contains(run)) {
--- a/src/main/java/tansytrack/ledger/Use.java
+++ b/src/main/java/tansytrack/ledger/Use.java
@@ -20,6 +20,7 @@
 
   public static final String UNKNOWN = "UNKNOWN";
 
+  /** Whether the engine has not ended it yet. */
   public boolean out() {
     return outcome.isEmpty();
   }
--- a/src/main/java/tansytrack/ledger/disk/Billing.java
+++ b/src/main/java/tansytrack/ledger/disk/Billing.java
@@ -24,6 +24,7 @@
 
   private Billing() {}
 
+  /** A period's bill: as it was closed, or of all that is there by now. */
   public static Bill bill(Store store, Periods periods, Rates rates, String period)
       throws IOException {
     long upTo =
@@ -68,6 +69,7 @@
     return counts;
   }
 
+  /** Closes a period with all that is in the store now; later entries become corrections. */
   public static Store.Closed close(
       Store store, OperatorFile.LedgerSection section, String period, String author, long now)
       throws IOException {
@@ -143,7 +145,8 @@
     for (OperatorFile.QuotaLine quota : quotas) {
       if (quota.tenant().equals(tenant)) {
         boolean over =
-            quota.tasks() > 0 && tasks > quota.tasks() || quota.work() > 0 && work > quota.work();
+            (quota.tasks() > 0 && tasks > quota.tasks())
+                || (quota.work() > 0 && work > quota.work());
         return over ? "over" : "within";
       }
     }
--- a/src/main/java/tansytrack/ledger/disk/Exporter.java
+++ b/src/main/java/tansytrack/ledger/disk/Exporter.java
@@ -26,12 +26,14 @@
   private final Path folder;
   private final Faults faults;
 
+  /** Exports a store's lines as files into a folder. */
   public Exporter(Store store, Path folder, Faults faults) {
     this.store = store;
     this.folder = folder;
     this.faults = faults;
   }
 
+  /** The name of a batch's file, which has its number and form. */
   public static String name(Store.Batch batch) {
     return String.format("batch-%08d.%s", batch.number(), Forms.suffix(batch.form()));
   }
@@ -227,8 +229,8 @@
     }
 
     @Override
-    public void write(int b) throws IOException {
-      super.write(b);
+    public void write(int octet) throws IOException {
+      super.write(octet);
       size++;
     }
 
--- a/src/main/java/tansytrack/ledger/disk/Faults.java
+++ b/src/main/java/tansytrack/ledger/disk/Faults.java
@@ -8,5 +8,6 @@
 
   Faults NONE = step -> {};
 
+  /** Called before each step on the disk; throws where that step is to fail. */
   void before(String step) throws IOException;
 }
--- a/src/main/java/tansytrack/ledger/disk/LedgerFiles.java
+++ b/src/main/java/tansytrack/ledger/disk/LedgerFiles.java
@@ -81,6 +81,7 @@
     statement(name, from, to::stated, to::take);
   }
 
+  /** Reads an engine's statement in CSV: the engines that it covers, and the runs it states. */
   public static void statement(
       String name, InputStream from, Consumer<String> stated, Consumer<Reconciliation.Run> ran)
       throws IOException {
--- a/src/main/java/tansytrack/ledger/disk/Recorder.java
+++ b/src/main/java/tansytrack/ledger/disk/Recorder.java
@@ -311,7 +311,9 @@
         outflow.durable(written);
         break;
       }
-      if (queue.size() < BATCH / 2 && !last && (!afterCommit && !intentsFirst || queue.isEmpty())) {
+      if (queue.size() < BATCH / 2
+          && !last
+          && ((!afterCommit && !intentsFirst) || queue.isEmpty())) {
         LockSupport.parkNanos(commitEvery);
       }
     }
--- a/src/main/java/tansytrack/ledger/disk/Store.java
+++ b/src/main/java/tansytrack/ledger/disk/Store.java
@@ -19,6 +19,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
@@ -56,23 +57,28 @@
   private static final String[] TABLES = {
     "CREATE TABLE meta(name TEXT PRIMARY KEY, value) WITHOUT ROWID",
     "CREATE TABLE epoch(number INTEGER PRIMARY KEY, started_at INTEGER NOT NULL)",
-    "CREATE TABLE entry(epoch INTEGER, seq INTEGER, task TEXT NOT NULL, tenant TEXT NOT NULL, grade TEXT NOT NULL,"
-        + " taken_at INTEGER NOT NULL, ended_at INTEGER NOT NULL DEFAULT 0, ended TEXT, bytes INTEGER NOT NULL"
-        + " DEFAULT 0, earnings INTEGER NOT NULL DEFAULT 0, pos INTEGER, PRIMARY KEY(epoch, seq)) WITHOUT ROWID",
-    "CREATE TABLE forward(epoch INTEGER, seq INTEGER, idx INTEGER, engine TEXT NOT NULL, sent_at INTEGER NOT NULL,"
-        + " ended_at INTEGER NOT NULL DEFAULT 0, outcome TEXT NOT NULL DEFAULT '', work INTEGER NOT NULL DEFAULT 0,"
-        + " needed INTEGER NOT NULL DEFAULT 0, granted INTEGER NOT NULL DEFAULT 0, wasted INTEGER NOT NULL"
-        + " DEFAULT 0, PRIMARY KEY(epoch, seq, idx)) WITHOUT ROWID",
+    "CREATE TABLE entry(epoch INTEGER, seq INTEGER, task TEXT NOT NULL, tenant TEXT NOT NULL, grade"
+        + " TEXT NOT NULL, taken_at INTEGER NOT NULL, ended_at INTEGER NOT NULL DEFAULT 0, ended"
+        + " TEXT, bytes INTEGER NOT NULL DEFAULT 0, earnings INTEGER NOT NULL DEFAULT 0, pos"
+        + " INTEGER, PRIMARY KEY(epoch, seq)) WITHOUT ROWID",
+    "CREATE TABLE forward(epoch INTEGER, seq INTEGER, idx INTEGER, engine TEXT NOT NULL, sent_at"
+        + " INTEGER NOT NULL, ended_at INTEGER NOT NULL DEFAULT 0, outcome TEXT NOT NULL DEFAULT"
+        + " '', work INTEGER NOT NULL DEFAULT 0, needed INTEGER NOT NULL DEFAULT 0, granted INTEGER"
+        + " NOT NULL DEFAULT 0, wasted INTEGER NOT NULL DEFAULT 0, PRIMARY KEY(epoch, seq, idx))"
+        + " WITHOUT ROWID",
     "CREATE UNIQUE INDEX entry_position ON entry(pos) WHERE pos IS NOT NULL",
     "CREATE INDEX entry_open ON entry(epoch, seq) WHERE pos IS NULL",
-    "CREATE TABLE gap(epoch INTEGER, number INTEGER, first INTEGER, last INTEGER, from_at INTEGER, until_at INTEGER,"
-        + " lines INTEGER, cause TEXT, pos INTEGER UNIQUE NOT NULL, PRIMARY KEY(epoch, number))",
-    "CREATE TABLE amendment(number INTEGER PRIMARY KEY, period TEXT, tenant TEXT, amount TEXT, author TEXT, reason TEXT,"
-        + " corrects TEXT, at INTEGER, withdraws INTEGER, pos INTEGER UNIQUE NOT NULL)",
+    "CREATE TABLE gap(epoch INTEGER, number INTEGER, first INTEGER, last INTEGER, from_at INTEGER,"
+        + " until_at INTEGER, lines INTEGER, cause TEXT, pos INTEGER UNIQUE NOT NULL, PRIMARY"
+        + " KEY(epoch, number))",
+    "CREATE TABLE amendment(number INTEGER PRIMARY KEY, period TEXT, tenant TEXT, amount TEXT,"
+        + " author TEXT, reason TEXT, corrects TEXT, at INTEGER, withdraws INTEGER, pos INTEGER"
+        + " UNIQUE NOT NULL)",
     TOLD,
-    "CREATE TABLE closed(period TEXT PRIMARY KEY, upto INTEGER, at INTEGER, author TEXT, sha TEXT, billing TEXT)",
-    "CREATE TABLE batch(number INTEGER PRIMARY KEY, first INTEGER, last INTEGER, form TEXT, sha TEXT, size INTEGER,"
-        + " sealed_at INTEGER, placed_at INTEGER, acked_at INTEGER)"
+    "CREATE TABLE closed(period TEXT PRIMARY KEY, upto INTEGER, at INTEGER, author TEXT, sha TEXT,"
+        + " billing TEXT)",
+    "CREATE TABLE batch(number INTEGER PRIMARY KEY, first INTEGER, last INTEGER, form TEXT, sha"
+        + " TEXT, size INTEGER, sealed_at INTEGER, placed_at INTEGER, acked_at INTEGER)"
   };
 
   /** A period as it was closed; the sums hold entries up to that position. */
@@ -93,10 +99,13 @@
 
   /** Reads lines in the order of their positions; what is not overridden is passed over. */
   public interface Lines {
+    /** A task's complete entry. */
     default void entry(long position, Entry entry) throws IOException {}
 
+    /** A correction of a bill. */
     default void amendment(long position, Amendment amendment) throws IOException {}
 
+    /** Lines that the manager could not write. */
     default void gap(long position, Gap gap) throws IOException {}
   }
 
@@ -213,8 +222,8 @@
     }
   }
 
-  private static IOException said(Path folder, SQLException e) {
-    return new IOException(folder.resolve(FILE) + ": " + e.getMessage(), e);
+  private static IOException said(Path folder, SQLException cause) {
+    return new IOException(folder.resolve(FILE) + ": " + cause.getMessage(), cause);
   }
 
   private static void close(Connection db) {
@@ -281,14 +290,17 @@
     }
   }
 
+  /** The manager that owns this ledger. */
   public String manager() {
     return manager;
   }
 
+  /** The folder that it lies in. */
   public Path folder() {
     return folder;
   }
 
+  /** The epoch that was begun last by this process; 0 before. */
   public long epoch() {
     return epoch;
   }
@@ -370,22 +382,23 @@
         "epoch",
         () -> {
           try (Statement run = db.createStatement()) {
-            epoch = 1 + number(run, "SELECT max(number) FROM epoch");
+            epoch = 1L + number(run, "SELECT max(number) FROM epoch");
             try (PreparedStatement put = db.prepareStatement("INSERT INTO epoch VALUES(?, ?)")) {
               set(put, epoch, now).executeUpdate();
             }
             List<long[]> open = new ArrayList<>();
             try (ResultSet found =
                 run.executeQuery(
-                    "SELECT epoch, seq FROM entry INDEXED BY entry_open WHERE pos IS NULL ORDER BY epoch, seq")) {
+                    "SELECT epoch, seq FROM entry INDEXED BY entry_open WHERE pos IS NULL ORDER BY"
+                        + " epoch, seq")) {
               while (found.next()) {
                 open.add(new long[] {found.getLong(1), found.getLong(2)});
               }
             }
             try (PreparedStatement out =
                 db.prepareStatement(
-                    "SELECT e.task, f.engine FROM forward f JOIN entry e ON e.epoch ="
-                        + " f.epoch AND e.seq = f.seq WHERE f.epoch = ? AND f.seq = ? AND f.outcome = ''")) {
+                    "SELECT e.task, f.engine FROM forward f JOIN entry e ON e.epoch = f.epoch AND"
+                        + " e.seq = f.seq WHERE f.epoch = ? AND f.seq = ? AND f.outcome = ''")) {
               for (long[] one : open) {
                 try (ResultSet found = set(out, one[0], one[1]).executeQuery()) {
                   while (found.next()) {
@@ -445,14 +458,16 @@
                           + " granted) VALUES(?, ?, ?, ?, ?, ?) ON CONFLICT DO NOTHING");
               PreparedStatement ended =
                   db.prepareStatement(
-                      "INSERT INTO forward VALUES(?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)"
-                          + " ON CONFLICT DO UPDATE SET ended_at = excluded.ended_at, outcome = excluded.outcome,"
-                          + " work = excluded.work, needed = excluded.needed, wasted = excluded.wasted");
+                      "INSERT INTO forward VALUES(?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?) ON CONFLICT DO"
+                          + " UPDATE SET ended_at = excluded.ended_at, outcome = excluded.outcome,"
+                          + " work = excluded.work, needed = excluded.needed, wasted ="
+                          + " excluded.wasted");
               PreparedStatement answered =
                   db.prepareStatement(
-                      "INSERT INTO entry VALUES(?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)"
-                          + " ON CONFLICT DO UPDATE SET ended_at = excluded.ended_at, ended = excluded.ended,"
-                          + " bytes = excluded.bytes, earnings = excluded.earnings, pos = excluded.pos");
+                      "INSERT INTO entry VALUES(?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?) ON CONFLICT DO"
+                          + " UPDATE SET ended_at = excluded.ended_at, ended = excluded.ended,"
+                          + " bytes = excluded.bytes, earnings = excluded.earnings, pos ="
+                          + " excluded.pos");
               PreparedStatement complete =
                   db.prepareStatement(
                       "UPDATE entry SET pos = ? WHERE epoch = ? AND seq = ?"
@@ -558,6 +573,7 @@
     return reading(() -> position(reader));
   }
 
+  /** How many tasks have no complete entry yet. */
   public long openTasks() throws IOException {
     return reading(
         () -> {
@@ -574,7 +590,8 @@
         () -> {
           try (PreparedStatement ask =
                   reader.prepareStatement(
-                      "SELECT count(*) FROM entry INDEXED BY entry_open WHERE pos IS NULL AND taken_at >= ? AND taken_at < ?");
+                      "SELECT count(*) FROM entry INDEXED BY entry_open WHERE pos IS NULL AND"
+                          + " taken_at >= ? AND taken_at < ?");
               ResultSet found = set(ask, from, until).executeQuery()) {
             found.next();
             return found.getLong(1);
@@ -582,6 +599,7 @@
         });
   }
 
+  /** Whether there is an entry, complete or open, with that number. */
   public boolean holds(long ofEpoch, long sequence) throws IOException {
     return reading(
         () -> {
@@ -625,10 +643,11 @@
     }
     try (PreparedStatement ask =
         reader.prepareStatement(
-            "SELECT e.pos, e.epoch, e.seq, e.task, e.tenant, e.grade, e.taken_at,"
-                + " e.ended_at, e.ended, e.bytes, e.earnings, f.idx, f.engine, f.sent_at, f.ended_at, f.outcome, f.work,"
-                + " f.needed, f.granted, f.wasted FROM entry e INDEXED BY entry_position LEFT JOIN forward f ON f.epoch ="
-                + " e.epoch AND f.seq = e.seq WHERE e.pos BETWEEN ? AND ? ORDER BY e.pos, f.idx")) {
+            "SELECT e.pos, e.epoch, e.seq, e.task, e.tenant, e.grade, e.taken_at, e.ended_at,"
+                + " e.ended, e.bytes, e.earnings, f.idx, f.engine, f.sent_at, f.ended_at,"
+                + " f.outcome, f.work, f.needed, f.granted, f.wasted FROM entry e INDEXED BY"
+                + " entry_position LEFT JOIN forward f ON f.epoch = e.epoch AND f.seq = e.seq WHERE"
+                + " e.pos BETWEEN ? AND ? ORDER BY e.pos, f.idx")) {
       ask.setFetchSize(ROWS);
       try (ResultSet row = set(ask, first, last).executeQuery()) {
         long at = 0;
@@ -674,7 +693,7 @@
   }
 
   /** Gives out what stands before the entry, and the entry. */
-  private static void emit(long at, Entry entry, TreeMap<Long, Object> others, Lines to)
+  private static void emit(long at, Entry entry, NavigableMap<Long, Object> others, Lines to)
       throws IOException {
     while (!others.isEmpty() && others.firstKey() < at) {
       Map.Entry<Long, Object> one = others.pollFirstEntry();
@@ -689,12 +708,13 @@
     }
   }
 
+  /** All amendments, by number. */
   public List<Amendment> amendments() throws IOException {
     return reading(() -> List.copyOf(amendmentsAt(0, Long.MAX_VALUE).values()));
   }
 
   /** By position, which is also their order by number. */
-  private TreeMap<Long, Amendment> amendmentsAt(long first, long last) throws SQLException {
+  private NavigableMap<Long, Amendment> amendmentsAt(long first, long last) throws SQLException {
     TreeMap<Long, Amendment> all = new TreeMap<>();
     try (PreparedStatement ask =
             reader.prepareStatement(
@@ -739,6 +759,7 @@
         });
   }
 
+  /** The closed periods, by name. */
   public List<Closed> closed() throws IOException {
     return reading(
         () -> {
@@ -746,7 +767,8 @@
           try (Statement run = reader.createStatement();
               ResultSet found =
                   run.executeQuery(
-                      "SELECT period, upto, at, author, sha, billing FROM closed ORDER BY period")) {
+                      "SELECT period, upto, at, author, sha, billing FROM closed ORDER BY"
+                          + " period")) {
             while (found.next()) {
               all.add(
                   new Closed(
@@ -762,6 +784,7 @@
         });
   }
 
+  /** The sealed batches, by number. */
   public List<Batch> batches() throws IOException {
     return reading(
         () -> {
@@ -769,8 +792,8 @@
           try (Statement run = reader.createStatement();
               ResultSet found =
                   run.executeQuery(
-                      "SELECT number, first, last, form,"
-                          + " sha, size, sealed_at, placed_at, acked_at FROM batch ORDER BY number")) {
+                      "SELECT number, first, last, form, sha, size, sealed_at, placed_at, acked_at"
+                          + " FROM batch ORDER BY number")) {
             while (found.next()) {
               all.add(
                   new Batch(
@@ -799,7 +822,7 @@
           long at = position(db) + 1;
           long number;
           try (Statement run = db.createStatement()) {
-            number = 1 + number(run, "SELECT max(number) FROM amendment");
+            number = 1L + number(run, "SELECT max(number) FROM amendment");
           }
           try (PreparedStatement put =
               db.prepareStatement("INSERT INTO amendment VALUES(?, ?, ?, ?, ?, ?, ?, ?, ?, ?)")) {
@@ -831,6 +854,7 @@
         });
   }
 
+  /** Closes a period: its bill takes no more entries; later ones go into corrections. */
   public void close(Closed period) throws IOException {
     atomically(
         "close",
@@ -873,10 +897,12 @@
         });
   }
 
+  /** Notes that a batch's file is in its place, once. */
   public void placed(long number, long at) throws IOException {
     mark("placed_at", number, at);
   }
 
+  /** Notes that the billing side acknowledged a batch, once. */
   public void acked(long number, long at) throws IOException {
     mark("acked_at", number, at);
   }
--- a/src/main/java/tansytrack/log/Event.java
+++ b/src/main/java/tansytrack/log/Event.java
@@ -14,14 +14,17 @@
 
   private Event() {}
 
+  /** Logs an event at level INFO; the pairs are field names and values in turn. */
   public static void info(String name, String text, Object... pairs) {
     log(Level.INFO, name, text, pairs);
   }
 
+  /** Logs an event at level WARN; the pairs are field names and values in turn. */
   public static void warn(String name, String text, Object... pairs) {
     log(Level.WARN, name, text, pairs);
   }
 
+  /** Logs an event at level ERROR; the pairs are field names and values in turn. */
   public static void error(String name, String text, Object... pairs) {
     log(Level.ERROR, name, text, pairs);
   }
--- a/src/main/java/tansytrack/log/JsonLinesWriter.java
+++ b/src/main/java/tansytrack/log/JsonLinesWriter.java
@@ -77,15 +77,15 @@
   public static String quoted(String text) {
     StringBuilder made = new StringBuilder(text.length() + 2).append('"');
     for (int i = 0; i < text.length(); i++) {
-      char c = text.charAt(i);
-      if (c == '"' || c == '\\') {
-        made.append('\\').append(c);
-      } else if (c == '\n') {
+      char letter = text.charAt(i);
+      if (letter == '"' || letter == '\\') {
+        made.append('\\').append(letter);
+      } else if (letter == '\n') {
         made.append("\\n");
-      } else if (c < ' ') {
-        made.append(String.format("\\u%04x", (int) c));
+      } else if (letter < ' ') {
+        made.append(String.format("\\u%04x", (int) letter));
       } else {
-        made.append(c);
+        made.append(letter);
       }
     }
     return made.append('"').toString();
--- a/src/main/java/tansytrack/operator/OperatorFile.java
+++ b/src/main/java/tansytrack/operator/OperatorFile.java
@@ -98,6 +98,7 @@
     return jsonLines;
   }
 
+  /** Reads and checks a file on disk; an error names the file, the line and the column. */
   public static OperatorFile read(String file) {
     String text;
     try {
@@ -108,6 +109,7 @@
     return of(file, text);
   }
 
+  /** Checks the given text; the file's name is used in error messages alone. */
   public static OperatorFile of(String file, String text) {
     Operator.Builder made = Operator.newBuilder();
     TextFormatParseInfoTree.Builder places = TextFormatParseInfoTree.builder();
@@ -255,7 +257,7 @@
             section,
             "most_bytes_a_second",
             place),
-        ranged(from.getSettleS(), 30, 1, 3600, section, "settle_s", place) * 1000 * MS);
+        ranged(from.getSettleS(), 30, 1, 3600, section, "settle_s", place) * 1000L * MS);
   }
 
   private static String named(String name, Descriptors.Descriptor of, Place place) {
--- a/src/main/java/tansytrack/parts/KeyLine.java
+++ b/src/main/java/tansytrack/parts/KeyLine.java
@@ -13,6 +13,7 @@
   public int out;
   public long restsUntil;
 
+  /** The tasks of one key, in the order in which they came. */
   public KeyLine(long key) {
     this.key = key;
   }
--- a/src/main/java/tansytrack/parts/Loop.java
+++ b/src/main/java/tansytrack/parts/Loop.java
@@ -11,9 +11,11 @@
 
   /** A note in an inbox: what the part that takes it is to do. */
   public interface Note {
+    /** Carries the note out; called on the loop. */
     void take();
   }
 
+  /** A part with its inbox: notes are put by anybody on the loop and taken in its turn. */
   public abstract static class Part {
     private final Loop loop;
     private final ArrayDeque<Note> inbox = new ArrayDeque<>();
@@ -22,6 +24,7 @@
       this.loop = loop;
     }
 
+    /** Puts a note into the inbox; it is taken when the loop comes to this part. */
     public final void put(Note note) {
       inbox.add(note);
       if (inbox.size() == 1) {
--- a/src/main/java/tansytrack/parts/Num.java
+++ b/src/main/java/tansytrack/parts/Num.java
@@ -10,6 +10,7 @@
     return Double.isNaN(old) ? sample : old + weight * (sample - old);
   }
 
+  /** The value, or the nearer bound where it lies outside. */
   public static double clamp(double value, double least, double most) {
     return Math.max(least, Math.min(most, value));
   }
--- a/src/main/java/tansytrack/parts/Recent.java
+++ b/src/main/java/tansytrack/parts/Recent.java
@@ -7,6 +7,7 @@
 
   private final ArrayDeque<long[]> happened = new ArrayDeque<>();
 
+  /** Adds something that happened, with its amount. */
   public void add(long at, long amount) {
     happened.add(new long[] {at, amount});
   }
@@ -18,10 +19,12 @@
     }
   }
 
+  /** How many happened within the window. */
   public int count() {
     return happened.size();
   }
 
+  /** The sum of the amounts within the window. */
   public long sum() {
     long sum = 0;
     for (long[] one : happened) {
--- a/src/main/java/tansytrack/service/Clock.java
+++ b/src/main/java/tansytrack/service/Clock.java
@@ -31,7 +31,8 @@
     if (steady - ledAt >= LED_EVERY) {
       ledAt = steady;
       long off = unix() - steady - offset;
-      offset += Math.max(-STEP, Math.min(STEP, off));
+      long led = offset + Math.max(-STEP, Math.min(STEP, off));
+      offset = led;
     }
   }
 }
--- a/src/main/java/tansytrack/service/FileLooks.java
+++ b/src/main/java/tansytrack/service/FileLooks.java
@@ -41,7 +41,8 @@
 
   void start() {
     Logger.warn(
-        "SIGHUP was ignored when this program was started (nohup?) and stays so; {} is looked at every {} ms instead",
+        "SIGHUP was ignored when this program was started (nohup?) and stays so; {} is looked at"
+            + " every {} ms instead",
         path,
         PAUSE / 1_000_000L);
     Thread thread = new Thread(this, "looks");
--- a/src/main/java/tansytrack/service/Rehearsal.java
+++ b/src/main/java/tansytrack/service/Rehearsal.java
@@ -35,7 +35,8 @@
       start(() -> accept(engine));
       String address = "127.0.0.1:" + engine.getLocalPort();
       String known =
-          "{\"cursor\":1,\"cmds\":[{\"cursor\":1,\"nodes\":{\"complete\":true,\"members\":[{\"id\":\"e\","
+          "{\"cursor\":1,\"cmds\":[{\"cursor\":1,\"nodes\":{\"complete\":true,"
+              + "\"members\":[{\"id\":\"e\","
               + "\"host_port\":\""
               + address
               + "\",\"phase\":\"ready\",\"locality\":\""
--- a/src/main/java/tansytrack/state/Intake.java
+++ b/src/main/java/tansytrack/state/Intake.java
@@ -71,11 +71,8 @@
   private static long hex(String field, String value) throws Junk {
     long bits = 0;
     for (int i = 0; i < 16; i++) {
-      char c = value.length() == 16 ? value.charAt(i) : 0;
-      int digit =
-          c >= '0' && c <= '9'
-              ? c - '0'
-              : c >= 'a' && c <= 'f' ? c - 'a' + 10 : c >= 'A' && c <= 'F' ? c - 'A' + 10 : -1;
+      char sign = value.length() == 16 ? value.charAt(i) : 0;
+      int digit = sign < 128 ? Character.digit(sign, 16) : -1;
       if (digit < 0) {
         throw new Junk("field " + field + ": not 16 hex digits");
       }
@@ -95,9 +92,9 @@
     boolean plain = !value.isEmpty() && value.length() <= LONGEST_AMOUNT;
     int points = 0;
     for (int i = 0; i < value.length(); i++) {
-      char c = value.charAt(i);
-      points += c == '.' ? 1 : 0;
-      plain &= c >= '0' && c <= '9' || c == '.' && i > 0 && i < value.length() - 1;
+      char sign = value.charAt(i);
+      points += sign == '.' ? 1 : 0;
+      plain &= (sign >= '0' && sign <= '9') || (sign == '.' && i > 0 && i < value.length() - 1);
     }
     double amount = plain && points <= 1 ? Double.parseDouble(value) : MOST;
     if (amount >= MOST) {
--- a/src/main/java/tansytrack/state/Siblings.java
+++ b/src/main/java/tansytrack/state/Siblings.java
@@ -12,7 +12,8 @@
   /** Where nothing is switched on. */
   Siblings NONE = new Siblings() {};
 
-  /** Columns of what is shown of members. */
+  /** Columns of what is shown of members; read only, handed as it is to the rows' writer. */
+  @SuppressWarnings("MutablePublicArray")
   String[] COLUMNS = {
     "name", "place", "standing", "stage", "since_s", "incarnation", "version", "settings", "facts"
   };
--- a/src/main/java/tansytrack/state/TaskWatch.java
+++ b/src/main/java/tansytrack/state/TaskWatch.java
@@ -26,6 +26,7 @@
   /** Hears nothing. */
   TaskWatch NONE = new TaskWatch() {};
 
+  /** A task was taken in. */
   default void taken(long now, TaskOffer offer) {}
 
   /** May new tasks come in, as far as what must be kept of them can be? */
--- a/src/main/java/tansytrack/state/Timers.java
+++ b/src/main/java/tansytrack/state/Timers.java
@@ -23,6 +23,7 @@
       this.what = what;
     }
 
+    /** Takes the timer back; nothing happens if it has run. */
     public void cancel() {
       waiting.remove(this);
     }
@@ -33,6 +34,7 @@
     }
   }
 
+  /** The time of the loop's current round. */
   public long now() {
     return now;
   }
@@ -56,6 +58,7 @@
     return calmSince;
   }
 
+  /** Runs something on the loop once that time has come. */
   public Timer at(long time, Runnable what) {
     Timer timer = new Timer(time, what);
     waiting.add(timer);
--- a/src/main/java/tansytrack/wire/Connection.java
+++ b/src/main/java/tansytrack/wire/Connection.java
@@ -53,10 +53,12 @@
     out = new Ring(mostOut);
   }
 
+  /** Names who is told of what comes in and of the end. */
   public void own(Owner by) {
     owner = by;
   }
 
+  /** Whether it may still be written to. */
   public boolean open() {
     return !over && !closing;
   }
@@ -86,6 +88,7 @@
     return shutByUs ? handed : taken();
   }
 
+  /** Whether the socket is connected. */
   public boolean up() {
     return session != null;
   }
@@ -94,6 +97,7 @@
     return cameAt;
   }
 
+  /** The address of the other side, null before it is connected. */
   public InetSocketAddress peer() {
     return session == null ? null : (InetSocketAddress) session.getRemoteAddress();
   }
--- a/src/main/java/tansytrack/wire/Http.java
+++ b/src/main/java/tansytrack/wire/Http.java
@@ -12,6 +12,7 @@
   /** An answer; the names of its fields in lower case. */
   public record Answer(int status, Map<String, String> fields, byte[] body, boolean lasts) {
 
+    /** The value of a header field by its name in lower case, or null. */
     public String field(String name) {
       return fields.get(name);
     }
@@ -75,7 +76,7 @@
         || head[5] != '1'
         || head[6] != '.'
         || head[8] != ' '
-        || line > 12 && head[12] != ' ') {
+        || (line > 12 && head[12] != ' ')) {
       throw new Junk("not an HTTP/1 answer");
     }
     return line;
@@ -143,12 +144,12 @@
         if (at + 1 >= in.size()) {
           return null;
         }
-        byte b = in.at(at);
-        if (b == '\r' && in.at(at + 1) == '\n') {
+        byte sign = in.at(at);
+        if (sign == '\r' && in.at(at + 1) == '\n') {
           break;
         }
-        int digit = Character.digit(b, 16);
-        extension |= b == ';' || b == ' ';
+        int digit = Character.digit(sign, 16);
+        extension |= sign == ';' || sign == ' ';
         if (!extension && (digit < 0 || ++digits > 5)) {
           throw new Junk("a chunk without a length");
         }
--- a/src/main/java/tansytrack/wire/Junk.java
+++ b/src/main/java/tansytrack/wire/Junk.java
@@ -6,10 +6,12 @@
 
   private final boolean cutOff;
 
+  /** A message that breaks the protocol; the text names how. */
   public Junk(String what) {
     this(what, false);
   }
 
+  /** As above; cutOff: the message just ended too early. */
   public Junk(String what, boolean cutOff) {
     super(what, null, false, false);
     this.cutOff = cutOff;
--- a/src/main/java/tansytrack/wire/PgSession.java
+++ b/src/main/java/tansytrack/wire/PgSession.java
@@ -73,6 +73,7 @@
   private int vain; // messages in this round that asked for nothing
   private Object open; // what the owner of the query keeps with it
 
+  /** A session on an accepted connection, with the key that a cancel request must name. */
   public PgSession(Connection connection, Front front, int number, int secret) {
     this.connection = connection;
     this.front = front;
@@ -81,18 +82,22 @@
     connection.own(this);
   }
 
+  /** The session's number, the public part of its cancel key. */
   public int number() {
     return number;
   }
 
+  /** Whether a cancel request names this session's secret. */
   public boolean fits(int secret) {
     return this.secret == secret;
   }
 
+  /** The query that is waited for, null between queries. */
   public Object open() {
     return open;
   }
 
+  /** Sets the query that is waited for; null: it is answered. */
   public void open(Object query) {
     open = query;
     asked |= query != null;
--- a/src/main/java/tansytrack/wire/Ring.java
+++ b/src/main/java/tansytrack/wire/Ring.java
@@ -26,10 +26,12 @@
     this.most = most;
   }
 
+  /** How many bytes it holds. */
   public int size() {
     return size;
   }
 
+  /** How many bytes it may hold. */
   public int most() {
     return most;
   }
@@ -39,6 +41,7 @@
     return most - size;
   }
 
+  /** The byte at an index, counted from the oldest. */
   public byte at(int index) {
     if (index < 0 || index >= size) {
       throw new IndexOutOfBoundsException(index);
@@ -51,7 +54,7 @@
     return (at(index) & 255) << 24
         | (at(index + 1) & 255) << 16
         | (at(index + 2) & 255) << 8
-        | at(index + 3) & 255;
+        | (at(index + 3) & 255);
   }
 
   /** Takes all of the buffer, or nothing: false if it does not fit. */
@@ -69,10 +72,12 @@
     return true;
   }
 
+  /** Takes all of the bytes, or nothing: false if they do not fit. */
   public boolean put(byte[] from) {
     return put(ByteBuffer.wrap(from));
   }
 
+  /** A copy of some bytes, which stay in the buffer. */
   public byte[] copy(int from, int count) {
     if (from < 0 || count < 0 || from + count > size) {
       throw new IndexOutOfBoundsException(from + count);
@@ -85,6 +90,7 @@
     return copy;
   }
 
+  /** Drops the oldest bytes. */
   public void skip(int count) {
     if (count < 0 || count > size) {
       throw new IndexOutOfBoundsException(count);
--- a/src/main/java/tansytrack/wire/Sockets.java
+++ b/src/main/java/tansytrack/wire/Sockets.java
@@ -63,6 +63,7 @@
   private int unsaid;
   private long saidAt;
 
+  /** All connections of the process; what their threads have to tell is handed to the loop. */
   public Sockets(Consumer<Runnable> hand, LongSupplier clock) {
     this.hand = hand;
     this.clock = clock;
@@ -128,6 +129,7 @@
     return acceptor.getLocalAddress();
   }
 
+  /** Accepts no more connections; those that are open stay. */
   public void stopListening() {
     acceptor.unbind();
   }
@@ -183,6 +185,7 @@
     }
   }
 
+  /** Closes all connections and ends the threads. */
   public void close() {
     acceptor.dispose(false);
     connector.dispose(false);
--- a/src/main/java/tansytrack/wire/Statement.java
+++ b/src/main/java/tansytrack/wire/Statement.java
@@ -45,6 +45,7 @@
     at = from;
   }
 
+  /** Reads the comment at the head of a statement, and its fields. */
   public static Statement read(byte[] text) throws Junk {
     int from = blanks(text, 0);
     if (from + 1 >= text.length || text[from] != '/' || text[from + 1] != '*') {
@@ -86,8 +87,8 @@
     return at;
   }
 
-  private static boolean blank(byte b) {
-    return b == ' ' || b == '\n' || b == '\r' || b == '\t' || b == '\f';
+  private static boolean blank(byte sign) {
+    return sign == ' ' || sign == '\n' || sign == '\r' || sign == '\t' || sign == '\f';
   }
 
   private void fields(int from, int to) {
@@ -121,9 +122,9 @@
     boolean dotted = false;
     while (next()) {
       if (word == null) {
-        byte b = text[at - 1];
-        wanted = b == ',' ? tables : b == '.' && wanted || b == '(' && wanted;
-        dotted = b == '.' && schema != null;
+        byte sign = text[at - 1];
+        wanted = sign == ',' ? tables : (sign == '.' && wanted) || (sign == '(' && wanted);
+        dotted = sign == '.' && schema != null;
         schema = dotted ? schema : null;
         continue;
       }
@@ -162,11 +163,11 @@
     }
     long number = 0;
     for (int i = under + 1; i < schema.length(); i++) {
-      char c = schema.charAt(i);
-      if (c < '0' || c > '9') {
+      char digit = schema.charAt(i);
+      if (digit < '0' || digit > '9') {
         return -1;
       }
-      number = number * 10 + c - '0';
+      number = number * 10 + digit - '0';
     }
     return number;
   }
@@ -179,29 +180,29 @@
   private boolean next() {
     word = null;
     while (at < text.length) {
-      byte b = text[at];
-      if (blank(b)) {
+      byte sign = text[at];
+      if (blank(sign)) {
         at++;
-      } else if (b == '-' && peek(1) == '-') {
+      } else if (sign == '-' && peek(1) == '-') {
         while (at < text.length && text[at] != '\n') {
           at++;
         }
-      } else if (b == '/' && peek(1) == '*') {
+      } else if (sign == '/' && peek(1) == '*') {
         comment();
-      } else if (b == '\'') {
+      } else if (sign == '\'') {
         quoted('\'', false);
-      } else if ((b == 'e' || b == 'E') && peek(1) == '\'') {
+      } else if ((sign == 'e' || sign == 'E') && peek(1) == '\'') {
         at++;
         quoted('\'', true);
-      } else if (b == '$' && dollars()) {
-        continue;
-      } else if (b == '"') {
+      } else if (sign == '$' && dollars()) {
+
+      } else if (sign == '"') {
         int from = at;
         quoted('"', false);
         word = string(from + 1, Math.max(from + 1, at - 1));
         bare = false;
         return true;
-      } else if (letter(b)) {
+      } else if (letter(sign)) {
         int from = at;
         while (at < text.length && (letter(text[at]) || digit(text[at]) || text[at] == '$')) {
           at++;
@@ -209,7 +210,7 @@
         word = string(from, at).toLowerCase(Locale.ROOT);
         bare = true;
         return true;
-      } else if (digit(b)) {
+      } else if (digit(sign)) {
         while (at < text.length && (letter(text[at]) || digit(text[at]) || text[at] == '.')) {
           at++;
         }
@@ -221,12 +222,12 @@
     return false;
   }
 
-  private static boolean letter(byte b) {
-    return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b == '_' || b < 0;
+  private static boolean letter(byte sign) {
+    return (sign >= 'a' && sign <= 'z') || (sign >= 'A' && sign <= 'Z') || sign == '_' || sign < 0;
   }
 
-  private static boolean digit(byte b) {
-    return b >= '0' && b <= '9';
+  private static boolean digit(byte sign) {
+    return sign >= '0' && sign <= '9';
   }
 
   private void comment() {
@@ -267,7 +268,7 @@
   /** Past a string between dollar marks, if one starts here. */
   private boolean dollars() {
     int end = at + 1;
-    while (end < text.length && (letter(text[end]) || digit(text[end]) && end > at + 1)) {
+    while (end < text.length && (letter(text[end]) || (digit(text[end]) && end > at + 1))) {
       end++;
     }
     if (end == text.length || text[end] != '$') {
--- a/src/test/java/tansytrack/LedgerCommandsTest.java
+++ b/src/test/java/tansytrack/LedgerCommandsTest.java
@@ -88,7 +88,8 @@
         "ledger { folder: '"
             + ledger()
             + "' most_unwritten: 65536 waste: TENANT billing { period: DAY\n"
-            + "rates { per_task: '0.10' per_work_second: '1' } quotas { tenant: 't1' tasks: 1 } } }");
+            + "rates { per_task: '0.10' per_work_second: '1' } quotas { tenant: 't1' tasks: 1 } }"
+            + " }");
     Timers timers = new Timers();
     timers.now(DAY);
     Recorder recorder = life(timers);
@@ -233,9 +234,12 @@
         "show --operator OP --period 2024-13-01 | period '2024-13-01' is none; allowed: a day",
         "show --operator none.textproto | cannot be read",
         "close --operator OP --author me 2199-01-01 | is not over yet",
-        "correct --operator OP --period 2024-10-04 --tenant t --amount 1e3 --author me --reason r | --amount '1e3'; allowed",
-        "correct --operator OP --period 2024-10-04 --tenant t --amount 0.123 --author me --reason r | at most 2 digits",
-        "correct --operator OP --period 2024-10-04 --tenant t --amount 1 --corrects e:9:9 --author me --reason r | no such entry",
+        "correct --operator OP --period 2024-10-04 --tenant t --amount 1e3 --author me --reason r |"
+            + " --amount '1e3'; allowed",
+        "correct --operator OP --period 2024-10-04 --tenant t --amount 0.123 --author me --reason r"
+            + " | at most 2 digits",
+        "correct --operator OP --period 2024-10-04 --tenant t --amount 1 --corrects e:9:9 --author"
+            + " me --reason r | no such entry",
         "export --ledger nowhere --to x | holds no ledger",
         "export --ledger L --to x --form xml | --form 'xml'; allowed: protobuf, csv",
         "export --ledger L --to x --lines 0 | --lines 0; allowed",
--- a/src/test/java/tansytrack/adapter/AdapterTest.java
+++ b/src/test/java/tansytrack/adapter/AdapterTest.java
@@ -40,9 +40,12 @@
       delimiter = '|',
       value = {
         "empty batch | '' | FINISHED",
-        "task | INCOMING manager-1 rq_1 g a - 9000.0 12.5 - - 65 | FORWARD manager-1 rq_1 engine-a 0.000;FINISHED",
-        "unknown grade | INCOMING manager-1 rq_1 h a - 9000.0 - - - 0 | BOUNCE manager-1 rq_1 0.000;FINISHED",
-        "time up | INCOMING manager-1 rq_1 g a - 99.5 - - - 0 | BOUNCE manager-1 rq_1 0.000;FINISHED",
+        "task | INCOMING manager-1 rq_1 g a - 9000.0 12.5 - - 65 | FORWARD manager-1 rq_1 engine-a"
+            + " 0.000;FINISHED",
+        "unknown grade | INCOMING manager-1 rq_1 h a - 9000.0 - - - 0 | BOUNCE manager-1 rq_1"
+            + " 0.000;FINISHED",
+        "time up | INCOMING manager-1 rq_1 g a - 99.5 - - - 0 | BOUNCE manager-1 rq_1"
+            + " 0.000;FINISHED",
         "timer | WAKEUP manager-1 sweep | DEFER manager-1 50.000 sweep;FINISHED",
         "late news | ABANDONED manager-1 rq_9 | FINISHED",
         "peer | INBOX manager-1 2 aGkgNw== | FINISHED",
--- a/src/test/java/tansytrack/fleet/ReckoningTest.java
+++ b/src/test/java/tansytrack/fleet/ReckoningTest.java
@@ -44,7 +44,7 @@
     Reckoning reckoning = new Reckoning(9, 30 * SECOND);
     for (int i = 0; i < 100; i++) {
       reckoning.changed(of("a", i % 2 == 0 ? Standing.LEFT : Standing.ALIVE));
-      assertThat(reckoning.used(i * 10 * SECOND, 5)).isEqualTo(10);
+      assertThat(reckoning.used(i * 10L * SECOND, 5)).isEqualTo(10);
     }
   }
 
--- a/src/test/java/tansytrack/lab/FleetLinksTest.java
+++ b/src/test/java/tansytrack/lab/FleetLinksTest.java
@@ -152,13 +152,20 @@
       value = {
         "managers: 1 | managers: '1'; allowed: 2 to 200",
         "managers: 3 seconds: 1 runs: 1 fleet { places: 4 } | fleet.places: '4'; allowed: 1 to 3",
-        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 9 } | probe_every_ms: '9'",
-        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 weather { loss: 1.5 } } | fleet.weather.loss: '1.500'",
-        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 links { from: 'm7' to: '*' } } | fleet.links.from: 'm7'",
-        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 processes { manager: 'x' } } | processes.manager: 'x'; allowed: m0 to m2",
-        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 versions { manager: '*' jar: '/none' } } | versions.jar: '/none'",
-        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 engines: 1 } | fleet.engine.cores: '0'",
-        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 engine_troubles { engine: 'e1' } } | engine_troubles.engine: 'e1'",
+        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 9 } | probe_every_ms:"
+            + " '9'",
+        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 weather { loss: 1.5 }"
+            + " } | fleet.weather.loss: '1.500'",
+        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 links { from: 'm7'"
+            + " to: '*' } } | fleet.links.from: 'm7'",
+        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 processes { manager:"
+            + " 'x' } } | processes.manager: 'x'; allowed: m0 to m2",
+        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 versions { manager:"
+            + " '*' jar: '/none' } } | versions.jar: '/none'",
+        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 engines: 1 } |"
+            + " fleet.engine.cores: '0'",
+        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 engine_troubles {"
+            + " engine: 'e1' } } | engine_troubles.engine: 'e1'",
         "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 } | claims: missing"
       })
   void aFleetThatCannotBeUsedIsSaid(String text, String said) throws Exception {
--- a/src/test/java/tansytrack/lab/OpenLoopTest.java
+++ b/src/test/java/tansytrack/lab/OpenLoopTest.java
@@ -23,9 +23,10 @@
 
   private static final int DELAY_MS = 150;
   private static final String LOAD =
-      "name: 'x' seconds: 3 sum { constant: 40 } even: true tenants { name: 'a' weight: 1 } grades { name: 'g'"
-          + " weight: 1 median_cost_ms: 5 promised_ms: 1000 wait_ms: 5000 } data_sets: 5 zipf_exponent: 1 clients { most_connections: 200"
-          + " most_retries: 2 heeds_after: true first_pause_ms: 50 } late_ms: 200 late_part: 0.05";
+      "name: 'x' seconds: 3 sum { constant: 40 } even: true tenants { name: 'a' weight: 1 } grades"
+          + " { name: 'g' weight: 1 median_cost_ms: 5 promised_ms: 1000 wait_ms: 5000 } data_sets:"
+          + " 5 zipf_exponent: 1 clients { most_connections: 200 most_retries: 2 heeds_after: true"
+          + " first_pause_ms: 50 } late_ms: 200 late_part: 0.05";
 
   private final ServerSocket socket = open();
   private final AtomicInteger asked = new AtomicInteger();
--- a/src/test/java/tansytrack/lab/world/FleetWorldTest.java
+++ b/src/test/java/tansytrack/lab/world/FleetWorldTest.java
@@ -153,8 +153,8 @@
         new HashSet<>(Set.of("n1", "n3", "n5", "n7", "n9", "n11", "n13", "n15", "n17"));
     world.cut(
         (sender, to) ->
-            sender.name().equals("n0") && half.contains(to.name())
-                || to.name().equals("n0") && half.contains(sender.name()));
+            (sender.name().equals("n0") && half.contains(to.name()))
+                || (to.name().equals("n0") && half.contains(sender.name())));
     world.run(from + 60 * SECOND);
     assertThat(times(world, Standing.DEAD, from)).isZero();
   }
@@ -165,8 +165,8 @@
     long from = world.now();
     for (int i = 0; i < 21; i++) {
       String address = "m" + i;
-      world.at(from + i * 45 * MS, () -> world.kill(address));
-      world.at(from + 5 * SECOND + i * 45 * MS, () -> world.start(address));
+      world.at(from + i * 45L * MS, () -> world.kill(address));
+      world.at(from + 5 * SECOND + i * 45L * MS, () -> world.start(address));
     }
     world.run(from + 6 * SECOND);
     world.weather(Weather.FINE);
@@ -179,7 +179,7 @@
     long from = world.now();
     for (int i = 0; i < 30; i++) {
       String address = "m" + i;
-      long at = from + i / 3 * 1500 * MS;
+      long at = from + i / 3 * 1500L * MS;
       world.at(at, () -> world.end(address));
       world.at(at + 2 * SECOND, () -> world.start(address));
     }
--- a/src/test/java/tansytrack/ledger/BillingTest.java
+++ b/src/test/java/tansytrack/ledger/BillingTest.java
@@ -47,7 +47,7 @@
   @CsvSource({"2026-03-29, 23", "2026-10-25, 25", "2026-06-01, 24"})
   void aDayIsAsLongAsItIsThere(String day, int hours) {
     Periods periods = new Periods(Periods.Length.DAY, ZoneId.of("Europe/Berlin"));
-    assertThat(periods.end(day) - periods.start(day)).isEqualTo(hours * 3600 * SECOND);
+    assertThat(periods.end(day) - periods.start(day)).isEqualTo(hours * 3600L * SECOND);
   }
 
   @ParameterizedTest
--- a/src/test/java/tansytrack/ledger/MergedTest.java
+++ b/src/test/java/tansytrack/ledger/MergedTest.java
@@ -64,29 +64,31 @@
 
   @Property(tries = 300, seed = "7")
   void orderRepetitionAndGroupingMakeNoDifference(
-      @ForAll("ledgers") Merged a, @ForAll("ledgers") Merged b, @ForAll("ledgers") Merged c) {
-    assertThat(merged(merged(a, b), c)).isEqualTo(merged(a, merged(b, c)));
-    assertThat(merged(a, b)).isEqualTo(merged(b, a));
-    assertThat(merged(a, b, a)).isEqualTo(merged(a, b));
-    assertThat(merged(a, b).holes()).isEqualTo(merged(b, a).holes());
+      @ForAll("ledgers") Merged one,
+      @ForAll("ledgers") Merged two,
+      @ForAll("ledgers") Merged three) {
+    assertThat(merged(merged(one, two), three)).isEqualTo(merged(one, merged(two, three)));
+    assertThat(merged(one, two)).isEqualTo(merged(two, one));
+    assertThat(merged(one, two, one)).isEqualTo(merged(one, two));
+    assertThat(merged(one, two).holes()).isEqualTo(merged(two, one).holes());
   }
 
   @Property(tries = 300, seed = "8")
-  void everyNumberIsThereInAGapOrInAHole(@ForAll("ledgers") Merged a) {
+  void everyNumberIsThereInAGapOrInAHole(@ForAll("ledgers") Merged merged) {
     List<String> accounted = new ArrayList<>();
-    a.entries().keySet().forEach(key -> accounted.add(key.epoch() + ":" + key.sequence()));
-    for (Merged.Hole hole : a.holes()) {
+    merged.entries().keySet().forEach(key -> accounted.add(key.epoch() + ":" + key.sequence()));
+    for (Merged.Hole hole : merged.holes()) {
       for (long number = hole.first(); number <= hole.last(); number++) {
         assertThat(accounted).doesNotContain(hole.epoch() + ":" + number);
         accounted.add(hole.epoch() + ":" + number);
       }
     }
-    for (Merged.Key key : a.entries().keySet()) {
+    for (Merged.Key key : merged.entries().keySet()) {
       for (long number = 1; number < key.sequence(); number++) {
         long at = number;
         assertThat(
                 accounted.contains(key.epoch() + ":" + number)
-                    || a.gaps().stream()
+                    || merged.gaps().stream()
                         .anyMatch(gap -> gap.epoch() == key.epoch() && gap.covers(at)))
             .isTrue();
       }
--- a/src/test/java/tansytrack/ledger/disk/StoreTest.java
+++ b/src/test/java/tansytrack/ledger/disk/StoreTest.java
@@ -12,7 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BiConsumer;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,11 +29,11 @@
 /** The ledger on a disk that fails at every step, and managers that die in between. */
 class StoreTest {
 
-  private static final BiConsumer<String, String> NOBODY = (task, engine) -> {};
-
   @TempDir Path folder;
   private final Bookkeeper book = new Bookkeeper((grade, end, time) -> 0);
 
+  private static void nobody(String task, String engine) {}
+
   private Path ledger() {
     return folder.resolve("ledger");
   }
@@ -78,7 +78,7 @@
   @Test
   void whatALifeLeftOpenIsUnresolvedInTheNextAndNeverDropped() throws IOException {
     try (Store store = Store.forManager(ledger(), "m", Faults.NONE)) {
-      assertThat(store.beginEpoch(1, NOBODY)).isZero();
+      assertThat(store.beginEpoch(1, StoreTest::nobody)).isZero();
       store.write(tasks(0, 9));
       assertThat(store.last()).isEqualTo(6);
       assertThat(store.openTasks()).isEqualTo(3);
@@ -151,7 +151,7 @@
   @Test
   void aTornTailCostsTheUnsyncedTailAlone() throws IOException {
     try (Store store = Store.forManager(ledger(), "m", Faults.NONE)) {
-      store.beginEpoch(1, NOBODY);
+      store.beginEpoch(1, StoreTest::nobody);
       store.write(tasks(0, 30));
       store.write(tasks(30, 30));
       // As after a power cut: the files as they are on the disk, the log cut within its last
@@ -165,7 +165,7 @@
     try (Store store = Store.forManager(folder.resolve("torn"), "m", Faults.NONE)) {
       assertThat(store.damage()).isNull();
       assertThat(store.last()).isEqualTo(20);
-      assertThat(store.beginEpoch(2, NOBODY)).isEqualTo(10);
+      assertThat(store.beginEpoch(2, StoreTest::nobody)).isEqualTo(10);
     }
   }
 
@@ -196,12 +196,12 @@
     for (boolean more = true; more; steps++) {
       Path here = folder.resolve("n" + steps);
       try (Store store = Store.forManager(here, "m", Faults.NONE)) {
-        store.beginEpoch(1, NOBODY);
+        store.beginEpoch(1, StoreTest::nobody);
         store.write(tasks(steps * 1000, 30));
       }
       Broken faults = new Broken(steps);
       try (Store store = Store.forManager(here, "m", faults)) {
-        store.beginEpoch(2, NOBODY);
+        store.beginEpoch(2, StoreTest::nobody);
         store.write(new ArrayList<>(new StoreTest().tasks(0, 9)));
         new Exporter(store, here.resolve("out"), faults).run("protobuf", 25, 5);
       } catch (IOException e) {
@@ -209,7 +209,7 @@
       }
       more = faults.broke;
       try (Store store = Store.forManager(here, "m", Faults.NONE)) {
-        store.beginEpoch(3, NOBODY);
+        store.beginEpoch(3, StoreTest::nobody);
         new Exporter(store, here.resolve("out"), Faults.NONE).run("protobuf", 25, 6);
         List<Store.Batch> batches = store.batches();
         long next = 1;
@@ -224,8 +224,9 @@
         assertThat(entries(store)).hasSizeGreaterThanOrEqualTo(30).doesNotHaveDuplicates();
         Merged exported = LedgerFiles.merged(List.of(here.resolve("out")));
         assertThat(exported).isEqualTo(LedgerFiles.merged(List.of(here)));
-        assertThat(Files.list(here.resolve("out")).filter(one -> one.toString().endsWith(".tmp")))
-            .isEmpty();
+        try (Stream<Path> files = Files.list(here.resolve("out"))) {
+          assertThat(files.filter(one -> one.toString().endsWith(".tmp"))).isEmpty();
+        }
       }
     }
     assertThat(steps).isGreaterThan(20);
@@ -235,7 +236,7 @@
   @ValueSource(strings = {"protobuf", "csv"})
   void aNumberAlwaysHasTheSameBytes(String form) throws IOException {
     try (Store store = Store.forManager(ledger(), "m", Faults.NONE)) {
-      store.beginEpoch(1, NOBODY);
+      store.beginEpoch(1, StoreTest::nobody);
       store.write(tasks(0, 30));
       store.amend(
           new Amendment(
@@ -266,7 +267,7 @@
   @Test
   void aDamagedBatchIsNamedAndTheOthersAreRead() throws IOException {
     try (Store store = Store.forManager(ledger(), "m", Faults.NONE)) {
-      store.beginEpoch(1, NOBODY);
+      store.beginEpoch(1, StoreTest::nobody);
       store.write(tasks(0, 30));
       new Exporter(store, out(), Faults.NONE).run("protobuf", 10, 5);
     }
@@ -290,7 +291,7 @@
                     + " rates { per_task: '0.10' } } }")
             .ledger();
     try (Store store = Store.forManager(ledger(), "m", Faults.NONE)) {
-      store.beginEpoch(1, NOBODY);
+      store.beginEpoch(1, StoreTest::nobody);
       store.write(tasks(0, 30));
       new Exporter(store, out(), Faults.NONE).run("csv", 10, 5);
       Billing.close(store, section, "1970-01-01", "me", 7);
--- a/src/test/java/tansytrack/operator/OperatorFileTest.java
+++ b/src/test/java/tansytrack/operator/OperatorFileTest.java
@@ -28,8 +28,8 @@
     OperatorFile.FleetSection fleet =
         OperatorFile.of(
                 "f",
-                "fleet { place: 'p' address: '10.0.0.1:7'"
-                    + " peers { name: 'a' address: '10.0.0.2:7' seed: true } peers { name: 'b' address: '10.0.0.3:7' } }")
+                "fleet { place: 'p' address: '10.0.0.1:7' peers { name: 'a' address: '10.0.0.2:7'"
+                    + " seed: true } peers { name: 'b' address: '10.0.0.3:7' } }")
             .fleet();
     assertThat(fleet.peers())
         .containsExactly(
@@ -48,24 +48,33 @@
         "ledger { fodler: 'x' } | f:1:",
         "ledger { } | folder: missing; allowed: a folder",
         "ledger {@ folder: ' ' } | f:2:",
-        "ledger { folder: 'x'@  commit_every_ms: 2000 } | f:2:3: commit_every_ms: '2000'; allowed: 1 to 1000",
+        "ledger { folder: 'x'@  commit_every_ms: 2000 } | f:2:3: commit_every_ms: '2000'; allowed:"
+            + " 1 to 1000",
         "ledger { folder: 'x' most_unwritten: -1 } | most_unwritten: '-1'; allowed: 64 to 1048576",
         "ledger { folder: 'x' answers: SOON } | f:1:",
-        "ledger { folder: 'x' billing {@@ zone: 'Mars/Base' } } | f:3:2: zone: 'Mars/Base'; allowed: an IANA time zone",
+        "ledger { folder: 'x' billing {@@ zone: 'Mars/Base' } } | f:3:2: zone: 'Mars/Base';"
+            + " allowed: an IANA time zone",
         "ledger { folder: 'x' billing { decimals: 12 } } | decimals: '12'; allowed: 0 to 9",
         "ledger { folder: 'x' billing { grace_hours: -2 } } | grace_hours: '-2'",
-        "ledger { folder: 'x' billing { rates { per_task: '1e3' } } } | per_task: '1e3'; allowed: a plain decimal",
+        "ledger { folder: 'x' billing { rates { per_task: '1e3' } } } | per_task: '1e3'; allowed: a"
+            + " plain decimal",
         "ledger { folder: 'x' billing { rates { per_task: '-1' } } } | per_task: '-1'",
-        "ledger { folder: 'x' billing { rates { from_date: 'soon' } } } | from_date: 'soon'; allowed: a day",
-        "ledger { folder: 'x' billing { rates { tenant: 'a' } rates { tenant: 'a' } } } | one rate for a tenant",
+        "ledger { folder: 'x' billing { rates { from_date: 'soon' } } } | from_date: 'soon';"
+            + " allowed: a day",
+        "ledger { folder: 'x' billing { rates { tenant: 'a' } rates { tenant: 'a' } } } | one rate"
+            + " for a tenant",
         "fleet { } | address: missing; allowed: an IPv4 address",
         "fleet { address: 'host:1' } | address: 'host:1'; allowed: an IPv4 address with a port",
         "fleet { address: '10.0.0.256:1' } | '10.0.0.256:1'",
         "fleet { address: '10.0.0.1:7' } | peers: missing; allowed: one and more",
-        "fleet { address: '10.0.0.1:7'@ peers { name: 'a b' address: '10.0.0.2:7' } } | f:2:10: name: 'a b'; allowed: 1 to 48 of letters",
-        "fleet { address: '10.0.0.1:7' peers { name: 'a' address: '10.0.0.1:7' } } | an address of its own for each manager",
-        "fleet { name: 'a' address: '10.0.0.1:7' peers { name: 'a' address: '10.0.0.2:7' } } | name: 'a'; allowed: each manager once",
-        "fleet { address: '10.0.0.1:7' probe_every_ms: 5 peers { name: 'a' address: '10.0.0.2:7' } } | probe_every_ms: '5'; allowed: 100 to 10000"
+        "fleet { address: '10.0.0.1:7'@ peers { name: 'a b' address: '10.0.0.2:7' } } | f:2:10:"
+            + " name: 'a b'; allowed: 1 to 48 of letters",
+        "fleet { address: '10.0.0.1:7' peers { name: 'a' address: '10.0.0.1:7' } } | an address of"
+            + " its own for each manager",
+        "fleet { name: 'a' address: '10.0.0.1:7' peers { name: 'a' address: '10.0.0.2:7' } } |"
+            + " name: 'a'; allowed: each manager once",
+        "fleet { address: '10.0.0.1:7' probe_every_ms: 5 peers { name: 'a' address: '10.0.0.2:7' }"
+            + " } | probe_every_ms: '5'; allowed: 100 to 10000"
       })
   void aFaultNamesPlaceFieldValueAndWhatIsAllowed(String text, String said) {
     assertThatThrownBy(() -> OperatorFile.of("f", text.replace('@', '\n')))
--- a/src/test/java/tansytrack/service/RestartTest.java
+++ b/src/test/java/tansytrack/service/RestartTest.java
@@ -36,8 +36,10 @@
   private static final long SECOND = 1_000_000_000L;
   private static final String WHOLE =
       "{'name':'m','listen':'127.0.0.1:0','seed':'a7','limits':{'sockets':256},"
-          + "'channel':'127.0.0.1:9','known':{'cursor':0,'cmds':[]},'settings':{'siblings':1,'skus':['k'],"
-          + "'extra':{'cpu_of_kind':[4],'memory_by_kind_mb':[1000]},'grades':[{'name':'g','repeat':'idempotent',"
+          + "'channel':'127.0.0.1:9','known':{'cursor':0,'cmds':[]},'settings':{'siblings':1,"
+          + "'skus':['k'],"
+          + "'extra':{'cpu_of_kind':[4],'memory_by_kind_mb':[1000]},'grades':[{'name':'g',"
+          + "'repeat':'idempotent',"
           + "'objective_ms':100,'deadline_ms':300,'worth':1}],'tenants':[{'name':'a','portion':1}],"
           + "'policy_limits':{'max_attempts':2}}}";
 
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -162,6 +162,7 @@
       return Rehearsal.say(status, fields, body);
     }
 
+    @SuppressWarnings("NonAtomicVolatileUpdate") // one call is answered at a time
     private String answer(String call) {
       if (call.startsWith("GET /cmd")) {
         String told = list;
@@ -354,16 +355,21 @@
   }
 
   static String config(String engine) {
-    return "{'name':'m','listen':'127.0.0.1:0','seed':'8c1f30d27a5be964','limits':{'sockets':256},'channel':'"
+    return "{'name':'m','listen':'127.0.0.1:0','seed':'8c1f30d27a5be964',"
+        + "'limits':{'sockets':256},'channel':'"
         + engine
         + "','known':{'cursor':1,'cmds':["
         + listed(1, "e", engine, "ready")
-        + "]},'settings':{'siblings':1,'skus':['k'],'extra':{'cpu_of_kind':[4],'memory_by_kind_mb':[1000],"
-        + "'memory_heeded':true,'ranks_heeded':true},'grades':[{'name':'safe','repeat':'idempotent',"
+        + "]},'settings':{'siblings':1,'skus':['k'],'extra':{'cpu_of_kind':[4],"
+        + "'memory_by_kind_mb':[1000],"
+        + "'memory_heeded':true,'ranks_heeded':true},'grades':[{'name':'safe',"
+        + "'repeat':'idempotent',"
         + "'objective_ms':100,'deadline_ms':300,'worth':1},{'name':'once','repeat':'at_most_once',"
-        + "'objective_ms':100,'deadline_ms':300,'worth':1,'serial_by_key':true}],'tenants':[{'name':'a',"
+        + "'objective_ms':100,'deadline_ms':300,'worth':1,'serial_by_key':true}],"
+        + "'tenants':[{'name':'a',"
         + "'portion':1}],'policy_limits':{'cancel':true,'max_attempts':2,'connect_timeout_ms':5000,"
-        + "'conn_idle_ms':30000,'retry_after':true,'max_retry_after_ms':500},'rules':{'turn_gap_ms':10}}}";
+        + "'conn_idle_ms':30000,'retry_after':true,'max_retry_after_ms':500},"
+        + "'rules':{'turn_gap_ms':10}}}";
   }
 
   static String listed(int number, String id, String address, String phase) {
@@ -490,13 +496,16 @@
         "/* id=00000000000000a1,class=safe,wait=NaN */ ok | field wait: not a number in range",
         "/* id=00000000000000a1,class=safe,wait=5,tenant=z */ ok | field tenant: no such tenant",
         "/* id=00000000000000a1,class=safe,wait=5,key=xyz */ ok | field key: not 16 hex digits",
-        "/* id=00000000000000a1,class=safe,wait=5,cost=-1 */ ok | field cost: not a number in range",
-        "/* id=00000000000000a1,class=safe,wait=5,cost=1d */ ok | field cost: not a number in range",
+        "/* id=00000000000000a1,class=safe,wait=5,cost=-1 */ ok | field cost: not a number in"
+            + " range",
+        "/* id=00000000000000a1,class=safe,wait=5,cost=1d */ ok | field cost: not a number in"
+            + " range",
         "/* id=00000000000000a1,class=safe,wait=0x1p3 */ ok | field wait: not a number in range",
         "/* id=00000000000000a1,class=safe,wait=5,mb=1e3 */ ok | field mb: not a number in range",
         "/* id=00000000000000a1,class=safe,wait=5,mb=1. */ ok | field mb: not a number in range",
-        "/* id=\u0660\u0660\u0660\u0660\u0660\u0660\u0660\u0660\u0660\u0660\u0660\u0660\u0660\u0660\u0660\u0660,class=safe,wait=5 */ ok"
-            + " | field id: not 16 hex digits",
+        "/* id=\u0660\u0660\u0660\u0660\u0660\u0660\u0660\u0660"
+            + "\u0660\u0660\u0660\u0660\u0660\u0660\u0660\u0660,class=safe,wait=5"
+            + " */ ok | field id: not 16 hex digits",
         "/* id=00000000000000a1 | comment without an end"
       })
   void anUnusableQueryIsNamedAndTheSessionGoesOn(String query, String why) throws IOException {
--- a/src/test/java/tansytrack/state/ManagerTest.java
+++ b/src/test/java/tansytrack/state/ManagerTest.java
@@ -26,8 +26,10 @@
   private static final InetSocketAddress NOBODY = new InetSocketAddress("127.0.0.1", 1);
   private static final String CONFIG =
       "{'name':'m','listen':'127.0.0.1:0','seed':'1','limits':{'sockets':256},"
-          + "'channel':'127.0.0.1:1','settings':{'skus':['k'],'extra':{'cpu_of_kind':[4],'memory_heeded':true},"
-          + "'grades':[{'name':'safe','repeat':'idempotent','deadline_ms':20000,'worth':1}],'tenants':[{'name':'a',"
+          + "'channel':'127.0.0.1:1','settings':{'skus':['k'],'extra':{'cpu_of_kind':[4],"
+          + "'memory_heeded':true},"
+          + "'grades':[{'name':'safe','repeat':'idempotent','deadline_ms':20000,'worth':1}],"
+          + "'tenants':[{'name':'a',"
           + "'portion':1}],'policy_limits':{'may_probe':true,'cancel':true,'max_attempts':3,"
           + "'connect_timeout_ms':250}}}";
 
@@ -77,8 +79,7 @@
   private void ask() {
     manager.query(
         session,
-        ("/* class=safe,id=00000000000000a1,wait=9000 */ SELECT 1")
-            .getBytes(StandardCharsets.UTF_8),
+        "/* class=safe,id=00000000000000a1,wait=9000 */ SELECT 1".getBytes(StandardCharsets.UTF_8),
         timers.now());
   }
 
--- a/src/test/java/tansytrack/wire/ParsersTest.java
+++ b/src/test/java/tansytrack/wire/ParsersTest.java
@@ -91,11 +91,45 @@
   @CsvSource(
       delimiter = '|',
       value = {
-        "HTTP/1.1 200 OK\\r\\nContent-Length: 3\\r\\nPage-Count: 2\\r\\n\\r\\nabc | 200 | abc | true",
-        "HTTP/1.1 202 Accepted\\r\\nContent-Length: 0\\r\\nconnection: close\\r\\n\\r\\n | 202 | '' | false",
+        "HTTP/1.1 200 OK\\r"
+            + "\\n"
+            + "Content-Length: 3\\r"
+            + "\\n"
+            + "Page-Count: 2\\r"
+            + "\\n"
+            + "\\r"
+            + "\\n"
+            + "abc | 200 | abc | true",
+        "HTTP/1.1 202 Accepted\\r"
+            + "\\n"
+            + "Content-Length: 0\\r"
+            + "\\n"
+            + "connection: close\\r"
+            + "\\n"
+            + "\\r"
+            + "\\n"
+            + " | 202 | '' | false",
         "HTTP/1.1 204 No Content\\r\\n\\r\\n | 204 | '' | true",
         "HTTP/1.0 503 No\\r\\nX-Not-Run:1\\r\\nContent-Length:1\\r\\n\\r\\nx | 503 | x | false",
-        "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n2\\r\\nab\\r\\n1;x=y\\r\\nc\\r\\n0\\r\\n\\r\\n | 200 | abc | true"
+        "HTTP/1.1 200 OK\\r"
+            + "\\n"
+            + "Transfer-Encoding: chunked\\r"
+            + "\\n"
+            + "\\r"
+            + "\\n"
+            + "2\\r"
+            + "\\n"
+            + "ab\\r"
+            + "\\n"
+            + "1;x=y\\r"
+            + "\\n"
+            + "c\\r"
+            + "\\n"
+            + "0\\r"
+            + "\\n"
+            + "\\r"
+            + "\\n"
+            + " | 200 | abc | true"
       })
   void anAnswerIsWholeAtItsLastByteOnly(String text, int status, String body, boolean lasts)
       throws Junk {
@@ -139,7 +173,8 @@
         "INSERT INTO sales_4.orders SELECT * FROM staging.load_9 | 4",
         "INSERT INTO x SELECT 1 FROM staging.a, crm_12.b | 12",
         "SELECT 'from sales_1.x', $$sales_2.y$$, $t$sales_3.z$t$ FROM sales_5.o | 5",
-        "SELECT 'it''s sales_1.x' /* sales_2.y /* sales_3.z */ sales_4.q */ FROM sales_6.o -- sales_7.p | 6",
+        "SELECT 'it''s sales_1.x' /* sales_2.y /* sales_3.z */ sales_4.q */ FROM sales_6.o --"
+            + " sales_7.p | 6",
         "SELECT E'\\' sales_1.x' FROM \"sales_8\".\"orders\" | 8",
         "SELECT o_3.day FROM sales_9.orders o_3 WHERE o_3.x = 1 | 9",
         "UPDATE ONLY sales_10.orders SET a = 1.5 | 10",
@@ -180,8 +215,10 @@
       strings = {
         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nPage-Count: 2\r\n\r\nabc",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\n\r\n",
-        "{\"cursor\":3,\"cmds\":[{\"cursor\":1,\"nodes\":{\"x\":-1.5e3,\"y\":[true,null,\"\\u0041\"]}}]}",
-        "/* class=a,id=9b */ SELECT 'a''b', $x$ c $x$, E'\\' FROM \"s_1\".t /* /* */ */ , b_2.c -- e"
+        "{\"cursor\":3,\"cmds\":[{\"cursor\":1,\"nodes\":{\"x\":-1.5e3,\"y\":[true,null,"
+            + "\"\\u0041\"]}}]}",
+        "/* class=a,id=9b */ SELECT 'a''b', $x$ c $x$, E'\\' FROM \"s_1\".t /* /* */ */ , b_2.c --"
+            + " e"
       })
   void noBytesBreakAParser(String good) {
     SplittableRandom chance = new SplittableRandom(good.length());
