Deterministic subsetting: a manager keeps records of a bounded subset of the engines

Every manager kept a record for, drew over and swept every listed engine. EngineSubset (policy) selects by binary levels over the managers' positions: at level k N / 2^k managers use an engine, a manager uses about M / 2^k. Level 0, up to 128 allowed engines, is all of them by the same code. Positions come from the settings (position), or from the seed. Even parts of the cold budget are dealt among the managers that may use an engine.

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -9,6 +9,7 @@
 import java.util.*;
 import tansytrack.api.*;
 import tansytrack.parts.*;
+import tansytrack.policy.EngineSubset;
 
 public final class Decide implements Decisions {
 
@@ -74,11 +75,13 @@
     private final Actions act;
     private final SplittableRandom chance;
     private final Loop loop = new Loop();
-    private final Map<String, Engine> engines = new TreeMap<>();
+    private final EngineList listed = new EngineList();
+    private final EngineSubset subset;
+    private final Map<String, Engine> engines = new TreeMap<>();       // used, or with forwards still out
     private final Map<String, Task> tasks = new LinkedHashMap<>();
     private final Map<String, Row> rows = new TreeMap<>();
     private final Map<String, Market> markets = new TreeMap<>();
-    private final Map<String, Tenant> tenants = new TreeMap<>();
+    private final Map<String, Tenant<Task>> tenants = new TreeMap<>();
     private final Gate gate = new Gate();
     private long now;
     private long bornAt = -1;                             // when it was first told of engines
@@ -89,14 +92,15 @@
         set = settings;
         levers = settings.levers();
         siblings = settings.siblings();
+        subset = new EngineSubset(settings, listed);
         act = actions;
         chance = new SplittableRandom(settings.seed());
         for (Grade grade : settings.grades()) {
             String bounds = new TreeSet<>(grade.places()) + "/" + new TreeSet<>(grade.kinds());
             rows.put(grade.name(), new Row(grade, markets.computeIfAbsent(bounds, key -> new Market(grade))));
         }
-        settings.tenants().forEach(one -> tenants.put(one.name(), new Tenant(Math.max(one.share(), 0.001))));
-        if (tenants.isEmpty()) { tenants.put("", new Tenant(1)); }     // none is told apart: all are one
+        settings.tenants().forEach(of -> tenants.put(of.name(), new Tenant<>(Math.max(of.share(), 0.001))));
+        if (tenants.isEmpty()) { tenants.put("", new Tenant<>(1)); }     // none is told apart: all are one
         actions.wake(SWEEP, "sweep");
     }
 
@@ -106,14 +110,17 @@
         now = at;
         bornAt = bornAt < 0 ? at : bornAt;
         Map<String, EngineEntry> named = new TreeMap<>();
-        for (EngineEntry entry : entries) {
-            named.put(entry.id(), entry);
-            engines.computeIfAbsent(entry.id(), Engine::new);
-        }
-        for (Engine engine : engines.values()) {
-            EngineEntry entry = named.get(engine.id);
-            if (entry != null || complete) { engine.put(() -> engine.listed(entry)); }
-        }
+        entries.forEach(entry -> named.put(entry.id(), entry));
+        if (complete) { listed.set(named.values()); } else { named.values().forEach(listed::put); }
+        boolean moved = subset.settle(siblings);
+        use(entries);
+        use(moved ? listed.all() : List.of());
+        engines.values().stream().filter(engine -> complete || moved || named.containsKey(engine.id))
+                .forEach(engine -> engine.tell(named.getOrDefault(engine.id, listed.find(engine.id))));
+    }
+
+    private void use(List<EngineEntry> entries) {
+        entries.stream().filter(subset::uses).forEach(one -> engines.computeIfAbsent(one.id(), Engine::new));
     }
 
     public void task(long at, TaskOffer offer) {
@@ -136,6 +143,7 @@
     public void siblings(long at, int count) {
         now = at;
         siblings = Math.max(1, count);
+        if (bornAt >= 0) { engines(at, false, List.of()); }   // fewer or more of those listed may be used
     }
 
     public void outcome(long at, String id, int index, String engine, Outcome outcome, long lag, boolean over,
@@ -220,10 +228,8 @@
         long pressedUntil;
 
         /**
-         * It binds only under pressure; our threads up to the first bound are that too. Slow answers are none
-         * while our threads leave cores of our part idle. Guards against a room that shrinks to one thread
-         * and stays there: under a price tasks get in whose cost is guessed too low, which look slow on an
-         * idle engine. Harms where others crowd it and nothing but latency tells.
+         * Binds only under pressure; our threads up to the first bound are that too. Slow answers are none
+         * while cores of our part idle: under a price tasks guessed too low got in, and it never grew again.
          */
         boolean fits(Grade grade, double able) {
             boolean pressed = strain > WELL_ABOVE_BEST && threads >= able || now < pressedUntil;
@@ -254,20 +260,32 @@
 
     /** Engines that grades are bound to, the price of work there, and the room of them all. */
     private final class Market extends Room {
-        final Grade grade;                    // one of those
+        final EngineSubset.Group group;
         double able;                          // cores, our part of them
         double memory;                        // likewise
         double granted;                       // of that, to our tasks
         boolean pooled;                       // our part of an engine holds no thread, on average
         double price;                         // of engine work, in earnings; 0 unless tasks wait
 
-        Market(Grade grade) { this.grade = grade; }
+        Market(Grade grade) {
+            group = subset.group(entry ->                          // rule 6: placement
+                    (grade.places().isEmpty() || grade.places().contains(entry.place()))
+                    && (grade.kinds().isEmpty() || grade.kinds().contains(entry.kind())));
+        }
+
+        private void refill() {
+            List<EngineEntry> healthy = engines.values().stream().filter(engine -> engine.healthy()
+                    && engine.serves.contains(this)).map(engine -> engine.entry).toList();
+            EngineEntry moved = group.refill(healthy, entry ->
+                    !engines.containsKey(entry.id()) && warmth(entry.startedAt()) >= 1);
+            if (moved != null) { engines.computeIfAbsent(moved.id(), Engine::new).tell(moved); }
+        }
 
         private void survey() {
             double before = able, parts = 0;
             able = memory = granted = threads = 0;
             for (Engine engine : engines.values()) {
-                if (engine.usable() && engine.allowed(grade)) {
+                if (engine.usable() && engine.serves.contains(this)) {
                     able += engine.cores * engine.warmth() * engine.share();
                     memory += engine.totalMemory * engine.share();
                     threads += engine.room.threads;
@@ -304,7 +322,7 @@
         final String id;
         final Row row;
         final Grade grade;
-        final Tenant tenant;                  // null: unknown, never held
+        final Tenant<Task> tenant;                  // null: unknown, never held
         final Long key;                       // null: none
         KeyLine<Task> line;                   // where its grade keeps order
         final long cutOffAt;
@@ -383,14 +401,6 @@
 
     private record Forward(Task task, Engine engine, int index, long at, double memoryMb, boolean warm) { }
 
-    private static final class Tenant {
-        final double weight;
-        double current;                       // smooth weighted round-robin
-        final ArrayList<Task> waiters = new ArrayList<>();    // least time left first
-
-        Tenant(double weight) { this.weight = weight; }
-    }
-
     // ---- The gate: tenant queues, turns, final answers ----
 
     private final class Gate extends Loop.Part {
@@ -480,12 +490,12 @@
         /** The send spacing behind it, plus, with no room, the least remaining mean run time on an engine. */
         private double expectedWait(Task task) {
             double weights = 0;
-            for (Tenant tenant : tenants.values()) {
+            for (Tenant<Task> tenant : tenants.values()) {
                 weights += tenant.waiters.isEmpty() && tenant != task.tenant ? 0 : tenant.weight;
             }
             double ahead = position(task.tenant.waiters, task) * weights / task.tenant.weight;
             double least = engines.values().stream()
-                    .filter(engine -> engine.ready && engine.allowed(task.grade))
+                    .filter(engine -> engine.ready && engine.serves.contains(task.row.market))
                     .mapToDouble(Engine::leastRemaining).min().orElse(Double.MAX_VALUE);
             return Math.min(waiting, ahead) * spacing + (least == Double.MAX_VALUE ? 0 : least);
         }
@@ -500,9 +510,9 @@
         private void turn() {
             rows.values().forEach(row -> row.noRoom = false);
             Task chosen = null;
-            Tenant best = null;
+            Tenant<Task> best = null;
             double total = 0;
-            for (Tenant tenant : tenants.values()) {
+            for (Tenant<Task> tenant : tenants.values()) {
                 Task next = next(tenant.waiters);
                 tenant.current += next != null ? tenant.weight : 0;
                 total += next != null ? tenant.weight : 0;
@@ -666,8 +676,9 @@
         }
 
         private void sweep() {
-            engines.values().removeIf(engine -> engine.gone && engine.out.isEmpty());
+            engines.values().removeIf(one -> one.gone && one.out.isEmpty() && now >= one.keptUntil);
             survey();
+            markets.values().forEach(Market::refill);
             reprice();
             long window = set.ration() == null ? 0 : set.ration().window();
             taken.forget(now - window + 2 * LONGEST_SWEEP + 1);   // too early rather than too late
@@ -697,13 +708,25 @@
         return fitting.get(pick(weights, chance.nextDouble()));
     }
 
+    /** What an engine started then surely can do by now. */
+    private double warmth(long start) {
+        Settings.ColdRule rule = set.cold();
+        if (rule == null || start <= 0 || now - start >= rule.warmAfter()) { return 1; }
+        double age = Math.max(0, now - start) / (double) rule.warmAfter();
+        return rule.startCapacity() + (1 - rule.startCapacity()) * age;
+    }
+
     // ---- Engines: the one record of each, its room, its health, the one place that every send passes ----
 
     private final class Engine extends Loop.Part {
         final String id;
         EngineEntry entry;                    // as last listed
         boolean ready;
-        boolean gone;                         // forgotten once its forwards have ended
+        boolean gone;                         // or no longer used; forgotten once its forwards have ended
+        long keptUntil;                       // what it was sent while cold counts for a window
+        final List<Market> serves = new ArrayList<>(2);       // whose tasks may use it
+        boolean standsIn;                     // for others of the subset: never while it is cold
+        int level;                            // of the managers one in 2 to this power uses it
         double cores = 1;
         double totalMemory;
         final ArrayList<Forward> out = new ArrayList<>();
@@ -741,12 +764,20 @@
             probeAt = now + (long) (chance.nextDouble() * gate.probeEvery());
         }
 
+        private void tell(EngineEntry told) { put(() -> listed(told)); }
+
         private void listed(EngineEntry told) {
             gate.put(gate::survey);           // behind each: one a list would come ahead of some
-            ready = told != null && told.state() == EngineEntry.State.READY;
-            gone = told == null || told.state() == EngineEntry.State.GONE;
+            boolean used = told != null && subset.uses(told);
+            ready = used && told.state() == EngineEntry.State.READY;
+            keptUntil = used || gone || set.cold() == null ? keptUntil : now + set.cold().window();
+            gone = !used || told.state() == EngineEntry.State.GONE;
+            serves.clear();
             if (told == null) { return; }
             engines.putIfAbsent(id, this);    // a sweep may have forgotten it since it was named at the door
+            markets.values().stream().filter(market -> market.group.uses(told)).forEach(serves::add);
+            standsIn = subset.standsIn(told);
+            level = subset.sharedLevel(told);
             boolean fresh = entry == null || told.startedAt() > entry.startedAt();
             entry = told;
             Settings.Kind figures = set.kinds().get(told.kind());
@@ -765,26 +796,16 @@
 
         // -- May it be sent to? --
 
-        /** Rule 6: placement. */
-        boolean allowed(Grade grade) {
-            return (grade.places().isEmpty() || grade.places().contains(entry.place()))
-                    && (grade.kinds().isEmpty() || grade.kinds().contains(entry.kind()));
-        }
-
         boolean usable() { return ready && !unreached && (!suspect || gate.mostSuspect); }
 
-        /** What it surely can do by now; one not reached may have started since, before any list tells. */
-        private double warmth() {
-            Settings.ColdRule rule = set.cold();
-            long start = coldSince();
-            if (rule == null || start <= 0 || now - start >= rule.warmAfter()) { return 1; }
-            double age = Math.max(0, now - start) / (double) rule.warmAfter();
-            return rule.startCapacity() + (1 - rule.startCapacity()) * age;
-        }
+        boolean healthy() { return ready && !unreached && !suspect && warmth() >= 1; }
+
+        /** One not reached may have started since, before any list tells. */
+        private double warmth() { return Decide.this.warmth(coldSince()); }
 
         /** Rule 4: an even part of what a cold engine may get; where that holds no task, a draw. */
         private boolean coldAllows(Task task) {
-            if (warmth() >= 1) { return true; }
+            if (warmth() >= 1 || standsIn) { return warmth() >= 1; }
             coldSends.forget(now - set.cold().window());
             double sent = coldSends.sum();
             return sent + task.cost <= evenPart() || sent == 0 && ticket(task) > 0;
@@ -792,16 +813,18 @@
 
         /** Ours for sure; half is left to tickets where it would not hold a usual task. */
         private double evenPart() {
-            double part = coldBudget() / siblings;
+            double part = coldBudget() / coldUsers();
             return gate.meanCost > part ? part / 2 : part;
         }
 
+        private double users() { return siblings / (double) (1 << level); }
+
+        /** And those that may use it, by chance, older lists and positions that are unknown or doubled. */
+        double coldUsers() { return Math.min(siblings, users() + COLD_DEVIATIONS * Math.sqrt(users())); }
+
         private long coldSince() { return Math.max(entry.startedAt(), unreachedAt); }
 
-        /**
-         * Grows over a window where the engine is older than this manager. Guards against one that was
-         * restarted and gives again what its earlier life gave in that window; harms where all start at once.
-         */
+        /** Grows over a window where the engine is older than we are: our earlier life may have sent. */
         private double coldBudget() {
             long window = set.cold().window();
             double known = coldSince() >= bornAt ? 1 : Math.min(1, (now - bornAt) / (double) window);
@@ -816,17 +839,17 @@
             }
             // Of all: what the even parts leave and the rule's room for chance, at most what it can do.
             double chances = COLD_CHANCE * (Math.sqrt(coldBudget() * gate.meanCost) + gate.meanCost);
-            double all = coldBudget() - evenPart() * siblings + chances;
+            double all = coldBudget() - evenPart() * coldUsers() + chances;
             double deviations = COLD_DEVIATIONS * Math.sqrt(task.cost) / 2;
             double mean = Math.sqrt(all + deviations * deviations) - deviations;
             double work = Math.min(mean * mean, coldBudget() / set.cold().multiple());
-            double part = work / (siblings * task.cost);
+            double part = work / (coldUsers() * task.cost);
             return ticketDrawn < part ? Math.min(1, part) : 0;
         }
 
         /** Every rule on sending, in one place; rule 3 (drains) without its grace, as the list is late. */
         private boolean rulesAllow(Task task) {
-            return ready && allowed(task.grade) && task.mayRepeatOn(this) && coldAllows(task)
+            return ready && serves.contains(task.row.market) && task.mayRepeatOn(this) && coldAllows(task)
                     && task.forwards < levers.mostForwards() && (task.forwards == 0 || gate.rationAllows())
                     && (task.line == null || task.line.line.peek() == task
                             && (task.forwards > 0 || gate.open(task.line)));
@@ -839,7 +862,7 @@
         }
 
         /** This manager's part of the engine: an even one, or more where it is seen to hold mostly ours. */
-        private double share() { return Math.max(1.0 / siblings, ours); }
+        private double share() { return Math.max(1 / users(), ours); }
 
         /** The room in threads: its own, or the market's where our part of an engine holds no thread. */
         private boolean threadsFit(Task task) {
@@ -853,7 +876,7 @@
             room.threads += threads;
             granted += memory;
             for (Market market : markets.values()) {
-                boolean counts = usable() && allowed(market.grade);     // what is stuck takes none elsewhere
+                boolean counts = usable() && serves.contains(market);   // what is stuck takes none elsewhere
                 market.threads += counts ? threads : 0;
                 market.granted += counts ? memory : 0;
             }
--- a/src/main/java/tansytrack/api/Settings.java
+++ b/src/main/java/tansytrack/api/Settings.java
@@ -5,10 +5,12 @@
 
 /**
  * What a workload manager is told when it starts; a rule that is null is off. Times in nanoseconds.
+ * The position is its index among its siblings, from 0 on; UNKNOWN where it is not told.
  */
 public record Settings(
     long seed,
     int siblings,
+    int position,
     String place,
     List<Grade> grades,
     List<Tenant> tenants,
@@ -19,9 +21,22 @@
     long keyRest,
     RationRule ration) {
 
+  public static final int UNKNOWN = -1;
+
   public Settings withSeed(long other) {
     return new Settings(
-        other, siblings, place, grades, tenants, kinds, levers, drainGrace, cold, keyRest, ration);
+        other,
+        siblings,
+        position,
+        place,
+        grades,
+        tenants,
+        kinds,
+        levers,
+        drainGrace,
+        cold,
+        keyRest,
+        ration);
   }
 
   public record Tenant(String name, double share, double perSecond) {}
--- a/src/main/java/tansytrack/settings/Pairs.java
+++ b/src/main/java/tansytrack/settings/Pairs.java
@@ -115,6 +115,7 @@
     return new Settings(
         seed,
         Math.max(1, (int) number("siblings", 1)),
+        (int) number("position", Settings.UNKNOWN),
         pairs.getOrDefault("zone", ""),
         grades,
         tenants,
--- a/src/test/java/tansytrack/ArchitectureTest.java
+++ b/src/test/java/tansytrack/ArchitectureTest.java
@@ -29,6 +29,8 @@
         .definedBy("tansytrack.api")
         .layer("parts")
         .definedBy("tansytrack.parts")
+        .layer("policy")
+        .definedBy("tansytrack.policy")
         .layer("settings")
         .definedBy("tansytrack.settings")
         .layer("wire")
@@ -55,6 +57,8 @@
         .definedBy("tansytrack.lab..")
         .whereLayer("lab")
         .mayOnlyBeAccessedByLayers("main")
+        .whereLayer("policy")
+        .mayOnlyBeAccessedByLayers("main", "lab")
         .whereLayer("adapter")
         .mayOnlyBeAccessedByLayers("main")
         .whereLayer("service")
@@ -89,7 +93,8 @@
             "tansytrack.lab.load",
             "tansytrack.lab.world",
             "tansytrack.api",
-            "tansytrack.parts")
+            "tansytrack.parts",
+            "tansytrack.policy")
         .or()
         .haveFullyQualifiedName("tansytrack.Decide")
         .should()
--- a/src/test/java/tansytrack/Manager.java
+++ b/src/test/java/tansytrack/Manager.java
@@ -19,6 +19,7 @@
   static final long MS = 1_000_000L;
 
   int siblings = 1;
+  int position = Settings.UNKNOWN;
   long seed = 7;
   boolean cancels = true;
   boolean copies;
@@ -61,6 +62,7 @@
               new Settings(
                   seed,
                   siblings,
+                  position,
                   "here",
                   List.of(
                       grade("short", Grade.Repeat.HARMLESS, Grade.Scope.ALL, false),
