--- a/src/main/java/tansytrack/LabCommands.java
+++ b/src/main/java/tansytrack/LabCommands.java
@@ -16,8 +16,11 @@
 import tansytrack.lab.Laboratory;
 import tansytrack.lab.LedgerBench;
 import tansytrack.lab.LoadCommand;
+import tansytrack.lab.ScaleTable;
 import tansytrack.lab.StandIns;
 import tansytrack.lab.proto.Experiment;
+import tansytrack.lab.scale.FailureSchedule;
+import tansytrack.lab.scale.ScalePlan;
 import tansytrack.lab.world.Explorer;
 import tansytrack.settings.Unusable;
 
@@ -32,12 +35,13 @@
         required = true,
         metaVar = "COMMAND",
         handler = SubCommandHandler.class,
-        usage = "engines, run, load, fleet, explore or ledger-bench")
+        usage = "engines, run, load, fleet, scale, explore or ledger-bench")
     @SubCommands({
       @SubCommand(name = "engines", impl = Engines.class),
       @SubCommand(name = "run", impl = Run.class),
       @SubCommand(name = "load", impl = Load.class),
       @SubCommand(name = "fleet", impl = Fleet.class),
+      @SubCommand(name = "scale", impl = Scale.class),
       @SubCommand(name = "explore", impl = Explore.class),
       @SubCommand(name = "ledger-bench", impl = Bench.class)
     })
@@ -45,7 +49,8 @@
 
     @Override
     public String about() {
-      return "lab: stand-ins and experiments on loopback. Commands: engines, run, load, fleet, explore, ledger-bench.";
+      return "lab: stand-ins and experiments on loopback. Commands: engines, run, load, fleet, scale, explore,\n"
+          + "ledger-bench.";
     }
 
     @Override
@@ -128,7 +133,7 @@
     boolean played(long from, Path to) throws IOException, InterruptedException {
       Experiment experiment = Laboratory.read(file);
       try {
-        return Laboratory.run(experiment, from, to, System.out);
+        return Laboratory.run(experiment, from, to, Decide::new, System.out);
       } catch (IOException e) {
         System.err.println("tansytrack: the experiment ended early: " + e);
         return false;
@@ -189,6 +194,54 @@
     }
   }
 
+  /** Hollow managers at scale. */
+  public static final class Scale extends Playing {
+    @Option(name = "--managers", metaVar = "N", required = true, usage = "real decision modules")
+    private int managers;
+
+    @Option(name = "--engines", metaVar = "N", required = true, usage = "hollow engines")
+    private int engines;
+
+    @Option(name = "--zones", metaVar = "N", usage = "that both are spread over in turn")
+    private int zones = 1;
+
+    @Option(name = "--seconds", metaVar = "N", usage = "in which statements come, virtual")
+    private int seconds = 20;
+
+    @Option(name = "--rate", metaVar = "X", usage = "statements a second to each manager, thinned")
+    private double rate = 8;
+
+    @Option(name = "--schedule", metaVar = "NAME", usage = "the failures to play")
+    private String schedule = FailureSchedule.REST.text();
+
+    @Option(name = "--sizes", metaVar = "N", usage = "5 or more: a ladder of sizes with slopes")
+    private int sizes = 1;
+
+    @Option(name = "--factor", metaVar = "N", usage = "between two sizes of the ladder")
+    private int factor = 2;
+
+    @Option(name = "--grow", metaVar = "WHAT", usage = "along the ladder")
+    private ScaleTable.Grows grows = ScaleTable.Grows.BOTH;
+
+    @Override
+    public String about() {
+      return "lab scale: real decision modules of many managers before hollow engines, in one process on virtual time, without\n"
+          + "sockets and clients. Leaves a table, CSV and charts; the same seed, the same table. Schedules: "
+          + FailureSchedule.names()
+          + ".\nExit code 2: a size or option cannot be used.";
+    }
+
+    @Override
+    boolean played(long from, Path to) throws IOException {
+      FailureSchedule failures = ScaleTable.schedule("--schedule", schedule);
+      ScalePlan plan = new ScalePlan(managers, engines, zones, seconds, rate, failures, from);
+      ScaleTable.checked(plan);
+      new ScaleTable(Decide::new, System.out, System.err)
+          .run(plan, new ScaleTable.Ladder(sizes, factor, grows), to);
+      return true;
+    }
+  }
+
   /** The search through states. */
   public static final class Explore extends Guarded {
     @Option(name = "--depth", metaVar = "N", usage = "choices in a row")
--- a/src/main/java/tansytrack/lab/Laboratory.java
+++ b/src/main/java/tansytrack/lab/Laboratory.java
@@ -11,6 +11,7 @@
 import java.util.TreeSet;
 import tansytrack.lab.proto.Experiment;
 import tansytrack.lab.proto.Fault;
+import tansytrack.lab.scale.ModuleFactory;
 import tansytrack.log.JsonLinesWriter;
 import tansytrack.settings.Unusable;
 
@@ -33,6 +34,10 @@
       FleetRun.checked(file, read);
       return read;
     }
+    if (read.getScaleCount() > 0) {
+      ScaleExperiment.checked(file, read);
+      return read;
+    }
     TextFile.bounded(file, "managers", read.getManagers(), 1, 16);
     TextFile.bounded(file, "engines", read.getEngines(), 1, 64);
     TextFile.bounded(file, "clients", read.getClients(), 1, 256);
@@ -50,14 +55,15 @@
 
   /**
    * Plays all runs; true where every claim holds. Figures of several runs are their worst: the sum
-   * of what must not be.
+   * of what must not be. The factory makes the modules of scale runs.
    */
-  public static boolean run(Experiment experiment, long seed, Path out, PrintStream to)
+  public static boolean run(
+      Experiment experiment, long seed, Path out, ModuleFactory factory, PrintStream to)
       throws IOException, InterruptedException {
     Files.createDirectories(out);
     List<Map<String, Double>> all = new ArrayList<>();
     for (int i = 0; i < experiment.getRuns(); i++) {
-      all.add(played(experiment, seed + i, out.resolve("run-" + (seed + i))));
+      all.add(played(experiment, seed + i, out.resolve("run-" + (seed + i)), factory));
       to.println(
           "run "
               + (i + 1)
@@ -92,8 +98,12 @@
     return held;
   }
 
-  private static Map<String, Double> played(Experiment experiment, long seed, Path folder)
+  private static Map<String, Double> played(
+      Experiment experiment, long seed, Path folder, ModuleFactory factory)
       throws IOException, InterruptedException {
+    if (experiment.getScaleCount() > 0) {
+      return new ScaleExperiment(experiment, seed, factory).play();
+    }
     if (experiment.hasFleet()) {
       try (FleetRun run = new FleetRun(experiment, seed, folder)) {
         return run.play();
--- /dev/null
+++ b/src/main/java/tansytrack/lab/scale/Counts.java
@@ -0,0 +1,64 @@
+package tansytrack.lab.scale;
+
+/** What a scale run counts while it plays. */
+final class Counts {
+
+  long asked;
+  long inTime;
+  long late;
+  long bounced;
+  long aborted;
+  long lostWithManager;
+  long unserved; // came while their manager was away
+  long attempts;
+  long probes;
+  long sweeps;
+  long statementVisits;
+  long sweepVisits;
+  long listVisits;
+  long coldOver;
+  long coldFallen;
+  long drainBroken;
+  long drainUnheard;
+
+  private final long[] askedBySecond;
+  private final long[] inTimeBySecond;
+
+  Counts(int seconds) {
+    askedBySecond = new long[seconds + 1];
+    inTimeBySecond = new long[seconds + 1];
+  }
+
+  private int second(long at) {
+    long second = (at - VirtualTime.ORIGIN) / ScalePlan.SECOND;
+    return (int) Math.min(askedBySecond.length - 1, second);
+  }
+
+  void asked(long at) {
+    asked++;
+    askedBySecond[second(at)]++;
+  }
+
+  void unserved(long at) {
+    unserved++;
+    asked(at);
+  }
+
+  void answered(Statement statement, long at) {
+    if (at <= statement.deadline) {
+      inTime++;
+      inTimeBySecond[second(statement.askedAt)]++;
+    } else {
+      late++;
+    }
+  }
+
+  /** The share answered in time of the statements that came in each second. */
+  double[] inTimeShares() {
+    double[] shares = new double[askedBySecond.length - 1];
+    for (int i = 0; i < shares.length; i++) {
+      shares[i] = askedBySecond[i] == 0 ? 1 : inTimeBySecond[i] / (double) askedBySecond[i];
+    }
+    return shares;
+  }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/lab/scale/HollowManager.java
@@ -0,0 +1,233 @@
+package tansytrack.lab.scale;
+
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import tansytrack.api.Actions;
+import tansytrack.api.Decisions;
+import tansytrack.api.EngineEntry;
+import tansytrack.api.EngineView;
+import tansytrack.api.LoadReport;
+import tansytrack.api.Outcome;
+import tansytrack.api.TaskOffer;
+
+/** A manager without sockets and clients: a real decision module, and what it asked to be done. */
+final class HollowManager implements Actions {
+
+  private static final double WRITES = 0.1; // part of the statements that may not run again
+
+  final int index;
+  final int zone;
+
+  /** It hears changes of the list late. */
+  boolean stale;
+
+  private final ScaleWorld world;
+  private final SplittableRandom chance;
+  private final Map<String, Statement> open = new HashMap<>();
+  private final BitSet used = new BitSet();
+  private Decisions module;
+  private int life;
+  private long asked; // statements so far
+
+  HollowManager(int index, int zone, ScaleWorld world, SplittableRandom chance) {
+    this.index = index;
+    this.zone = zone;
+    this.world = world;
+    this.chance = chance;
+  }
+
+  /** It starts, with a new module that knows nothing, and hears the list as it is. */
+  void start(ModuleFactory factory, HollowSettings settings, List<EngineEntry> list) {
+    life++;
+    module = factory.create(settings.of(chance.nextLong(), EngineList.zone(zone)), this);
+    hear(true, list);
+  }
+
+  /** It ends at once, with all that it holds. */
+  void end() {
+    life++;
+    module = null;
+    open.values().forEach(one -> one.over = true);
+    world.counts().lostWithManager += open.size();
+    open.clear();
+  }
+
+  boolean running() {
+    return module != null;
+  }
+
+  int life() {
+    return life;
+  }
+
+  int unanswered() {
+    return open.size();
+  }
+
+  /** The engines that it sent to or probed, by their index. */
+  BitSet used() {
+    return used;
+  }
+
+  /** The engines that its module holds. */
+  List<EngineView> known() {
+    return module == null ? List.of() : module.view(now());
+  }
+
+  /** How long until the next statement comes to it. */
+  long nextGap(double rate) {
+    return (long) (-Math.log(1 - chance.nextDouble()) * ScalePlan.SECOND / rate);
+  }
+
+  private long now() {
+    return world.time().now();
+  }
+
+  // ---- What it hears ----
+
+  void hear(boolean complete, List<EngineEntry> entries) {
+    if (module != null) {
+      long before = world.visits();
+      module.engines(now(), complete, entries);
+      module.decide(now());
+      world.counts().listVisits += world.visits() - before;
+    }
+  }
+
+  /** A statement comes, with work between half and one and a half of the mean. */
+  void ask(long meanCost, long deadline) {
+    if (module == null) {
+      world.counts().unserved(now());
+      return;
+    }
+    boolean write = chance.nextDouble() < WRITES;
+    long cost = (long) (meanCost * (0.5 + chance.nextDouble()));
+    Statement statement = new Statement(index + ":" + asked++, now(), now() + deadline, cost);
+    open.put(statement.id, statement);
+    world.counts().asked(now());
+    long before = world.visits();
+    module.task(
+        now(),
+        new TaskOffer(
+            statement.id,
+            write ? HollowSettings.WRITE : HollowSettings.READ,
+            "",
+            null,
+            statement.deadline,
+            cost,
+            0,
+            -1));
+    module.decide(now());
+    world.counts().statementVisits += world.visits() - before;
+  }
+
+  /** An attempt has ended. */
+  void hear(Attempt attempt, Outcome outcome, LoadReport report) {
+    if (module == null || life != attempt.life) {
+      return;
+    }
+    Statement statement = attempt.statement;
+    if (outcome == Outcome.OK && !statement.over) {
+      statement.over = true;
+      open.remove(statement.id);
+      world.counts().answered(statement, now());
+    }
+    long cost = outcome == Outcome.OK ? statement.cost : 0;
+    long before = world.visits();
+    module.outcome(
+        now(),
+        statement.id,
+        attempt.index,
+        attempt.engine.id,
+        outcome,
+        0,
+        statement.over,
+        cost,
+        0,
+        report);
+    module.decide(now());
+    world.counts().statementVisits += world.visits() - before;
+  }
+
+  /** A probe has ended. */
+  void hearProbe(int ofLife, String engine, Outcome outcome, LoadReport report) {
+    if (module != null && life == ofLife) {
+      module.probed(now(), engine, outcome, report);
+      module.decide(now());
+    }
+  }
+
+  private void woken(int ofLife, String token) {
+    if (module != null && life == ofLife) {
+      long before = world.visits();
+      module.woken(now(), token);
+      module.decide(now());
+      world.counts().sweeps++;
+      world.counts().sweepVisits += world.visits() - before;
+    }
+  }
+
+  // ---- What its module asks for ----
+
+  @Override
+  public void forward(String task, String engine, long timeOut) {
+    Statement statement = open.get(task);
+    HollowEngine to = world.engine(engine);
+    used.set(to.index);
+    Attempt attempt = new Attempt(this, life, statement, statement.attempts.size(), to);
+    statement.attempts.add(attempt);
+    world.counts().attempts++;
+    world.network().send(attempt);
+  }
+
+  @Override
+  public void bounce(String task, long pause) {
+    world.counts().bounced++;
+    finish(task);
+  }
+
+  @Override
+  public void abort(String task) {
+    world.counts().aborted++;
+    finish(task);
+  }
+
+  private void finish(String task) {
+    open.remove(task).over = true;
+  }
+
+  @Override
+  public void provide(String task, long memoryMb, int priority) {
+    // Hollow engines heed neither.
+  }
+
+  @Override
+  public void probe(String engine) {
+    HollowEngine to = world.engine(engine);
+    used.set(to.index);
+    world.counts().probes++;
+    world.network().probe(this, life, to);
+  }
+
+  @Override
+  public void cancel(String task, int index) {
+    Statement statement = open.get(task);
+    if (statement != null) {
+      world.network().cancel(statement.attempts.get(index));
+    }
+  }
+
+  @Override
+  public void wake(long in, String token) {
+    int ofLife = life;
+    world.time().in(in, () -> woken(ofLife, token));
+  }
+
+  @Override
+  public void log(String text) {
+    // What the lab judges is what it sees at engines and clients.
+  }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/lab/scale/HollowSettings.java
@@ -0,0 +1,99 @@
+package tansytrack.lab.scale;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import tansytrack.api.Grade;
+import tansytrack.api.Settings;
+
+/** The settings of hollow managers: one set shared by all but for seed and zone. */
+final class HollowSettings {
+
+  static final String READ = "read"; // may run again
+  static final String WRITE = "write"; // may not
+  static final String KIND = "plain";
+
+  /** Started engines have this part of their capacity, and all of it after {@link #WARM_AFTER}. */
+  static final double START_CAPACITY = 0.3;
+
+  static final long WARM_AFTER = 8 * ScalePlan.SECOND;
+  static final double COLD_MULTIPLE = 2;
+  static final long COLD_WINDOW = ScalePlan.SECOND;
+  static final long DRAIN_GRACE = ScalePlan.SECOND;
+  static final long CONNECT_TIME = 250 * ScalePlan.MS;
+
+  private static final int MOST_FORWARDS = 3;
+  private static final long LONGEST_COME_BACK = 500 * ScalePlan.MS;
+  private static final long KEY_REST = 300 * ScalePlan.MS;
+  private static final Settings.RationRule RATION =
+      new Settings.RationRule(10, 0.2, 10 * ScalePlan.SECOND);
+
+  private final Settings shared;
+
+  HollowSettings(ScalePlan plan, VisitCounter visits) {
+    shared =
+        new Settings(
+            0,
+            plan.managers(),
+            "",
+            List.of(
+                grade(READ, Grade.Repeat.HARMLESS, plan, visits),
+                grade(WRITE, Grade.Repeat.ONE_SHOT, plan, visits)),
+            List.of(),
+            Map.of(KIND, new Settings.Kind(ScalePlan.CORES, 0)),
+            new Settings.Levers(
+                true,
+                true,
+                false,
+                true,
+                LONGEST_COME_BACK,
+                MOST_FORWARDS,
+                false,
+                0,
+                false,
+                true,
+                0,
+                false,
+                CONNECT_TIME),
+            DRAIN_GRACE,
+            new Settings.ColdRule(START_CAPACITY, WARM_AFTER, COLD_MULTIPLE, COLD_WINDOW),
+            KEY_REST,
+            RATION);
+  }
+
+  private static Grade grade(
+      String name, Grade.Repeat repeat, ScalePlan plan, VisitCounter visits) {
+    return new Grade(
+        name,
+        repeat,
+        Grade.Scope.ALL,
+        0,
+        plan.deadline() / 2,
+        2,
+        plan.deadline(),
+        1,
+        0.5,
+        false,
+        visits,
+        Set.of(),
+        1,
+        false,
+        false);
+  }
+
+  /** Those of one manager. */
+  Settings of(long seed, String zone) {
+    return new Settings(
+        seed,
+        shared.siblings(),
+        zone,
+        shared.grades(),
+        shared.tenants(),
+        shared.kinds(),
+        shared.levers(),
+        shared.drainGrace(),
+        shared.cold(),
+        shared.keyRest(),
+        shared.ration());
+  }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/lab/scale/PairSample.java
@@ -0,0 +1,46 @@
+package tansytrack.lab.scale;
+
+import tansytrack.api.Actions;
+import tansytrack.api.Decisions;
+
+/** How many engines one manager of a plan holds, found out by one module that is told the list. */
+public final class PairSample {
+
+  private PairSample() {}
+
+  /** Of the first manager, before anything else is made. */
+  public static int enginesPerManager(ScalePlan plan, ModuleFactory factory) {
+    HollowSettings settings = new HollowSettings(plan, new VisitCounter());
+    Decisions module = factory.create(settings.of(plan.seed(), EngineList.zone(0)), new Ignored());
+    module.engines(VirtualTime.ORIGIN, true, ScaleWorld.firstList(plan));
+    module.decide(VirtualTime.ORIGIN);
+    return module.view(VirtualTime.ORIGIN).size();
+  }
+
+  /** Actions that nobody takes. */
+  private static final class Ignored implements Actions {
+    @Override
+    public void forward(String task, String engine, long timeOut) {}
+
+    @Override
+    public void bounce(String task, long pause) {}
+
+    @Override
+    public void abort(String task) {}
+
+    @Override
+    public void provide(String task, long memoryMb, int priority) {}
+
+    @Override
+    public void probe(String engine) {}
+
+    @Override
+    public void cancel(String task, int index) {}
+
+    @Override
+    public void wake(long in, String token) {}
+
+    @Override
+    public void log(String text) {}
+  }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/lab/scale/PowerLaw.java
@@ -0,0 +1,35 @@
+package tansytrack.lab.scale;
+
+/**
+ * A power law fitted to figures at several sizes: a straight line through the logarithms by least
+ * squares.
+ *
+ * @param factor before the power
+ * @param exponent of the size
+ */
+public record PowerLaw(double factor, double exponent) {
+
+  /** The law through these points; all have to be over 0, and at least two sizes differ. */
+  public static PowerLaw fit(double[] sizes, double[] figures) {
+    double meanSize = 0;
+    double meanFigure = 0;
+    for (int i = 0; i < sizes.length; i++) {
+      meanSize += Math.log(sizes[i]) / sizes.length;
+      meanFigure += Math.log(figures[i]) / sizes.length;
+    }
+    double both = 0;
+    double square = 0;
+    for (int i = 0; i < sizes.length; i++) {
+      double off = Math.log(sizes[i]) - meanSize;
+      both += off * (Math.log(figures[i]) - meanFigure);
+      square += off * off;
+    }
+    double exponent = both / square;
+    return new PowerLaw(Math.exp(meanFigure - exponent * meanSize), exponent);
+  }
+
+  /** The figure that it predicts at a size. */
+  public double at(double size) {
+    return factor * Math.pow(size, exponent);
+  }
+}
--- a/src/test/java/tansytrack/ArchitectureTest.java
+++ b/src/test/java/tansytrack/ArchitectureTest.java
@@ -87,6 +87,7 @@
             "tansytrack.ledger",
             "tansytrack.fleet",
             "tansytrack.lab.load",
+            "tansytrack.lab.scale",
             "tansytrack.lab.world",
             "tansytrack.api",
             "tansytrack.parts")
--- a/src/test/java/tansytrack/lab/FleetLinksTest.java
+++ b/src/test/java/tansytrack/lab/FleetLinksTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import tansytrack.Decide;
 import tansytrack.fleet.Standing;
 import tansytrack.lab.world.Faults;
 import tansytrack.lab.world.FleetWorld.Seen;
@@ -32,7 +33,11 @@
     ByteArrayOutputStream told = new ByteArrayOutputStream();
     boolean held =
         Laboratory.run(
-            Laboratory.read(file), 1, folder, new PrintStream(told, true, StandardCharsets.UTF_8));
+            Laboratory.read(file),
+            1,
+            folder,
+            Decide::new,
+            new PrintStream(told, true, StandardCharsets.UTF_8));
     return held + "\n" + told.toString(StandardCharsets.UTF_8);
   }
 
--- a/src/test/java/tansytrack/lab/LedgerCrashTest.java
+++ b/src/test/java/tansytrack/lab/LedgerCrashTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import tansytrack.Decide;
 import tansytrack.lab.proto.Claim;
 import tansytrack.settings.Unusable;
 
@@ -30,6 +31,7 @@
             Laboratory.read("lab/ledger-crash.textproto"),
             1,
             folder,
+            Decide::new,
             new PrintStream(told, true, StandardCharsets.UTF_8));
     assertThat(held).as(told.toString(StandardCharsets.UTF_8)).isTrue();
     assertThat(folder.resolve("result.csv")).content().contains("entries.missing");
