--- a/src/main/java/tansytrack/lab/scale/HollowEngine.java
+++ b/src/main/java/tansytrack/lab/scale/HollowEngine.java
@@ -92,8 +92,9 @@
     return !running.isEmpty();
   }
 
-  boolean fallen() {
-    return model.fallen();
+  /** Did it run before the play began, and ever since? */
+  boolean old() {
+    return startedAt == 0;
   }
 
   /** An attempt comes; what runs has been advanced to that time. */
--- a/src/main/java/tansytrack/lab/scale/ScaleResult.java
+++ b/src/main/java/tansytrack/lab/scale/ScaleResult.java
@@ -116,8 +116,14 @@
 
   private static void work(
       Map<String, Double> figures, ScaleWorld world, List<EngineWork> engines) {
-    double[] work = engines.stream().mapToDouble(EngineWork::work).toArray();
-    double attempts = engines.stream().mapToDouble(EngineWork::attempts).average().orElse(0);
+    // Those that ran all the time: others had less time for work.
+    List<EngineWork> steady =
+        world.engines().stream()
+            .filter(engine -> listed(engine) && engine.old())
+            .map(engine -> engines.get(engine.index))
+            .toList();
+    double[] work = steady.stream().mapToDouble(EngineWork::work).toArray();
+    double attempts = steady.stream().mapToDouble(EngineWork::attempts).average().orElse(0);
     figures.put("attempts_an_engine_mean", attempts);
     figures.put("work_over_mean_max", Spread.of(work).maxOverMean());
     double byChance = attempts == 0 ? 0 : 1 + Math.sqrt(2 * Math.log(work.length) / attempts);
--- /dev/null
+++ b/src/test/java/tansytrack/lab/scale/ScaleTest.java
@@ -0,0 +1,278 @@
+package tansytrack.lab.scale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import tansytrack.Decide;
+import tansytrack.LabCommands;
+import tansytrack.api.Actions;
+import tansytrack.api.Decisions;
+import tansytrack.api.EngineEntry;
+import tansytrack.api.EngineView;
+import tansytrack.api.LoadReport;
+import tansytrack.api.Outcome;
+import tansytrack.api.TaskOffer;
+import tansytrack.lab.ScaleTable;
+
+/** Hollow managers: counts only, so that the verdict is the same every time. */
+class ScaleTest {
+
+  private static final ScaleTable.Ladder ONE_SIZE =
+      new ScaleTable.Ladder(1, 2, ScaleTable.Grows.BOTH);
+
+  private static final PrintStream NOBODY = new PrintStream(OutputStream.nullOutputStream());
+
+  @TempDir Path folder;
+
+  private static ScalePlan plan(int managers, int engines, FailureSchedule schedule, long seed) {
+    return new ScalePlan(managers, engines, 5, 6, 10, schedule, seed);
+  }
+
+  private static ScaleResult played(ScalePlan plan, ModuleFactory factory) {
+    ScaleWorld world = new ScaleWorld(plan, factory);
+    world.play(part -> {});
+    return ScaleResult.of(world);
+  }
+
+  private static double figure(ScaleResult result, String name) {
+    return result.figures().get(name);
+  }
+
+  // ---- Counts ----
+
+  @Test
+  void smallFleetKnowsAllPairsAndServesAll() {
+    ScaleResult result = played(plan(20, 60, FailureSchedule.REST, 1), Decide::new);
+    assertThat(figure(result, "pairs_known")).isEqualTo(20 * 60);
+    assertThat(figure(result, "managers_an_engine_min")).isEqualTo(20);
+    assertThat(figure(result, "even_part_over_mean_max")).isEqualTo(1);
+    assertThat(figure(result, "in_time_share_min")).isEqualTo(1);
+    assertThat(figure(result, "visits_a_statement")).isBetween(60.0, 80.0);
+    assertThat(figure(result, "statements")).isBetween(1000.0, 1400.0);
+    assertThat(figure(result, "attempts_a_statement")).isEqualTo(1);
+  }
+
+  @Test
+  void oneReplacedEngineChangesOnePairOfEachManagerThatHoldsIt() {
+    ScaleResult result = played(plan(20, 60, FailureSchedule.ONE_REPLACED, 1), Decide::new);
+    assertThat(figure(result, "pairs_added")).isEqualTo(20);
+    assertThat(figure(result, "pairs_removed")).isEqualTo(20);
+  }
+
+  @ParameterizedTest
+  @EnumSource(FailureSchedule.class)
+  void noScheduleBreaksARule(FailureSchedule schedule) {
+    ScaleResult result = played(plan(40, 100, schedule, 3), Decide::new);
+    assertThat(figure(result, "cold_pushed_over")).isZero();
+    assertThat(figure(result, "cold_fallen")).isZero();
+    assertThat(figure(result, "drain_broken")).isZero();
+    assertThat(figure(result, "unanswered")).isZero();
+    assertThat(figure(result, "in_time_share_min")).isGreaterThan(0.9);
+  }
+
+  // ---- What judges them sees what is wrong ----
+
+  /** Sends every task to the engine that was listed last, whatever its state. */
+  private static final class Herd implements Decisions {
+    private final Actions actions;
+    private final boolean newest;
+    private final List<String> listed = new ArrayList<>();
+
+    Herd(Actions actions, boolean newest) {
+      this.actions = actions;
+      this.newest = newest;
+    }
+
+    @Override
+    public void engines(long now, boolean complete, List<EngineEntry> entries) {
+      entries.stream()
+          .filter(entry -> !listed.contains(entry.id()))
+          .forEach(entry -> listed.add(entry.id()));
+    }
+
+    @Override
+    public void task(long now, TaskOffer offer) {
+      actions.forward(offer.id(), listed.get(newest ? listed.size() - 1 : 0), 0);
+    }
+
+    @Override
+    public void admit(long now, boolean open) {}
+
+    @Override
+    public void siblings(long now, int count) {}
+
+    @Override
+    public void outcome(
+        long now,
+        String task,
+        int index,
+        String engine,
+        Outcome outcome,
+        long lag,
+        boolean over,
+        long cost,
+        double memoryMb,
+        LoadReport report) {}
+
+    @Override
+    public void probed(long now, String engine, Outcome outcome, LoadReport report) {}
+
+    @Override
+    public void progress(
+        long now, String task, int index, String engine, Progress what, double amount) {}
+
+    @Override
+    public void woken(long now, String token) {}
+
+    @Override
+    public void abandoned(long now, String task) {}
+
+    @Override
+    public void stopping(long now, long until) {}
+
+    @Override
+    public void decide(long now) {}
+
+    @Override
+    public List<EngineView> view(long now) {
+      return listed.stream().map(id -> new EngineView(id, 0, -1, false)).toList();
+    }
+  }
+
+  @Test
+  void managersThatAllTakeTheNewestEnginePushItOverWhileItIsCold() {
+    ScaleResult result =
+        played(
+            plan(40, 100, FailureSchedule.ONE_REPLACED, 1),
+            (settings, actions) -> new Herd(actions, true));
+    assertThat(figure(result, "cold_pushed_over")).isEqualTo(1);
+    assertThat(figure(result, "cold_fallen")).isPositive();
+  }
+
+  @Test
+  void managersThatStayWithADrainingEngineAreCounted() {
+    ScaleResult result =
+        played(
+            plan(40, 100, FailureSchedule.ONE_REPLACED, 1),
+            (settings, actions) -> new Herd(actions, false));
+    assertThat(figure(result, "drain_broken")).isPositive();
+    assertThat(figure(result, "work_over_mean_max")).isZero();
+  }
+
+  // ---- The same seed, the same bytes ----
+
+  private String table(ScalePlan plan, String name) throws IOException {
+    ByteArrayOutputStream told = new ByteArrayOutputStream();
+    PrintStream to = new PrintStream(told, true, StandardCharsets.UTF_8);
+    Path out = folder.resolve(name);
+    new ScaleTable(Decide::new, to, NOBODY).run(plan, ONE_SIZE, out);
+    return told.toString(StandardCharsets.UTF_8)
+        + Files.readString(out.resolve("result.csv"))
+        + Files.readString(out.resolve("engines.csv"))
+        + Files.readString(out.resolve("managers.csv"));
+  }
+
+  @Test
+  void theSameSeedGivesTheSameTable() throws IOException {
+    ScalePlan plan = plan(20, 60, FailureSchedule.ENGINES_REPLACED, 5);
+    String first = table(plan, "first");
+    assertThat(table(plan, "again")).isEqualTo(first);
+    assertThat(table(plan(20, 60, FailureSchedule.ENGINES_REPLACED, 6), "other"))
+        .isNotEqualTo(first.replace("seed 5", "seed 6"));
+  }
+
+  // ---- Slopes ----
+
+  @Test
+  void slopeFindsThePowerAndPredictsTheLargest() {
+    double[] sizes = {10, 20, 40, 80, 160};
+    double[] figures = {200, 800, 3200, 12_800, 51_200};
+    Slope slope = Slope.of(sizes, figures);
+    assertThat(slope.law().exponent()).isBetween(1.999, 2.001);
+    assertThat(slope.usable()).isTrue();
+  }
+
+  @Test
+  void slopeWithAStepIsNotUsable() {
+    double[] sizes = {10, 20, 40, 80, 160};
+    double[] figures = {10, 20, 40, 80, 80};
+    assertThat(Slope.of(sizes, figures).usable()).isFalse();
+  }
+
+  @Test
+  void ladderCountsPairsBySquare() throws IOException {
+    ScalePlan largest = plan(32, 80, FailureSchedule.REST, 1);
+    ByteArrayOutputStream told = new ByteArrayOutputStream();
+    new ScaleTable(Decide::new, new PrintStream(told, true, StandardCharsets.UTF_8), NOBODY)
+        .run(largest, new ScaleTable.Ladder(5, 2, ScaleTable.Grows.BOTH), folder);
+    assertThat(folder.resolve("slopes.csv"))
+        .content()
+        .contains("pairs_known,2.0000,2560,2560,0.0000,true");
+    assertThat(folder.resolve("slopes.png")).exists();
+  }
+
+  // ---- What cannot be used ----
+
+  private String refused(String options) throws IOException, CmdLineException {
+    LabCommands.Scale command = new LabCommands.Scale();
+    new CmdLineParser(command).parseArgument((options + " --out " + folder).split(" "));
+    PrintStream usual = System.err;
+    ByteArrayOutputStream told = new ByteArrayOutputStream();
+    System.setErr(new PrintStream(told, true, StandardCharsets.UTF_8));
+    try {
+      assertThat(command.run()).isEqualTo(2);
+    } finally {
+      System.setErr(usual);
+    }
+    assertThat(folder).isEmptyDirectory();
+    return told.toString(StandardCharsets.UTF_8);
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = ';',
+      value = {
+        "--managers 0 --engines 5; --managers '0'; 1 to",
+        "--managers 5 --engines 0; --engines '0'; 1 to",
+        "--managers 5 --engines 5 --zones 6; --zones '6'; 1 to 5",
+        "--managers 5 --engines 5 --seconds 0; --seconds '0'; 1 to 3600",
+        "--managers 5 --engines 5 --rate 0; --rate '0'; 0.010 to",
+        "--managers 5 --engines 5 --rate 9000; --rate '9000'; at most 1000.0",
+        "--managers 5 --engines 5 --schedule storm; --schedule 'storm'; rest, zone-lost",
+        "--managers 80 --engines 80 --sizes 3; --sizes '3'; 5 to 20",
+        "--managers 4 --engines 80 --sizes 5; --managers '0'; 1 to"
+      })
+  void optionsThatCannotBeUsedAreNamed(String options, String named, String allowed)
+      throws Exception {
+    assertThat(refused(options)).contains(named, "allowed: ", allowed);
+  }
+
+  @Test
+  void sizesOverHalfOfTheMachineAreRefusedBeforeAnythingStarts() throws Exception {
+    assertThat(refused("--managers 2000000000 --engines 2000000000"))
+        .contains("'2000000000 managers x 2000000000 engines' need ", "half of this machine's");
+  }
+
+  @Test
+  void needIsReckonedByPairsThatAManagerHolds() {
+    ScalePlan plan = plan(20, 60, FailureSchedule.REST, 1);
+    int held = PairSample.enginesPerManager(plan, Decide::new);
+    assertThat(held).isEqualTo(60);
+    assertThat(MemoryNeed.of(plan, held)).isGreaterThan(MemoryNeed.of(plan, 0));
+  }
+}
