--- a/src/main/java/tansytrack/LabCommands.java
+++ b/src/main/java/tansytrack/LabCommands.java
@@ -220,6 +220,12 @@
     @Option(name = "--factor", metaVar = "N", usage = "between two sizes of the ladder")
     private int factor = 2;
 
+    @Option(
+        name = "--threads",
+        metaVar = "N",
+        usage = "to play on; the table does not depend on it")
+    private int threads = 1;
+
     @Option(name = "--grow", metaVar = "WHAT", usage = "along the ladder")
     private ScaleTable.Grows grows = ScaleTable.Grows.BOTH;
 
@@ -236,8 +242,8 @@
       FailureSchedule failures = ScaleTable.schedule("--schedule", schedule);
       ScalePlan plan = new ScalePlan(managers, engines, zones, seconds, rate, failures, from);
       ScaleTable.checked(plan);
-      new ScaleTable(Decide::new, System.out, System.err)
-          .run(plan, new ScaleTable.Ladder(sizes, factor, grows), to);
+      ScaleTable.Ladder ladder = new ScaleTable.Ladder(sizes, factor, grows);
+      ScaleTable.run(plan, ladder, Decide::new, threads, to, System.out, System.err);
       return true;
     }
   }
--- a/src/main/java/tansytrack/lab/ProgressLine.java
+++ b/src/main/java/tansytrack/lab/ProgressLine.java
@@ -7,7 +7,7 @@
 /** Says now and then how far a run is, and how long it will still take. */
 final class ProgressLine implements ScaleWorld.Progress {
 
-  private static final long EVERY = 2_000_000_000L;
+  private static final long EVERY = 5_000_000_000L;
 
   private final String what;
   private final PrintStream to;
--- a/src/main/java/tansytrack/lab/ScaleExperiment.java
+++ b/src/main/java/tansytrack/lab/ScaleExperiment.java
@@ -9,6 +9,7 @@
 import tansytrack.lab.scale.ScalePlan;
 import tansytrack.lab.scale.ScaleResult;
 import tansytrack.lab.scale.ScaleWorld;
+import tansytrack.lab.scale.Workers;
 import tansytrack.settings.Unusable;
 
 /** One run of an experiment on hollow managers: its parts one after the other. */
@@ -67,7 +68,7 @@
     }
     Map<String, Double> figures = new TreeMap<>();
     for (ScalePart part : experiment.getScaleList()) {
-      ScaleWorld world = new ScaleWorld(plan(part, seed), factory);
+      ScaleWorld world = new ScaleWorld(plan(part, seed), factory, Workers.ALONE);
       world.play(new ProgressLine(part.getName(), System.err));
       ScaleResult.of(world)
           .figures()
--- a/src/main/java/tansytrack/lab/ScaleTable.java
+++ b/src/main/java/tansytrack/lab/ScaleTable.java
@@ -16,12 +16,14 @@
 import tansytrack.lab.scale.ScaleResult;
 import tansytrack.lab.scale.ScaleWorld;
 import tansytrack.lab.scale.Slope;
+import tansytrack.lab.scale.Workers;
 import tansytrack.settings.Unusable;
 
 /** Plays hollow fleets at one size or several, and leaves tables, CSV and charts. */
 public final class ScaleTable {
 
   private static final double MIB = 1024.0 * 1024;
+  private static final int MOST_THREADS = 64;
   private static final String HEAP = "heap_bytes";
 
   /** What grows from size to size. */
@@ -41,15 +43,34 @@
   public record Ladder(int sizes, int factor, Grows grows) {}
 
   private final ModuleFactory factory;
+  private final Workers workers;
   private final PrintStream to;
   private final PrintStream progress;
 
-  public ScaleTable(ModuleFactory factory, PrintStream to, PrintStream progress) {
+  private ScaleTable(ModuleFactory factory, Workers workers, PrintStream to, PrintStream progress) {
+    this.workers = workers;
     this.factory = factory;
     this.to = to;
     this.progress = progress;
   }
 
+  /** Plays all sizes of a ladder on so many threads, the progress told apart from the table. */
+  public static void run(
+      ScalePlan largest,
+      Ladder ladder,
+      ModuleFactory factory,
+      int threads,
+      Path out,
+      PrintStream to,
+      PrintStream progress)
+      throws IOException {
+    bounded("--threads", threads, 1, MOST_THREADS);
+    try (WorkerThreads workers = new WorkerThreads(threads)) {
+      new ScaleTable(factory, threads == 1 ? Workers.ALONE : workers, to, progress)
+          .run(largest, ladder, out);
+    }
+  }
+
   /** Names the option that cannot be used, its value and what is allowed. */
   public static void checked(ScalePlan plan) {
     bounded("--managers", plan.managers(), 1, Integer.MAX_VALUE);
@@ -111,7 +132,7 @@
   }
 
   /** Plays all sizes; nothing starts where one of them cannot be held. */
-  public void run(ScalePlan largest, Ladder ladder, Path out) throws IOException {
+  private void run(ScalePlan largest, Ladder ladder, Path out) throws IOException {
     List<ScalePlan> rungs = rungs(largest, ladder);
     for (ScalePlan rung : rungs) {
       ScaleMemory.checked(rung, factory, ScaleMemory.limit(), Runtime.getRuntime().maxMemory());
@@ -138,7 +159,7 @@
   /** The heap that the managers hold behind it, in bytes. */
   private double played(ScalePlan plan, Path folder, List<ScaleResult> results) throws IOException {
     long from = System.nanoTime();
-    ScaleWorld world = new ScaleWorld(plan, factory);
+    ScaleWorld world = new ScaleWorld(plan, factory, workers);
     double before = usedHeap();
     world.play(new ProgressLine(size(plan), progress));
     double took = (System.nanoTime() - from) / 1e9;
--- /dev/null
+++ b/src/main/java/tansytrack/lab/WorkerThreads.java
@@ -0,0 +1,41 @@
+package tansytrack.lab;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import tansytrack.lab.scale.Workers;
+
+/** Workers that are threads. */
+final class WorkerThreads implements Workers, AutoCloseable {
+
+  private final ExecutorService threads;
+
+  WorkerThreads(int count) {
+    threads = Executors.newFixedThreadPool(count);
+  }
+
+  @Override
+  public void run(List<Runnable> tasks) {
+    List<Callable<Object>> calls = new ArrayList<>();
+    tasks.forEach(one -> calls.add(Executors.callable(one)));
+    try {
+      for (Future<Object> one : threads.invokeAll(calls)) {
+        one.get();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted while managers were played", e);
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("a manager failed", e.getCause());
+    }
+  }
+
+  @Override
+  public void close() {
+    threads.shutdownNow();
+  }
+}
--- a/src/main/java/tansytrack/lab/scale/Counts.java
+++ b/src/main/java/tansytrack/lab/scale/Counts.java
@@ -16,6 +16,7 @@
   long statementVisits;
   long sweepVisits;
   long listVisits;
+  long listsHeard;
   long coldOver;
   long coldFallen;
   long drainBroken;
@@ -29,6 +30,32 @@
     inTimeBySecond = new long[seconds + 1];
   }
 
+  /** Adds another's counts to these. */
+  void add(Counts other) {
+    asked += other.asked;
+    inTime += other.inTime;
+    late += other.late;
+    bounced += other.bounced;
+    aborted += other.aborted;
+    lostWithManager += other.lostWithManager;
+    unserved += other.unserved;
+    attempts += other.attempts;
+    probes += other.probes;
+    sweeps += other.sweeps;
+    statementVisits += other.statementVisits;
+    sweepVisits += other.sweepVisits;
+    listVisits += other.listVisits;
+    listsHeard += other.listsHeard;
+    coldOver += other.coldOver;
+    coldFallen += other.coldFallen;
+    drainBroken += other.drainBroken;
+    drainUnheard += other.drainUnheard;
+    for (int i = 0; i < askedBySecond.length; i++) {
+      askedBySecond[i] += other.askedBySecond[i];
+      inTimeBySecond[i] += other.inTimeBySecond[i];
+    }
+  }
+
   private int second(long at) {
     long second = (at - VirtualTime.ORIGIN) / ScalePlan.SECOND;
     return (int) Math.min(askedBySecond.length - 1, second);
--- a/src/main/java/tansytrack/lab/scale/EngineList.java
+++ b/src/main/java/tansytrack/lab/scale/EngineList.java
@@ -24,13 +24,13 @@
    */
   record Change(long at, long[] heardAt) {}
 
-  private final VirtualTime time;
+  private final VirtualTime clock;
   private final SplittableRandom chance;
   private final Map<String, EngineEntry> current = new LinkedHashMap<>();
   private List<EngineEntry> whole = List.of();
 
-  EngineList(VirtualTime time, SplittableRandom chance) {
-    this.time = time;
+  EngineList(VirtualTime clock, SplittableRandom chance) {
+    this.clock = clock;
     this.chance = chance;
   }
 
@@ -62,10 +62,10 @@
     long[] heardAt = new long[managers.size()];
     for (HollowManager manager : managers) {
       long delay = delay() + (manager.stale ? STALE : 0);
-      heardAt[manager.index] = time.now() + delay;
-      time.in(delay, () -> manager.hear(false, shared));
+      heardAt[manager.index] = clock.now() + delay;
+      manager.shard.timeline.in(delay, () -> manager.hear(false, shared));
     }
-    return new Change(time.now(), heardAt);
+    return new Change(clock.now(), heardAt);
   }
 
   /** How long a message of the list takes. */
--- a/src/main/java/tansytrack/lab/scale/Failures.java
+++ b/src/main/java/tansytrack/lab/scale/Failures.java
@@ -61,20 +61,20 @@
 
   private void zoneLost() {
     List<HollowEngine> lost = world.engines().stream().filter(engine -> engine.zone == 0).toList();
-    VirtualTime time = world.time();
-    time.at(begin, () -> lost.forEach(world::silence));
-    time.at(
+    Timeline timeline = world.timeline();
+    timeline.at(begin, () -> lost.forEach(world::silence));
+    timeline.at(
         begin + lasts,
         () -> {
-          lost.forEach(engine -> engine.start(time.now()));
+          lost.forEach(engine -> engine.start(world.now()));
           world.tell(EngineList.entries(lost, EngineEntry.State.READY));
         });
   }
 
   private void regionCut() {
     world.network().regions(Math.min(REGIONS, plan.zones()));
-    world.time().at(begin, () -> world.network().cut(true));
-    world.time().at(begin + lasts, () -> world.network().cut(false));
+    world.timeline().at(begin, () -> world.network().cut(true));
+    world.timeline().at(begin + lasts, () -> world.network().cut(false));
   }
 
   private void replaceHalf() {
@@ -95,8 +95,8 @@
 
   /** New engines take the places of these, which drain, and end once their grace is over. */
   private void replace(long at, List<HollowEngine> old) {
-    VirtualTime time = world.time();
-    time.at(
+    Timeline timeline = world.timeline();
+    timeline.at(
         at,
         () -> {
           List<EngineEntry> changes =
@@ -107,7 +107,7 @@
           EngineList.Change change = world.tell(changes);
           old.forEach(engine -> engine.drained = change);
         });
-    time.at(
+    timeline.at(
         at + HollowSettings.DRAIN_GRACE + PROCESS_ENDS,
         () -> {
           old.forEach(world::endProcess);
@@ -120,15 +120,15 @@
     for (int i = 0; i < some.size(); i++) {
       HollowManager manager = some.get(i);
       long at = begin + i * RESTART_SPREAD / some.size();
-      world.time().at(at, manager::end);
-      world.time().at(at + AWAY, () -> world.start(manager));
+      world.timeline().at(at, manager::end);
+      world.timeline().at(at + AWAY, () -> world.start(manager));
     }
   }
 
   private void emptyList() {
     for (HollowManager manager : every(MISTOLD)) {
-      world.time().at(begin, () -> manager.hear(true, List.of()));
-      world.time().at(begin + EMPTY, () -> manager.hear(true, world.list().whole()));
+      world.timeline().at(begin, () -> manager.hear(true, List.of()));
+      world.timeline().at(begin + EMPTY, () -> manager.hear(true, world.list().whole()));
     }
   }
 }
--- a/src/main/java/tansytrack/lab/scale/HollowManager.java
+++ b/src/main/java/tansytrack/lab/scale/HollowManager.java
@@ -24,6 +24,8 @@
   /** It hears changes of the list late. */
   boolean stale;
 
+  final Shard shard;
+
   private final ScaleWorld world;
   private final SplittableRandom chance;
   private final Map<String, Statement> open = new HashMap<>();
@@ -32,17 +34,18 @@
   private int life;
   private long asked; // statements so far
 
-  HollowManager(int index, int zone, ScaleWorld world, SplittableRandom chance) {
+  HollowManager(int index, int zone, Shard shard, ScaleWorld world, SplittableRandom chance) {
     this.index = index;
     this.zone = zone;
+    this.shard = shard;
     this.world = world;
     this.chance = chance;
   }
 
   /** It starts, with a new module that knows nothing, and hears the list as it is. */
-  void start(ModuleFactory factory, HollowSettings settings, List<EngineEntry> list) {
+  void start(ModuleFactory factory, List<EngineEntry> list) {
     life++;
-    module = factory.create(settings.of(chance.nextLong(), EngineList.zone(zone)), this);
+    module = factory.create(shard.settings.of(chance.nextLong(), EngineList.zone(zone)), this);
     hear(true, list);
   }
 
@@ -51,7 +54,7 @@
     life++;
     module = null;
     open.values().forEach(one -> one.over = true);
-    world.counts().lostWithManager += open.size();
+    shard.counts.lostWithManager += open.size();
     open.clear();
   }
 
@@ -83,32 +86,33 @@
   }
 
   private long now() {
-    return world.time().now();
+    return world.now();
   }
 
   // ---- What it hears ----
 
   void hear(boolean complete, List<EngineEntry> entries) {
     if (module != null) {
-      long before = world.visits();
+      long before = shard.visits();
       module.engines(now(), complete, entries);
       module.decide(now());
-      world.counts().listVisits += world.visits() - before;
+      shard.counts.listsHeard++;
+      shard.counts.listVisits += shard.visits() - before;
     }
   }
 
   /** A statement comes, with work between half and one and a half of the mean. */
   void ask(long meanCost, long deadline) {
     if (module == null) {
-      world.counts().unserved(now());
+      shard.counts.unserved(now());
       return;
     }
     boolean write = chance.nextDouble() < WRITES;
     long cost = (long) (meanCost * (0.5 + chance.nextDouble()));
     Statement statement = new Statement(index + ":" + asked++, now(), now() + deadline, cost);
     open.put(statement.id, statement);
-    world.counts().asked(now());
-    long before = world.visits();
+    shard.counts.asked(now());
+    long before = shard.visits();
     module.task(
         now(),
         new TaskOffer(
@@ -121,7 +125,7 @@
             0,
             -1));
     module.decide(now());
-    world.counts().statementVisits += world.visits() - before;
+    shard.counts.statementVisits += shard.visits() - before;
   }
 
   /** An attempt has ended. */
@@ -133,10 +137,10 @@
     if (outcome == Outcome.OK && !statement.over) {
       statement.over = true;
       open.remove(statement.id);
-      world.counts().answered(statement, now());
+      shard.counts.answered(statement, now());
     }
     long cost = outcome == Outcome.OK ? statement.cost : 0;
-    long before = world.visits();
+    long before = shard.visits();
     module.outcome(
         now(),
         statement.id,
@@ -149,7 +153,7 @@
         0,
         report);
     module.decide(now());
-    world.counts().statementVisits += world.visits() - before;
+    shard.counts.statementVisits += shard.visits() - before;
   }
 
   /** A probe has ended. */
@@ -162,11 +166,11 @@
 
   private void woken(int ofLife, String token) {
     if (module != null && life == ofLife) {
-      long before = world.visits();
+      long before = shard.visits();
       module.woken(now(), token);
       module.decide(now());
-      world.counts().sweeps++;
-      world.counts().sweepVisits += world.visits() - before;
+      shard.counts.sweeps++;
+      shard.counts.sweepVisits += shard.visits() - before;
     }
   }
 
@@ -179,19 +183,19 @@
     used.set(to.index);
     Attempt attempt = new Attempt(this, life, statement, statement.attempts.size(), to);
     statement.attempts.add(attempt);
-    world.counts().attempts++;
+    shard.counts.attempts++;
     world.network().send(attempt);
   }
 
   @Override
   public void bounce(String task, long pause) {
-    world.counts().bounced++;
+    shard.counts.bounced++;
     finish(task);
   }
 
   @Override
   public void abort(String task) {
-    world.counts().aborted++;
+    shard.counts.aborted++;
     finish(task);
   }
 
@@ -208,7 +212,7 @@
   public void probe(String engine) {
     HollowEngine to = world.engine(engine);
     used.set(to.index);
-    world.counts().probes++;
+    shard.counts.probes++;
     world.network().probe(this, life, to);
   }
 
@@ -223,7 +227,7 @@
   @Override
   public void wake(long in, String token) {
     int ofLife = life;
-    world.time().in(in, () -> woken(ofLife, token));
+    shard.timeline.in(in, () -> woken(ofLife, token));
   }
 
   @Override
--- a/src/main/java/tansytrack/lab/scale/Network.java
+++ b/src/main/java/tansytrack/lab/scale/Network.java
@@ -38,7 +38,7 @@
   }
 
   void send(Attempt attempt) {
-    world.time().in(WAY, () -> arrive(attempt));
+    attempt.manager.shard.post(WAY, () -> arrive(attempt));
   }
 
   private void arrive(Attempt attempt) {
@@ -77,23 +77,24 @@
   private void tell(Attempt attempt, Outcome outcome, long delay) {
     attempt.ended = true;
     LoadReport report = outcome == Outcome.OK ? attempt.engine.report() : null;
-    world.time().in(delay, () -> attempt.manager.hear(attempt, outcome, report));
+    HollowManager manager = attempt.manager;
+    manager.shard.timeline.in(delay, () -> manager.hear(attempt, outcome, report));
   }
 
   void cancel(Attempt attempt) {
-    world.time().in(WAY, () -> stop(attempt));
+    attempt.manager.shard.post(WAY, () -> stop(attempt));
   }
 
   private void stop(Attempt attempt) {
     if (attempt.ended || !reaches(attempt.manager, attempt.engine)) {
       return;
     }
-    attempt.engine.giveUp(world.time().now(), attempt);
+    attempt.engine.giveUp(world.now(), attempt);
     tell(attempt, Outcome.CANCELLED, WAY);
   }
 
   void probe(HollowManager manager, int life, HollowEngine engine) {
-    world.time().in(WAY, () -> probed(manager, life, engine));
+    manager.shard.post(WAY, () -> probed(manager, life, engine));
   }
 
   private void probed(HollowManager manager, int life, HollowEngine engine) {
@@ -102,6 +103,6 @@
     Outcome outcome = up ? Outcome.OK : Outcome.UNREACHED;
     LoadReport report = up ? engine.report() : null;
     long delay = reached ? WAY : HollowSettings.CONNECT_TIME;
-    world.time().in(delay, () -> manager.hearProbe(life, engine.id, outcome, report));
+    manager.shard.timeline.in(delay, () -> manager.hearProbe(life, engine.id, outcome, report));
   }
 }
--- a/src/main/java/tansytrack/lab/scale/ScaleResult.java
+++ b/src/main/java/tansytrack/lab/scale/ScaleResult.java
@@ -40,7 +40,8 @@
           "managers_an_engine_mean",
           "engines_a_manager_mean",
           "visits_a_statement",
-          "visits_a_sweep");
+          "visits_a_sweep",
+          "visits_a_list");
 
   /** Of a world that has been played. */
   public static ScaleResult of(ScaleWorld world) {
@@ -68,12 +69,13 @@
               knownBy[engine.index],
               usedBy[engine.index]));
     }
+    Counts counts = world.counts();
     Map<String, Double> figures = new LinkedHashMap<>();
     pairs(figures, world, engines, managers, evenPart);
-    work(figures, world, engines);
-    served(figures, world.counts());
-    broken(figures, world.counts());
-    return new ScaleResult(world.plan(), figures, engines, managers, world.counts().inTimeShares());
+    work(figures, world, engines, counts);
+    served(figures, counts);
+    broken(figures, counts);
+    return new ScaleResult(world.plan(), figures, engines, managers, counts.inTimeShares());
   }
 
   /** Engines that are listed at the end: those replaced and gone are left out. */
@@ -115,7 +117,7 @@
   }
 
   private static void work(
-      Map<String, Double> figures, ScaleWorld world, List<EngineWork> engines) {
+      Map<String, Double> figures, ScaleWorld world, List<EngineWork> engines, Counts counts) {
     // Those that ran all the time: others had less time for work.
     List<EngineWork> steady =
         world.engines().stream()
@@ -128,10 +130,10 @@
     figures.put("work_over_mean_max", Spread.of(work).maxOverMean());
     double byChance = attempts == 0 ? 0 : 1 + Math.sqrt(2 * Math.log(work.length) / attempts);
     figures.put("work_over_mean_by_chance", byChance);
-    Counts counts = world.counts();
     figures.put("attempts_a_statement", part(counts.attempts, counts.asked));
     figures.put("visits_a_statement", part(counts.statementVisits, counts.asked));
     figures.put("visits_a_sweep", part(counts.sweepVisits, counts.sweeps));
+    figures.put("visits_a_list", part(counts.listVisits, counts.listsHeard));
     figures.put("sweeps", (double) counts.sweeps);
     figures.put("probes", (double) counts.probes);
   }
--- a/src/main/java/tansytrack/lab/scale/ScaleWorld.java
+++ b/src/main/java/tansytrack/lab/scale/ScaleWorld.java
@@ -16,6 +16,7 @@
 public final class ScaleWorld {
 
   private static final int STARTS = 10; // steps over which managers start
+  private static final int SHARDS = 64; // a constant, as what happens at one step goes by shard
 
   /** Hears how far a run is. */
   @FunctionalInterface
@@ -26,31 +27,39 @@
 
   private final ScalePlan plan;
   private final ModuleFactory factory;
-  private final VirtualTime time = new VirtualTime();
-  private final VisitCounter visits = new VisitCounter();
-  private final HollowSettings settings;
-  private final Counts counts;
+  private final Workers workers;
+  private final VirtualTime clock = new VirtualTime();
+  private final Timeline timeline = new Timeline(clock);
+  private final List<Shard> shards = new ArrayList<>();
+  private final Counts counts; // of what engines see
   private final Network network = new Network(this);
   private final EngineList list;
   private final List<HollowEngine> engines = new ArrayList<>();
   private final Map<String, HollowEngine> engineById = new HashMap<>();
   private final List<HollowManager> managers = new ArrayList<>();
   private final PairChanges pairChanges;
+  private final List<Runnable> turns = new ArrayList<>(); // of the shards, at each step
 
-  /** The world, with nothing started. */
-  public ScaleWorld(ScalePlan plan, ModuleFactory factory) {
+  /** The world, with nothing started. What comes of it does not depend on the workers. */
+  public ScaleWorld(ScalePlan plan, ModuleFactory factory, Workers workers) {
     this.plan = plan;
+    this.workers = workers;
     this.factory = factory;
     SplittableRandom chance = new SplittableRandom(plan.seed());
-    settings = new HollowSettings(plan, visits);
     counts = new Counts(plan.seconds());
-    list = new EngineList(time, chance.split());
+    list = new EngineList(clock, chance.split());
     for (int i = 0; i < plan.engines(); i++) {
       engine("e" + i, i, 0);
     }
     list.hold(EngineList.entries(engines, EngineEntry.State.READY));
+    for (int i = 0; i < SHARDS; i++) {
+      Shard shard = new Shard(plan, clock);
+      shards.add(shard);
+      turns.add(shard.timeline::play);
+    }
     for (int i = 0; i < plan.managers(); i++) {
-      managers.add(new HollowManager(i, i % plan.zones(), this, chance.split()));
+      Shard shard = shards.get(i % SHARDS);
+      managers.add(new HollowManager(i, i % plan.zones(), shard, this, chance.split()));
     }
     pairChanges = new PairChanges(managers, this::engine);
   }
@@ -77,19 +86,20 @@
   /** Plays it to its end: all statements come, and those that are open may end. */
   public void play(Progress progress) {
     for (HollowManager manager : managers) {
-      time.in(
+      Timeline own = manager.shard.timeline;
+      own.in(
           (1 + manager.index % STARTS) * VirtualTime.STEP,
           () -> {
             start(manager);
-            time.in(manager.nextGap(plan.rate()), () -> ask(manager));
+            own.in(manager.nextGap(plan.rate()), () -> ask(manager));
           });
     }
     new Failures(plan, this).set();
     long asking = VirtualTime.ORIGIN + plan.duration();
     long end = asking + plan.deadline();
-    while (time.now() < end && (time.now() < asking || unanswered())) {
+    while (clock.now() < end && (clock.now() < asking || unanswered())) {
       step();
-      progress.at(Math.min(1, (time.now() - VirtualTime.ORIGIN) / (double) plan.duration()));
+      progress.at(Math.min(1, (clock.now() - VirtualTime.ORIGIN) / (double) plan.duration()));
     }
     pairChanges.end();
   }
@@ -99,30 +109,41 @@
   }
 
   private void step() {
-    time.advance();
+    clock.advance();
     for (HollowEngine engine : engines) {
       if (engine.busy()) {
-        engine.advance(time.now()).forEach(network::answer);
+        engine.advance(clock.now()).forEach(network::answer);
       }
     }
-    time.play();
+    timeline.play();
+    workers.run(turns);
+    shards.forEach(shard -> shard.deliver(timeline));
   }
 
   private void ask(HollowManager manager) {
-    if (time.now() < VirtualTime.ORIGIN + plan.duration()) {
+    if (clock.now() < VirtualTime.ORIGIN + plan.duration()) {
       manager.ask(plan.meanCost(), plan.deadline());
-      time.in(manager.nextGap(plan.rate()), () -> ask(manager));
+      manager.shard.timeline.in(manager.nextGap(plan.rate()), () -> ask(manager));
     }
   }
 
   // ---- For the parts of this package ----
 
-  VirtualTime time() {
-    return time;
+  long now() {
+    return clock.now();
+  }
+
+  /** What happens outside of the managers. */
+  Timeline timeline() {
+    return timeline;
   }
 
+  /** Of the whole world. */
   Counts counts() {
-    return counts;
+    Counts all = new Counts(plan.seconds());
+    all.add(counts);
+    shards.forEach(shard -> all.add(shard.counts));
+    return all;
   }
 
   Network network() {
@@ -141,10 +162,6 @@
     return plan;
   }
 
-  long visits() {
-    return visits.visits();
-  }
-
   List<HollowEngine> engines() {
     return Collections.unmodifiableList(engines);
   }
@@ -158,7 +175,7 @@
   }
 
   void start(HollowManager manager) {
-    manager.start(factory, settings, list.whole());
+    manager.start(factory, list.whole());
   }
 
   /** Tells all managers of a change of the list. */
@@ -169,7 +186,7 @@
 
   /** A new engine at the place of that one. */
   HollowEngine replacement(HollowEngine of) {
-    return engine(of.id + "-next", of.slot, time.now());
+    return engine(of.id + "-next", of.slot, clock.now());
   }
 
   void silence(HollowEngine engine) {
@@ -185,7 +202,7 @@
   /** An attempt has come whole to an engine that is up. */
   void arrived(Attempt attempt) {
     HollowEngine engine = attempt.engine;
-    long now = time.now();
+    long now = clock.now();
     drainRule(attempt, now);
     counts.coldOver += engine.breaksColdRule(now, attempt.statement.cost) ? 1 : 0;
     EngineModel.Taken taken = engine.take(now, attempt);
--- a/src/test/java/tansytrack/lab/scale/ScaleTest.java
+++ b/src/test/java/tansytrack/lab/scale/ScaleTest.java
@@ -44,7 +44,7 @@
   }
 
   private static ScaleResult played(ScalePlan plan, ModuleFactory factory) {
-    ScaleWorld world = new ScaleWorld(plan, factory);
+    ScaleWorld world = new ScaleWorld(plan, factory, Workers.ALONE);
     world.play(part -> {});
     return ScaleResult.of(world);
   }
@@ -176,11 +176,11 @@
 
   // ---- The same seed, the same bytes ----
 
-  private String table(ScalePlan plan, String name) throws IOException {
+  private String table(ScalePlan plan, int threads, String name) throws IOException {
     ByteArrayOutputStream told = new ByteArrayOutputStream();
     PrintStream to = new PrintStream(told, true, StandardCharsets.UTF_8);
     Path out = folder.resolve(name);
-    new ScaleTable(Decide::new, to, NOBODY).run(plan, ONE_SIZE, out);
+    ScaleTable.run(plan, ONE_SIZE, Decide::new, threads, out, to, NOBODY);
     return told.toString(StandardCharsets.UTF_8)
         + Files.readString(out.resolve("result.csv"))
         + Files.readString(out.resolve("engines.csv"))
@@ -190,9 +190,10 @@
   @Test
   void theSameSeedGivesTheSameTable() throws IOException {
     ScalePlan plan = plan(20, 60, FailureSchedule.ENGINES_REPLACED, 5);
-    String first = table(plan, "first");
-    assertThat(table(plan, "again")).isEqualTo(first);
-    assertThat(table(plan(20, 60, FailureSchedule.ENGINES_REPLACED, 6), "other"))
+    String first = table(plan, 1, "first");
+    assertThat(table(plan, 1, "again")).isEqualTo(first);
+    assertThat(table(plan, 3, "threads")).isEqualTo(first);
+    assertThat(table(plan(20, 60, FailureSchedule.ENGINES_REPLACED, 6), 1, "other"))
         .isNotEqualTo(first.replace("seed 5", "seed 6"));
   }
 
@@ -217,9 +218,8 @@
   @Test
   void ladderCountsPairsBySquare() throws IOException {
     ScalePlan largest = plan(32, 80, FailureSchedule.REST, 1);
-    ByteArrayOutputStream told = new ByteArrayOutputStream();
-    new ScaleTable(Decide::new, new PrintStream(told, true, StandardCharsets.UTF_8), NOBODY)
-        .run(largest, new ScaleTable.Ladder(5, 2, ScaleTable.Grows.BOTH), folder);
+    ScaleTable.Ladder ladder = new ScaleTable.Ladder(5, 2, ScaleTable.Grows.BOTH);
+    ScaleTable.run(largest, ladder, Decide::new, 1, folder, NOBODY, NOBODY);
     assertThat(folder.resolve("slopes.csv"))
         .content()
         .contains("pairs_known,2.0000,2560,2560,0.0000,true");
@@ -253,6 +253,7 @@
         "--managers 5 --engines 5 --seconds 0; --seconds '0'; 1 to 3600",
         "--managers 5 --engines 5 --rate 0; --rate '0'; 0.010 to",
         "--managers 5 --engines 5 --rate 9000; --rate '9000'; at most 1000.0",
+        "--managers 5 --engines 5 --threads 0; --threads '0'; 1 to",
         "--managers 5 --engines 5 --schedule storm; --schedule 'storm'; rest, zone-lost",
         "--managers 80 --engines 80 --sizes 3; --sizes '3'; 5 to 20",
         "--managers 4 --engines 80 --sizes 5; --managers '0'; 1 to"
