lab scale: managers are told their position; placement checks in place of visits

With subsetting a module looks at placement once a listing, so that its visits of engines can no longer be counted from outside; the engines that it holds bound them, and are counted.

--- a/src/main/java/tansytrack/lab/scale/MemoryNeed.java
+++ b/src/main/java/tansytrack/lab/scale/MemoryNeed.java
@@ -15,6 +15,9 @@
   /** Heap of a statement or attempt on its way, with its events. */
   public static final double IN_FLIGHT = 2_000;
 
+  /** Heap of a reference: each manager keeps the whole list by reference. */
+  public static final double LISTED = 4;
+
   /** What is free in a heap that runs well, and the program itself. */
   private static final double ROOM = 1.3;
 
@@ -27,7 +30,10 @@
     double pairs = plan.managers() * enginesPerManager;
     double inFlight = ScalePlan.UTILISATION * ScalePlan.CORES * plan.engines();
     double heap =
-        pairs * PAIR + plan.managers() * MANAGER + plan.engines() * ENGINE + inFlight * IN_FLIGHT;
+        pairs * PAIR
+            + plan.managers() * (MANAGER + plan.engines() * LISTED)
+            + plan.engines() * ENGINE
+            + inFlight * IN_FLIGHT;
     return PROGRAM + heap * ROOM;
   }
 }
--- a/src/main/java/tansytrack/lab/scale/VisitCounter.java
+++ b/src/main/java/tansytrack/lab/scale/PlacementChecks.java
@@ -5,20 +5,20 @@
 import java.util.Iterator;
 
 /**
- * An empty set of places that counts how often it is asked whether it is empty. A module asks each
- * time it looks whether an engine suits a statement's grade: that counts its visits of engines.
+ * An empty set of places that counts how often it is asked whether it is empty: once each time a
+ * module checks whether a listed engine is at a place where a grade may run.
  */
-final class VisitCounter extends AbstractSet<String> {
+final class PlacementChecks extends AbstractSet<String> {
 
-  private long visits;
+  private long count;
 
-  long visits() {
-    return visits;
+  long count() {
+    return count;
   }
 
   @Override
   public boolean isEmpty() {
-    visits++;
+    count++;
     return true;
   }
 
--- a/src/main/java/tansytrack/lab/scale/Shard.java
+++ b/src/main/java/tansytrack/lab/scale/Shard.java
@@ -19,18 +19,18 @@
   final HollowSettings settings;
 
   private final VirtualTime clock;
-  private final VisitCounter visits = new VisitCounter();
+  private final PlacementChecks checks = new PlacementChecks();
   private final List<Posted> outbox = new ArrayList<>();
 
   Shard(ScalePlan plan, VirtualTime clock) {
     this.clock = clock;
     timeline = new Timeline(clock);
     counts = new Counts(plan.seconds());
-    settings = new HollowSettings(plan, visits);
+    settings = new HollowSettings(plan, checks);
   }
 
-  long visits() {
-    return visits.visits();
+  long placementChecks() {
+    return checks.count();
   }
 
   /** Sets what happens outside of it so much later. */
