--- a/src/test/java/tansytrack/ArchitectureTest.java
+++ b/src/test/java/tansytrack/ArchitectureTest.java
@@ -91,6 +91,7 @@
             "tansytrack.ledger",
             "tansytrack.fleet",
             "tansytrack.lab.load",
+            "tansytrack.lab.scale",
             "tansytrack.lab.world",
             "tansytrack.api",
             "tansytrack.parts",
