--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -7,6 +7,7 @@
 import static tansytrack.parts.Num.*;
 
 import java.util.*;
+import java.util.stream.Stream;
 import tansytrack.api.*;
 import tansytrack.parts.*;
 import tansytrack.policy.EngineSubset;
@@ -113,16 +114,12 @@
         entries.forEach(entry -> named.put(entry.id(), entry));
         if (complete) { listed.set(named.values()); } else { named.values().forEach(listed::put); }
         boolean moved = subset.settle(siblings);
-        use(entries);
-        use(moved ? listed.all() : List.of());
+        Stream.concat(entries.stream(), moved ? listed.all().stream() : Stream.empty()).filter(subset::uses)
+                .forEach(entry -> engines.computeIfAbsent(entry.id(), Engine::new));
         engines.values().stream().filter(engine -> complete || moved || named.containsKey(engine.id))
                 .forEach(engine -> engine.tell(named.getOrDefault(engine.id, listed.find(engine.id))));
     }
 
-    private void use(List<EngineEntry> entries) {
-        entries.stream().filter(subset::uses).forEach(one -> engines.computeIfAbsent(one.id(), Engine::new));
-    }
-
     public void task(long at, TaskOffer offer) {
         now = at;
         Row row = rows.get(offer.grade());
@@ -777,7 +774,7 @@
             engines.putIfAbsent(id, this);    // a sweep may have forgotten it since it was named at the door
             markets.values().stream().filter(market -> market.group.uses(told)).forEach(serves::add);
             standsIn = subset.standsIn(told);
-            level = subset.sharedLevel(told);
+            level = subset.level(told);
             boolean fresh = entry == null || told.startedAt() > entry.startedAt();
             entry = told;
             Settings.Kind figures = set.kinds().get(told.kind());
@@ -800,7 +797,6 @@
 
         boolean healthy() { return ready && !unreached && !suspect && warmth() >= 1; }
 
-        /** One not reached may have started since, before any list tells. */
         private double warmth() { return Decide.this.warmth(coldSince()); }
 
         /** Rule 4: an even part of what a cold engine may get; where that holds no task, a draw. */
@@ -822,7 +818,7 @@
         /** And those that may use it, by chance, older lists and positions that are unknown or doubled. */
         double coldUsers() { return Math.min(siblings, users() + COLD_DEVIATIONS * Math.sqrt(users())); }
 
-        private long coldSince() { return Math.max(entry.startedAt(), unreachedAt); }
+        private long coldSince() { return Math.max(entry.startedAt(), unreachedAt); }     // as lists are late
 
         /** Grows over a window where the engine is older than we are: our earlier life may have sent. */
         private double coldBudget() {
--- a/src/main/java/tansytrack/parts/StableHash.java
+++ b/src/main/java/tansytrack/parts/StableHash.java
@@ -10,7 +10,7 @@
   private StableHash() {}
 
   /** FNV-1a over the characters. */
-  private static long of(String text) {
+  public static long of(String text) {
     long hash = FNV_OFFSET;
     for (int i = 0; i < text.length(); i++) {
       hash = (hash ^ text.charAt(i)) * FNV_PRIME;
@@ -18,9 +18,9 @@
     return hash;
   }
 
-  /** A text with two numbers. */
-  public static long of(String text, long first, int second) {
-    return mix(of(text) + mix(first * GOLDEN_GAMMA + second));
+  /** A hash with two numbers. */
+  public static long of(long hash, long first, int second) {
+    return mix(hash + mix(first * GOLDEN_GAMMA + second));
   }
 
   /** The finalizer of SplitMix64: every bit of the result depends on all bits. */
--- a/src/main/java/tansytrack/policy/EngineSubset.java
+++ b/src/main/java/tansytrack/policy/EngineSubset.java
@@ -1,7 +1,5 @@
 package tansytrack.policy;
 
-import static tansytrack.parts.Num.clamp;
-
 import java.util.*;
 import java.util.function.Predicate;
 import tansytrack.api.*;
@@ -17,9 +15,9 @@
     private static final double BOUND = 128;              // of engines in a subset
     private static final int LEAST_USERS = 8;             // managers an engine: fewer would load it unevenly
     private static final double STEP_BACK = 0.9;          // of the engines that led to a level: then it falls
-    private static final int DEEPEST = 20;
-    private static final double REFILL_UNDER = 0.5;       // of a usual subset can be used: others stand in
-    private static final double RELEASE_OVER = 2 / 3.0;   // and leave again
+    private static final int LEVELS = 20;
+    private static final double REFILL_UNDER = 0.55;      // of what is used is healthy: others stand in. Over
+    private static final double RELEASE_OVER = 2 / 3.0;   // half, as suspicion of most keeps none out
 
     private final long position;
     private final EngineList listed;
@@ -28,7 +26,7 @@
     public EngineSubset(Settings set, EngineList listed) {
         this.listed = listed;
         position = set.position() != Settings.UNKNOWN ? set.position() : StableHash.mix(set.seed()) >>> 33;
-        group(entry -> all.stream().skip(1).noneMatch(group -> group.allowed.test(entry)));
+        group(entry -> !any(group -> group != all.get(0) && group.allowed.test(entry)));
     }
 
     /** Engines that the same tasks may use: of each group a subset. */
@@ -37,7 +35,6 @@
         private final EngineList.Count engines;
         private final Set<String> standIns = new LinkedHashSet<>();
         private int level;
-        private int sharedLevel;              // the lowest at which others may be, by lists a little shorter
 
         private Group(Predicate<EngineEntry> allowed) {
             this.allowed = allowed;
@@ -51,12 +48,11 @@
         private boolean inSubset(String id) { return level == 0 || depth(id) >= level; }
 
         private boolean settle(int managers) {
-            int before = level + sharedLevel;
+            int before = level;
             int highest = levelOf(engines.now() / STEP_BACK, managers);
-            level = (int) clamp(level, levelOf(engines.now(), managers), highest);
-            sharedLevel = Math.min(level, levelOf(engines.now() * STEP_BACK, managers));
+            level = Math.max(levelOf(engines.now(), managers), Math.min(level, highest));
             standIns.removeIf(id -> inSubset(id) || listed.find(id) == null);
-            return level + sharedLevel != before;
+            return level != before;
         }
 
         /**
@@ -69,7 +65,8 @@
                 String first = standIns.stream().findFirst().orElse("");
                 return standIns.remove(first) ? listed.find(first) : null;
             }
-            if (healthy.size() >= REFILL_UNDER * usual || standIns.size() >= usual) { return null; }
+            boolean enough = healthy.size() >= REFILL_UNDER * (usual + standIns.size());
+            if (enough || standIns.size() >= usual) { return null; }
             EngineEntry next = listed.all().stream().filter(one -> allowed.test(one) && !uses(one)
                     && one.state() == EngineEntry.State.READY && free.test(one)).min(order()).orElse(null);
             if (next != null) { standIns.add(next.id()); }
@@ -87,15 +84,20 @@
         return all.stream().filter(group -> group.settle(managers)).count() > 0;
     }
 
-    public boolean uses(EngineEntry entry) { return all.stream().anyMatch(group -> group.uses(entry)); }
+    public boolean uses(EngineEntry entry) { return any(group -> group.uses(entry)); }
 
     public boolean standsIn(EngineEntry entry) {
-        return all.stream().noneMatch(group -> group.allowed.test(entry) && group.inSubset(entry.id()));
+        return !any(group -> group.allowed.test(entry) && group.inSubset(entry.id()));
+    }
+
+    private boolean any(Predicate<Group> such) {
+        for (Group group : all) { if (such.test(group)) { return true; } }
+        return false;
     }
 
     /** Of the managers one in 2 to this power uses it: by its own depth, where it only stands in. */
-    public int sharedLevel(EngineEntry entry) {
-        return all.stream().filter(group -> group.allowed.test(entry)).mapToInt(group -> group.sharedLevel)
+    public int level(EngineEntry entry) {
+        return all.stream().filter(group -> group.allowed.test(entry)).mapToInt(group -> group.level)
                 .reduce(depth(entry.id()), Math::min);
     }
 
@@ -108,15 +110,14 @@
 
     /** The levels, from the lowest on, at which an engine takes this manager out of its block. */
     private int depth(String id) {
-        int level = 0;
-        while (level < DEEPEST && (position >>> level & 1) == bit(id, level)) { level++; }
-        return level;
+        long name = StableHash.of(id);
+        int k = 0;
+        while (k < LEVELS && (position >> k & 1) == StableHash.of(name, position >> k + 1, k) >>> 63) { k++; }
+        return k;
     }
 
-    private long bit(String id, int level) { return StableHash.of(id, position >>> level + 1, level) >>> 63; }
-
     private Comparator<EngineEntry> order() {
         return Comparator.comparingInt((EngineEntry entry) -> -depth(entry.id()))
-                .thenComparingLong(entry -> StableHash.of(entry.id(), position, DEEPEST));
+                .thenComparingLong(entry -> StableHash.of(StableHash.of(entry.id()), position, LEVELS));
     }
 }
--- a/src/test/java/tansytrack/Manager.java
+++ b/src/test/java/tansytrack/Manager.java
@@ -7,6 +7,7 @@
 import tansytrack.api.Actions;
 import tansytrack.api.Decisions;
 import tansytrack.api.EngineEntry;
+import tansytrack.api.EngineView;
 import tansytrack.api.Grade;
 import tansytrack.api.LoadReport;
 import tansytrack.api.Outcome;
@@ -113,7 +114,11 @@
   }
 
   Manager list(boolean complete, EngineEntry... entries) {
-    module().engines(now, complete, List.of(entries));
+    return list(complete, List.of(entries));
+  }
+
+  Manager list(boolean complete, List<EngineEntry> entries) {
+    module().engines(now, complete, entries);
     module().decide(now);
     return this;
   }
@@ -261,6 +266,11 @@
     return this;
   }
 
+  /** Ids of the engines that it has records of. */
+  List<String> known() {
+    return module().view(now).stream().map(EngineView::id).toList();
+  }
+
   /** Everything done so far that begins with the words. */
   List<String> did(String words) {
     return did.stream().filter(line -> line.startsWith(words)).toList();
