--- a/src/test/java/tansytrack/DecideSubsetTest.java
+++ b/src/test/java/tansytrack/DecideSubsetTest.java
@@ -342,14 +342,14 @@
       many[i] = few[i];
     }
     manager.list(true, few);
-    fill(manager, "t");
+    fill(manager, "t", 100, 10);
     manager.pass(150);
     Map<String, Long> sent = new TreeMap<>();
     manager.known().forEach(id -> sent.put(id, manager.sentTo(id)));
     assertThat(sent).hasSize(100);
     assertThat(sent.values()).allMatch(count -> count >= 2);
     manager.list(true, many).pass(150).list(true, few);
-    fill(manager, "u");
+    fill(manager, "u", 100, 10);
     for (int i = 0; i < few.length; i++) {
       // 0.9 of 2 x 0.3 x cores x 1 s among 64, in tasks of 10 ms.
       double part = 0.9 * 2 * (0.3 + 0.7 * 0.03) * (i % 3 == 0 ? 8 : 4) * 1000 / 64 / 10;
@@ -357,11 +357,11 @@
     }
   }
 
-  /** Tasks of 10 ms that end at once, until no engine takes more. */
-  private static void fill(Manager manager, String name) {
+  /** So many times 20 tasks of so many ms that end at once: until no cold engine takes more. */
+  private static void fill(Manager manager, String name, int rounds, long cost) {
     int ended = manager.did.size();
-    for (int i = 0; i < 100; i++) {
-      manager.takeAll(20, name + i + ".# short a cost=10 mb=1 left=400");
+    for (int i = 0; i < rounds; i++) {
+      manager.takeAll(20, name + i + ".# short a mb=1 left=400 cost=" + cost);
       ended = endAll(manager, ended);
     }
   }
@@ -415,13 +415,16 @@
         manager.siblings = mistake == Mistake.FEWER && i % 2 == 0 ? managers * 3 / 4 : managers;
         manager.position = mistake == Mistake.DOUBLED && i % 4 == 1 ? i - 1 : i;
         manager.position = mistake == Mistake.UNKNOWN ? Settings.UNKNOWN : manager.position;
-        EngineEntry[] all =
-            entries(mistake == Mistake.SHORTER && i % 2 == 0 ? engines * 9 / 10 : engines);
-        for (int engine = 0; engine < 40; engine++) {
-          all[engine] = Manager.engine(id(engine), "small", 0, EngineEntry.State.READY, 101_000);
+        int listed = mistake == Mistake.SHORTER && i % 2 == 0 ? engines * 9 / 10 : engines;
+        EngineEntry[] all = new EngineEntry[listed];
+        for (int engine = 0; engine < listed; engine++) {
+          // The cold ones alone are ready, so that all tasks are for them.
+          EngineEntry.State state =
+              engine < 40 ? EngineEntry.State.READY : EngineEntry.State.DRAINING;
+          all[engine] = Manager.engine(id(engine), "small", 0, state, 101_000);
         }
         manager.list(true).pass(1000).list(true, all);
-        manager.takeAll(400, "t# short a mb=1 cost=" + cost);
+        fill(manager, "t", 10, cost);
         manager.did("forward").forEach(line -> sent.merge(line.split(" ")[2], 1L, Long::sum));
       }
       for (int engine = 0; engine < 40; engine++) {
