--- a/src/test/java/tansytrack/lab/scale/ScaleTest.java
+++ b/src/test/java/tansytrack/lab/scale/ScaleTest.java
@@ -74,10 +74,38 @@
     assertThat(figure(result, "pairs_removed")).isEqualTo(20);
   }
 
+  @Test
+  void largerFleetHoldsABoundedSubsetEvenly() {
+    ScaleResult result = played(plan(64, 600, FailureSchedule.REST, 1), Decide::new);
+    // Of 600 engines a fourth is over the bound of 128, and an eighth leaves 8 managers an engine.
+    assertThat(figure(result, "managers_an_engine_min")).isEqualTo(8);
+    assertThat(figure(result, "managers_an_engine_max")).isEqualTo(8);
+    assertThat(figure(result, "engines_a_manager_mean")).isEqualTo(75);
+    assertThat(figure(result, "engines_a_manager_max")).isLessThanOrEqualTo(128);
+    assertThat(figure(result, "even_part_over_mean_max")).isLessThan(1.25);
+    assertThat(figure(result, "pairs_used")).isLessThanOrEqualTo(figure(result, "pairs_known"));
+  }
+
+  @Test
+  void oneReplacedEngineOfALargerFleetChangesThePairsOfItsSubsetOnly() {
+    ScaleResult result = played(plan(64, 600, FailureSchedule.ONE_REPLACED, 1), Decide::new);
+    assertThat(figure(result, "pairs_added")).isEqualTo(8);
+    assertThat(figure(result, "pairs_removed")).isEqualTo(8);
+  }
+
   @ParameterizedTest
   @EnumSource(FailureSchedule.class)
   void noScheduleBreaksARule(FailureSchedule schedule) {
-    ScaleResult result = played(plan(40, 100, schedule, 3), Decide::new);
+    assertNothingBroken(played(plan(40, 100, schedule, 3), Decide::new));
+  }
+
+  @ParameterizedTest
+  @EnumSource(FailureSchedule.class)
+  void noScheduleBreaksARuleWhereManagersHoldSubsets(FailureSchedule schedule) {
+    assertNothingBroken(played(plan(48, 300, schedule, 3), Decide::new));
+  }
+
+  private static void assertNothingBroken(ScaleResult result) {
     assertThat(figure(result, "cold_pushed_over")).isZero();
     assertThat(figure(result, "cold_fallen")).isZero();
     assertThat(figure(result, "drain_broken")).isZero();
