--- /dev/null
+++ b/src/main/java/tansytrack/ledger/disk/EpochStart.java
@@ -0,0 +1,95 @@
+package tansytrack.ledger.disk;
+
+import java.sql.Connection;
+import java.sql.PreparedStatement;
+import java.sql.ResultSet;
+import java.sql.SQLException;
+import java.sql.Statement;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import tansytrack.ledger.End;
+import tansytrack.ledger.Use;
+
+/**
+ * What a manager's start does to its ledger, within a transaction that the caller began: a new
+ * epoch, and an end for each task that an earlier one left open.
+ */
+final class EpochStart {
+
+  /** A task by its epoch and its number in it. */
+  private record Task(long epoch, long sequence) {}
+
+  private final Connection db;
+
+  EpochStart(Connection db) {
+    this.db = db;
+  }
+
+  /** Writes the next epoch and gives its number. */
+  long next(long now) throws SQLException {
+    try (Statement run = db.createStatement();
+        PreparedStatement put = db.prepareStatement("INSERT INTO epoch VALUES(?, ?)")) {
+      long epoch = 1L + Sql.number(run, "SELECT max(number) FROM epoch");
+      Sql.set(put, epoch, now).executeUpdate();
+      return epoch;
+    }
+  }
+
+  /** Ends what is open as unresolved; gives how many tasks, and tells each forward that was out. */
+  long endOpen(BiConsumer<String, String> left) throws SQLException {
+    List<Task> open = open();
+    tellForwards(open, left);
+    end(open);
+    return open.size();
+  }
+
+  private List<Task> open() throws SQLException {
+    List<Task> open = new ArrayList<>();
+    try (Statement run = db.createStatement();
+        ResultSet found =
+            run.executeQuery(
+                "SELECT epoch, seq FROM entry INDEXED BY entry_open WHERE pos IS NULL ORDER BY"
+                    + " epoch, seq")) {
+      while (found.next()) {
+        open.add(new Task(found.getLong(1), found.getLong(2)));
+      }
+    }
+    return open;
+  }
+
+  private void tellForwards(List<Task> open, BiConsumer<String, String> left) throws SQLException {
+    try (PreparedStatement out =
+        db.prepareStatement(
+            "SELECT e.task, f.engine FROM forward f JOIN entry e ON e.epoch = f.epoch AND"
+                + " e.seq = f.seq WHERE f.epoch = ? AND f.seq = ? AND f.outcome = ''")) {
+      for (Task task : open) {
+        try (ResultSet found = Sql.set(out, task.epoch(), task.sequence()).executeQuery()) {
+          while (found.next()) {
+            left.accept(found.getString(1), found.getString(2));
+          }
+        }
+      }
+    }
+  }
+
+  private void end(List<Task> open) throws SQLException {
+    long at = Sql.position(db);
+    try (PreparedStatement forward =
+            db.prepareStatement(
+                "UPDATE forward SET outcome = '"
+                    + Use.UNKNOWN
+                    + "', wasted = 1 WHERE epoch = ? AND seq = ? AND outcome = ''");
+        PreparedStatement entry =
+            db.prepareStatement(
+                "UPDATE entry SET ended = coalesce(ended, '"
+                    + End.UNRESOLVED
+                    + "'), pos = ? WHERE epoch = ? AND seq = ?")) {
+      for (Task task : open) {
+        Sql.set(forward, task.epoch(), task.sequence()).executeUpdate();
+        Sql.set(entry, ++at, task.epoch(), task.sequence()).executeUpdate();
+      }
+    }
+    Sql.position(db, at);
+  }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/ledger/disk/LedgerLock.java
@@ -0,0 +1,66 @@
+package tansytrack.ledger.disk;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+
+/** The lock file that keeps a second manager from writing the same ledger. */
+final class LedgerLock {
+
+  private static final String LOCK = "ledger.lock";
+  private static final long LOCK_PATIENCE =
+      2_000_000_000L; // for the process before, which may be ending
+  private static final long LOCK_PAUSE = 50_000_000L;
+
+  private LedgerLock() {}
+
+  /** Takes the lock, or fails with the name of the process that holds it. */
+  static FileChannel take(Path folder, String manager) throws IOException {
+    FileChannel channel =
+        FileChannel.open(
+            folder.resolve(LOCK),
+            StandardOpenOption.CREATE,
+            StandardOpenOption.READ,
+            StandardOpenOption.WRITE);
+    long until = System.nanoTime() + LOCK_PATIENCE;
+    try {
+      while (true) {
+        FileLock held = tried(channel);
+        if (held != null) {
+          channel.truncate(0);
+          channel.write(
+              ByteBuffer.wrap(
+                  (manager + ", process " + ProcessHandle.current().pid())
+                      .getBytes(StandardCharsets.UTF_8)),
+              0);
+          return channel;
+        }
+        if (System.nanoTime() > until) {
+          ByteBuffer text = ByteBuffer.allocate(256);
+          channel.read(text, 0);
+          throw new IOException(
+              folder
+                  + " is held by "
+                  + new String(text.array(), 0, text.position(), StandardCharsets.UTF_8));
+        }
+        Thread.sleep(LOCK_PAUSE / 1_000_000);
+      }
+    } catch (IOException | InterruptedException e) {
+      channel.close();
+      throw e instanceof IOException io ? io : new IOException(e);
+    }
+  }
+
+  private static FileLock tried(FileChannel channel) throws IOException {
+    try {
+      return channel.tryLock();
+    } catch (OverlappingFileLockException e) {
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/ledger/disk/LineReader.java
@@ -0,0 +1,159 @@
+package tansytrack.ledger.disk;
+
+import java.io.IOException;
+import java.math.BigDecimal;
+import java.sql.Connection;
+import java.sql.PreparedStatement;
+import java.sql.ResultSet;
+import java.sql.SQLException;
+import java.util.ArrayList;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import tansytrack.ledger.Amendment;
+import tansytrack.ledger.End;
+import tansytrack.ledger.Entry;
+import tansytrack.ledger.Gap;
+import tansytrack.ledger.Use;
+
+/** Reads the lines of a ledger in the order of their positions. */
+final class LineReader {
+
+  private static final int ROWS = 512; // fetched at a time
+
+  private final Connection reader;
+
+  LineReader(Connection reader) {
+    this.reader = reader;
+  }
+
+  /** Gives out all lines from one position to another. */
+  void read(long first, long last, Store.Lines to) throws SQLException, IOException {
+    NavigableMap<Long, Object> others = new TreeMap<>(amendments(first, last));
+    others.putAll(gaps(first, last));
+    entries(first, last, others, to);
+  }
+
+  private NavigableMap<Long, Gap> gaps(long first, long last) throws SQLException {
+    NavigableMap<Long, Gap> all = new TreeMap<>();
+    try (PreparedStatement ask =
+            reader.prepareStatement(
+                "SELECT epoch, number, first, last, from_at, until_at, lines, cause,"
+                    + " pos FROM gap WHERE pos BETWEEN ? AND ?");
+        ResultSet found = Sql.set(ask, first, last).executeQuery()) {
+      while (found.next()) {
+        all.put(
+            found.getLong(9),
+            new Gap(
+                found.getLong(1),
+                found.getLong(2),
+                found.getLong(3),
+                found.getLong(4),
+                found.getLong(5),
+                found.getLong(6),
+                found.getLong(7),
+                found.getString(8)));
+      }
+    }
+    return all;
+  }
+
+  private void entries(long first, long last, NavigableMap<Long, Object> others, Store.Lines to)
+      throws SQLException, IOException {
+    try (PreparedStatement ask =
+        reader.prepareStatement(
+            "SELECT e.pos, e.epoch, e.seq, e.task, e.tenant, e.grade, e.taken_at, e.ended_at,"
+                + " e.ended, e.bytes, e.earnings, f.idx, f.engine, f.sent_at, f.ended_at,"
+                + " f.outcome, f.work, f.needed, f.granted, f.wasted FROM entry e INDEXED BY"
+                + " entry_position LEFT JOIN forward f ON f.epoch = e.epoch AND f.seq = e.seq WHERE"
+                + " e.pos BETWEEN ? AND ? ORDER BY e.pos, f.idx")) {
+      ask.setFetchSize(ROWS);
+      try (ResultSet row = Sql.set(ask, first, last).executeQuery()) {
+        long at = 0;
+        Entry entry = null;
+        while (row.next()) {
+          if (entry == null || row.getLong(1) != at) {
+            emit(at, entry, others, to);
+            at = row.getLong(1);
+            entry = entry(row);
+          }
+          if (row.getString(13) != null) {
+            entry.uses().add(use(row));
+          }
+        }
+        emit(at, entry, others, to);
+        emit(Long.MAX_VALUE, null, others, to);
+      }
+    }
+  }
+
+  private static Entry entry(ResultSet row) throws SQLException {
+    return new Entry(
+        row.getLong(2),
+        row.getLong(3),
+        row.getString(4),
+        row.getString(5),
+        row.getString(6),
+        row.getLong(7),
+        row.getLong(8),
+        row.getString(9) == null ? null : End.valueOf(row.getString(9)),
+        row.getLong(10),
+        row.getLong(11),
+        new ArrayList<>(1));
+  }
+
+  private static Use use(ResultSet row) throws SQLException {
+    return new Use(
+        row.getInt(12),
+        row.getString(13),
+        row.getLong(14),
+        row.getLong(15),
+        row.getString(16),
+        row.getLong(17),
+        row.getLong(18),
+        row.getLong(19),
+        row.getInt(20) != 0);
+  }
+
+  /** Gives out what stands before the entry, and the entry. */
+  private static void emit(long at, Entry entry, NavigableMap<Long, Object> others, Store.Lines to)
+      throws IOException {
+    while (!others.isEmpty() && others.firstKey() < at) {
+      Map.Entry<Long, Object> one = others.pollFirstEntry();
+      if (one.getValue() instanceof Amendment amendment) {
+        to.amendment(one.getKey(), amendment);
+      } else {
+        to.gap(one.getKey(), (Gap) one.getValue());
+      }
+    }
+    if (entry != null) {
+      to.entry(at, entry);
+    }
+  }
+
+  /** By position, which is also their order by number. */
+  NavigableMap<Long, Amendment> amendments(long first, long last) throws SQLException {
+    TreeMap<Long, Amendment> all = new TreeMap<>();
+    try (PreparedStatement ask =
+            reader.prepareStatement(
+                "SELECT number, period, tenant, amount, author, reason, corrects, at,"
+                    + " withdraws, pos FROM amendment WHERE pos BETWEEN ? AND ?");
+        ResultSet found = Sql.set(ask, first, last).executeQuery()) {
+      while (found.next()) {
+        all.put(
+            found.getLong(10),
+            new Amendment(
+                found.getLong(1),
+                found.getString(2),
+                found.getString(3),
+                new BigDecimal(found.getString(4)),
+                found.getString(5),
+                found.getString(6),
+                found.getString(7),
+                found.getLong(8),
+                found.getInt(9) != 0));
+      }
+    }
+    return all;
+  }
+}
