--- /dev/null
+++ b/src/main/java/tansytrack/LedgerExchangeCommands.java
@@ -0,0 +1,274 @@
+package tansytrack;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import tansytrack.ledger.Entry;
+import tansytrack.ledger.Gap;
+import tansytrack.ledger.Merged;
+import tansytrack.ledger.Reconciliation;
+import tansytrack.ledger.disk.Billing;
+import tansytrack.ledger.disk.Exporter;
+import tansytrack.ledger.disk.Faults;
+import tansytrack.ledger.disk.LedgerFiles;
+import tansytrack.ledger.disk.Store;
+import tansytrack.settings.Unusable;
+
+/**
+ * The ledger commands on what goes out and comes together: exports, merging, reconciliation,
+ * checks.
+ */
+public final class LedgerExchangeCommands {
+
+  private LedgerExchangeCommands() {}
+
+  /** Exports new lines in numbered batches. */
+  public static final class Export extends LedgerFolderCommand {
+    @Option(name = "--to", metaVar = "FOLDER", required = true, usage = "where batches are placed")
+    private String to;
+
+    @Option(name = "--form", metaVar = "FORM", usage = "protobuf (delimited, ledger.proto) or csv")
+    private String form = "protobuf";
+
+    @Option(name = "--lines", metaVar = "N", usage = "lines in a batch at most")
+    private long lines = 1_000_000;
+
+    @Option(
+        name = "--again",
+        metaVar = "NUMBER",
+        usage = "writes a batch that was placed before once more, as the same bytes")
+    private long again;
+
+    @Override
+    public String about() {
+      return "ledger export: finishes what was begun, then places all new lines in numbered"
+          + " batches. A number always has the same bytes.";
+    }
+
+    @Override
+    int work(Store store) throws IOException {
+      if (!form.equals("protobuf") && !form.equals("csv")) {
+        throw new Unusable("--form '" + form + "'; allowed: protobuf, csv");
+      }
+      if (lines < 1) {
+        throw new Unusable("--lines " + lines + "; allowed: 1 and more");
+      }
+      Exporter exporter = new Exporter(store, Path.of(to), Faults.NONE);
+      if (again > 0) {
+        exporter.again(again);
+      } else {
+        long before = store.batches().stream().filter(one -> one.placedAt() > 0).count();
+        exporter.run(form, lines, now());
+        long after = store.batches().size();
+        System.err.println((after - before) + " batches placed in " + to);
+      }
+      for (Store.Batch one : store.batches()) {
+        row(
+            columns(
+                "batch",
+                one.number(),
+                "file",
+                Exporter.name(one),
+                "lines",
+                one.last() - one.first() + 1,
+                "bytes",
+                one.size(),
+                "sha256",
+                one.sha(),
+                "placed",
+                time(one.placedAt()),
+                "acknowledged",
+                time(one.ackedAt())));
+      }
+      table();
+      return 0;
+    }
+  }
+
+  /** Notes that the consumer has a batch. */
+  public static final class Ack extends LedgerFolderCommand {
+    @Argument(required = true, metaVar = "NUMBER", usage = "the batch that the consumer has")
+    private long number;
+
+    @Option(
+        name = "--sha256",
+        metaVar = "HASH",
+        usage = "what the consumer got; refused if it is not what was sealed")
+    private String sha;
+
+    @Override
+    public String about() {
+      return "ledger ack: notes that the consumer has a batch. Once more does no harm.";
+    }
+
+    @Override
+    int work(Store store) throws IOException {
+      for (Store.Batch one : store.batches()) {
+        if (one.number() == number && one.placedAt() > 0) {
+          if (sha != null && !sha.equalsIgnoreCase(one.sha())) {
+            throw new Unusable(
+                "batch " + number + " was sealed as " + one.sha() + ", not as " + sha);
+          }
+          store.acked(number, now());
+          return 0;
+        }
+      }
+      throw new Unusable("batch " + number + " does not exist, or was not yet placed");
+    }
+  }
+
+  /** Merges several managers' ledgers and names what is missing or contradicts. */
+  public static final class Merge extends LedgerRowsCommand {
+    @Argument(
+        required = true,
+        multiValued = true,
+        metaVar = "PLACE",
+        usage = "folders of ledgers, exported batches (.pb), or folders of such")
+    private List<String> places = new ArrayList<>();
+
+    @Override
+    public String about() {
+      return "ledger merge: several managers' ledgers as one: tasks by manager, numbers that are"
+          + " missing, contradictions.\n"
+          + "Exit code 1: numbers are missing, or two ledgers say different things.";
+    }
+
+    @Override
+    protected int work() throws IOException {
+      Merged merged = LedgerFiles.merged(places.stream().map(Path::of).toList());
+      TreeMap<String, Long> counts = new TreeMap<>();
+      merged.entries().keySet().forEach(key -> counts.merge(key.manager(), 1L, Long::sum));
+      counts.forEach((manager, count) -> row(columns("manager", manager, "tasks", count)));
+      table();
+      for (Gap gap : merged.gaps()) {
+        row(
+            columns(
+                "gap of epoch",
+                gap.epoch(),
+                "number",
+                gap.number(),
+                "tasks",
+                gap.firstSequence() + "-" + gap.lastSequence(),
+                "lines",
+                gap.lines(),
+                "cause",
+                gap.cause()));
+      }
+      table();
+      for (Merged.Hole hole : merged.holes()) {
+        row(
+            columns(
+                "missing from",
+                hole.manager(),
+                "epoch",
+                hole.epoch(),
+                "first",
+                hole.first(),
+                "last",
+                hole.last()));
+      }
+      table();
+      for (Merged.Key key : merged.contradictions()) {
+        for (Object said : merged.entries().getOrDefault(key, Set.of())) {
+          row(columns("contradiction", key, "said", said));
+        }
+      }
+      table();
+      return merged.holes().isEmpty() && merged.contradictions().isEmpty() ? 0 : DIFFERS;
+    }
+  }
+
+  /** Compares ledgers with the engines' statements. */
+  public static final class Reconcile extends LedgerRowsCommand {
+    @Argument(
+        required = true,
+        multiValued = true,
+        metaVar = "PLACE",
+        usage = "folders of ledgers, exported batches (.pb), or folders of such")
+    private List<String> places = new ArrayList<>();
+
+    @Option(
+        name = "--statement",
+        metaVar = "FILE",
+        required = true,
+        usage = "CSV of the engines: engine,task,work_ns,done")
+    private List<String> statements = new ArrayList<>();
+
+    @Override
+    public String about() {
+      return "ledger reconcile: ledgers against the engines' statements; what stands on one side"
+          + " only, with its likely cause.\n"
+          + "Exit code 1: something stands on one side only without an innocent cause.";
+    }
+
+    @Override
+    protected int work() throws IOException {
+      Merged merged = LedgerFiles.merged(places.stream().map(Path::of).toList());
+      Reconciliation all = new Reconciliation();
+      merged.entries().values().forEach(said -> said.forEach((Entry entry) -> all.take(entry)));
+      for (String one : statements) {
+        try (InputStream in = Files.newInputStream(Path.of(one))) {
+          LedgerFiles.statement(one, in, all);
+        }
+      }
+      List<Reconciliation.Finding> findings = all.findings();
+      for (Reconciliation.Finding one : findings) {
+        row(
+            columns(
+                "finding",
+                one.kind(),
+                "engine",
+                one.engine(),
+                "task",
+                one.task(),
+                "cause",
+                one.cause(),
+                "fault",
+                one.fault() ? "yes" : "no"));
+      }
+      table();
+      long faults = findings.stream().filter(Reconciliation.Finding::fault).count();
+      row(
+          columns(
+              "agreed", all.agreed(), "without fault", findings.size() - faults, "faults", faults));
+      table();
+      return faults == 0 ? 0 : DIFFERS;
+    }
+  }
+
+  /** Checks every invariant of a ledger. */
+  public static final class Verify extends LedgerBillingCommand {
+    @Override
+    public String about() {
+      return "ledger verify: checks every invariant of a ledger and says the first breach. Exit"
+          + " code 1: one is broken.";
+    }
+
+    @Override
+    int work(Store store) throws IOException {
+      String breach =
+          Billing.verify(store, section, seen -> System.err.println(seen + " positions read"));
+      row(
+          columns(
+              "positions",
+              store.last(),
+              "batches",
+              (long) store.batches().size(),
+              "closed periods",
+              (long) store.closed().size(),
+              "open tasks",
+              store.openTasks(),
+              "breach",
+              breach == null ? "none" : breach));
+      table();
+      return breach == null ? 0 : DIFFERS;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/tansytrack/LedgerRowsCommand.java
@@ -0,0 +1,83 @@
+package tansytrack;
+
+import java.io.PrintStream;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.kohsuke.args4j.Option;
+import tansytrack.command.Guarded;
+import tansytrack.log.JsonLinesWriter;
+
+/** A ledger command that prints rows, as a table for people or as JSON lines for programs. */
+abstract class LedgerRowsCommand extends Guarded {
+  @Option(name = "--json", usage = "print for programs: one JSON object a line")
+  boolean json;
+
+  PrintStream out = System.out;
+
+  /** One row, by column. */
+  void row(Map<String, Object> columns) {
+    if (json) {
+      out.println(
+          columns.entrySet().stream()
+              .map(
+                  one ->
+                      JsonLinesWriter.quoted(one.getKey())
+                          + ':'
+                          + (one.getValue() instanceof Long || one.getValue() instanceof Boolean
+                              ? one.getValue().toString()
+                              : JsonLinesWriter.quoted(one.getValue().toString())))
+              .collect(Collectors.joining(",", "{", "}")));
+    } else {
+      rows.add(columns.values().stream().map(Object::toString).toList());
+      names = List.copyOf(columns.keySet());
+    }
+  }
+
+  private List<String> names;
+  private final List<List<String>> rows = new ArrayList<>();
+
+  /** Prints the rows so far as one table. */
+  void table() {
+    if (names == null) {
+      return;
+    }
+    rows.add(0, names);
+    int[] widths = new int[names.size()];
+    rows.forEach(
+        one -> {
+          for (int i = 0; i < widths.length; i++) {
+            widths[i] = Math.max(widths[i], one.get(i).length());
+          }
+        });
+    for (List<String> one : rows) {
+      StringBuilder line = new StringBuilder();
+      for (int i = 0; i < widths.length; i++) {
+        line.append(one.get(i)).append(" ".repeat(widths[i] - one.get(i).length() + 2));
+      }
+      out.println(line.toString().stripTrailing());
+    }
+    rows.clear();
+    names = null;
+  }
+
+  static Map<String, Object> columns(Object... pairs) {
+    Map<String, Object> made = new LinkedHashMap<>();
+    for (int i = 0; i < pairs.length; i += 2) {
+      made.put((String) pairs[i], pairs[i + 1]);
+    }
+    return made;
+  }
+
+  static long now() {
+    Instant now = Instant.now();
+    return now.getEpochSecond() * 1_000_000_000L + now.getNano();
+  }
+
+  static String time(long at) {
+    return at == 0 ? "-" : Instant.ofEpochSecond(at / 1_000_000_000L).toString();
+  }
+}
