Divide ServiceTest by subject, with a shared fixture and stand-in server

ServiceTest.Client stays where CrossingsTest finds it. Where target/ is older, target/test-classes must go: a class file of the old nested class breaks test discovery.

--- /dev/null
+++ b/src/test/java/tansytrack/service/ServiceCancelTest.java
@@ -0,0 +1,125 @@
+package tansytrack.service;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import tansytrack.service.ServiceTest.Client;
+
+/** Tasks that are given up: by their client, at their time limit, or where an engine broke. */
+class ServiceCancelTest extends ServiceFixture {
+
+  @Test
+  void aCancelledTaskIsGivenUpAtItsEngine() throws IOException, InterruptedException {
+    try (Client client = new Client(at).started();
+        Client other = new Client(at)) {
+      client.send(Client.message('Q', Client.task("safe", "00000000000000c1", "silent")));
+      engine.posted.await();
+      try (Client stranger = new Client(at)) {
+        stranger.send(Client.start(80877102, client.number, client.secret + 1));
+        assertThat(stranger.answer()).isEqualTo("closed");
+      }
+      other.send(Client.start(80877102, client.number, client.secret));
+      assertThat(other.answer()).isEqualTo("closed");
+      assertThat(client.answer()).startsWith("57014");
+      assertThat(engine.deleted.await(MINUTE, TimeUnit.MILLISECONDS)).isTrue();
+      assertThat(client.ask("")).isEqualTo("empty");
+    }
+    assertThat(engine.calls).contains("DELETE /o/00000000000000c1");
+  }
+
+  /**
+   * Guards against a second copy: the starting call may arrive behind the first DELETE, never
+   * behind the second.
+   */
+  @ParameterizedTest(name = "{0}: {1} times")
+  @CsvSource({"silent, 2", "late, 1"})
+  void whatWasNeverAnsweredForIsGivenUpTwice(String statement, int times)
+      throws IOException, InterruptedException {
+    engine.lastNews = 3;
+    try (Client client = new Client(at).started();
+        Client other = new Client(at).started()) {
+      client.send(Client.message('Q', Client.task("safe", "00000000000000c7", statement)));
+      engine.posted.await();
+      Thread.sleep(100);
+      client.socket.close();
+      while (other.ask("SHOW STATS").contains("engine.e.forwards.sockets,1;")) {
+        Thread.sleep(10);
+      }
+    }
+    assertThat(engine.calls.stream().filter(call -> call.startsWith("DELETE"))).hasSize(times);
+  }
+
+  /**
+   * Guards against a second copy: after a break, "unknown" is no proof that the first one is not
+   * out, nor is one DELETE.
+   */
+  @Test
+  void whatIsNotKnownAfterABreakIsGivenUpBeforeItIsSentAgain() throws IOException {
+    try (Client client = new Client(at).started()) {
+      assertThat(client.ask(Client.task("safe", "00000000000000c3", "restarted")))
+          .isEqualTo("SELECT 0");
+      assertThat(client.ask("SHOW STATS"))
+          .contains("forwards.ended.RESET,1;")
+          .doesNotContain("ERROR");
+    }
+    assertThat(
+            engine.calls.stream()
+                .filter(call -> !call.contains("/cmd/"))
+                .map(call -> call.split(" ")[0]))
+        .containsExactly("POST", "GET", "DELETE", "DELETE", "POST");
+  }
+
+  /**
+   * Guards against a second copy, and a key sent to too early: a refused connection is a process
+   * that died, but not the end of a query for which a call stalled before, as that may be taken up
+   * yet. Then 2 s must have passed.
+   */
+  @ParameterizedTest(name = "{0}: answered in under 1.5 s: {1}")
+  @CsvSource({"die, true", "stalldie, false"})
+  void aDeadProcessProvesNoEndWhereACallStalled(String statement, boolean soon) throws IOException {
+    try (Client client = new Client(at).started()) {
+      long from = System.nanoTime();
+      assertThat(client.ask(Client.task("once", "00000000000000c5", statement)))
+          .startsWith("58000");
+      assertThat(System.nanoTime() - from < 1_500_000_000L).isEqualTo(soon);
+    }
+  }
+
+  /**
+   * Guards against a key sent to beside a forward that timed out and may run on: it stays out until
+   * given up.
+   */
+  @Test
+  void aForwardThatTimesOutStaysOutUntilItIsGivenUp() throws IOException {
+    engine.mute = true;
+    try (Client client = new Client(at).started()) {
+      String task =
+          Client.task("once", "00000000000000c6", "silent").replace("wait=20000", "wait=400");
+      assertThat(client.ask(task)).startsWith("58000 the time is up");
+      String told = client.ask("SHOW STATS");
+      assertThat(told)
+          .contains(
+              "engine.e.forwards.module,1;", "engine.e.forwards.sockets,1;", "tasks.time_up,1;");
+      while (told.contains("engine.e.forwards.sockets,1;")) {
+        told = client.ask("SHOW STATS");
+      }
+      assertThat(told).contains("forwards.ended.TIME_OUT,1;");
+    }
+    // Twice silent is once given up; and once more, as the engine has never answered for the query
+    // at all.
+    assertThat(engine.calls.stream().filter(call -> call.startsWith("DELETE"))).hasSize(4);
+  }
+
+  @Test
+  void aClientThatLeavesGivesItsTaskUp() throws IOException, InterruptedException {
+    try (Client client = new Client(at).started()) {
+      client.send(Client.message('Q', Client.task("once", "00000000000000c2", "silent")));
+      engine.posted.await();
+    }
+    assertThat(engine.deleted.await(MINUTE, TimeUnit.MILLISECONDS)).isTrue();
+  }
+}
