--- a/src/main/java/tansytrack/fleet/Fleet.java
+++ b/src/main/java/tansytrack/fleet/Fleet.java
@@ -597,20 +597,7 @@
           }
           accuse(member, word.by());
         }
-        case DEAD -> {
-          // Guards against the dead of another half of the fleet: who is there here gets time to
-          // refute it.
-          if (later && member.word.standing().there()) {
-            hold(member, word.as(Standing.ALIVE, ""));
-          }
-          if (!member.word.standing().there()
-              || (member.word.standing() == Standing.SUSPECT
-                  && now - member.suspectedAt >= least())) {
-            hold(member, word);
-          } else {
-            accuse(member, word.by());
-          }
-        }
+        case DEAD -> declaredDead(member, word, later);
         default -> throw new IllegalStateException();
       }
     } else if (word.sameTerm(member.word)
@@ -620,6 +607,20 @@
     }
   }
 
+  private void declaredDead(Member member, Word word, boolean later) {
+    // Guards against the dead of another half of the fleet: who is there here gets time to
+    // refute it.
+    if (later && member.word.standing().there()) {
+      hold(member, word.as(Standing.ALIVE, ""));
+    }
+    if (!member.word.standing().there()
+        || (member.word.standing() == Standing.SUSPECT && now - member.suspectedAt >= least())) {
+      hold(member, word);
+    } else {
+      accuse(member, word.by());
+    }
+  }
+
   /**
    * Somebody says that it does not answer; more independent ones shorten the time it has to refute
    * that.
--- a/src/main/java/tansytrack/lab/FleetRun.java
+++ b/src/main/java/tansytrack/lab/FleetRun.java
@@ -77,7 +77,28 @@
       ended(file, "fleet.links.from", one.getFrom(), read);
       ended(file, "fleet.links.to", one.getTo(), read);
     }
-    for (ProcessTrouble one : plan.getProcessesList()) {
+    checkProcesses(file, read);
+    checkEngines(file, plan);
+    for (Version one : plan.getVersionsList()) {
+      ended(file, "fleet.versions.manager", one.getManager(), read);
+      if (!Files.isReadable(Path.of(one.getJar()))) {
+        throw new Unusable(
+            file + ": fleet.versions.jar: '" + one.getJar() + "'; allowed: a jar that can be read");
+      }
+    }
+    for (StreamTrouble one : plan.getStreamsList()) {
+      TextFile.bounded(file, "fleet.streams.part", one.getPart(), 0, 1);
+    }
+    if (plan.hasLoad()) {
+      LoadFile.checked(file, plan.getLoad());
+    }
+    if (read.getClaimsCount() == 0) {
+      throw new Unusable(file + ": claims: missing; allowed: one and more");
+    }
+  }
+
+  private static void checkProcesses(String file, Experiment read) {
+    for (ProcessTrouble one : read.getFleet().getProcessesList()) {
       if (!one.getManager().matches("m[0-9]{1,3}")
           || number(one.getManager()) >= read.getManagers()) {
         throw new Unusable(
@@ -94,6 +115,9 @@
           one.getKind() == ProcessTrouble.Kind.STOP ? 1 : 0,
           1e9);
     }
+  }
+
+  private static void checkEngines(String file, FleetPlan plan) {
     TextFile.bounded(file, "fleet.engines", plan.getEngines(), 0, 64);
     if (plan.getEngines() > 0) {
       TextFile.bounded(file, "fleet.engine.cores", plan.getEngine().getCores(), 0.1, 1000);
@@ -110,22 +134,6 @@
                 + (plan.getEngines() - 1));
       }
     }
-    for (Version one : plan.getVersionsList()) {
-      ended(file, "fleet.versions.manager", one.getManager(), read);
-      if (!Files.isReadable(Path.of(one.getJar()))) {
-        throw new Unusable(
-            file + ": fleet.versions.jar: '" + one.getJar() + "'; allowed: a jar that can be read");
-      }
-    }
-    for (StreamTrouble one : plan.getStreamsList()) {
-      TextFile.bounded(file, "fleet.streams.part", one.getPart(), 0, 1);
-    }
-    if (plan.hasLoad()) {
-      LoadFile.checked(file, plan.getLoad());
-    }
-    if (read.getClaimsCount() == 0) {
-      throw new Unusable(file + ": claims: missing; allowed: one and more");
-    }
   }
 
   private static int number(String name) {
@@ -222,6 +230,26 @@
 
   private Map<String, Double> real() throws IOException, InterruptedException {
     traffic = new FleetTraffic(experiment.getFleet(), faults, names, places, seed);
+    launch();
+    Instant start = Instant.now();
+    relays.begin();
+    long from = System.nanoTime();
+    traffic.begin(managers.stream().map(one -> one.listen).toList(), from);
+    long end = playFaults(from);
+    Map<String, Double> served = traffic.figures(folder);
+    List<FleetWorld.Seen> seen = new ArrayList<>();
+    for (ManagerProcess one : managers) {
+      seen.addAll(seen(one, start));
+    }
+    Map<String, Double> figures = new Sightings(names, faults, seen, end).figures();
+    figures.putAll(served);
+    figures.put("datagrams.forwarded", (double) relays.forwarded());
+    figures.put("datagrams.lost", (double) relays.lost());
+    return figures;
+  }
+
+  /** Starts all managers, each behind relays, and waits until they listen. */
+  private void launch() throws IOException, InterruptedException {
     List<InetSocketAddress> addresses = new ArrayList<>();
     for (int i = 0; i < names.size(); i++) {
       try (DatagramSocket free =
@@ -249,33 +277,24 @@
     for (ManagerProcess one : managers) {
       one.listens();
     }
-    Instant start = Instant.now();
-    relays.begin();
-    long from = System.nanoTime();
-    traffic.begin(managers.stream().map(one -> one.listen).toList(), from);
+  }
+
+  /** Waits until the faults are played; gives how long that took. */
+  private long playFaults(long from) throws IOException, InterruptedException {
     for (Faults.ProcessTrouble one : faults.processes()) {
       Thread thread = StandInEngine.thread(() -> trouble(one, from));
       threads.add(thread);
       thread.start();
     }
     Thread.sleep(experiment.getSeconds() * 1000L);
-    long end = System.nanoTime() - from;
+    long lasted = System.nanoTime() - from;
     for (Thread one : threads) {
       one.join();
     }
     if (failure != null) {
       throw failure;
     }
-    Map<String, Double> served = traffic.figures(folder);
-    List<FleetWorld.Seen> seen = new ArrayList<>();
-    for (ManagerProcess one : managers) {
-      seen.addAll(seen(one, start));
-    }
-    Map<String, Double> figures = new Sightings(names, faults, seen, end).figures();
-    figures.putAll(served);
-    figures.put("datagrams.forwarded", (double) relays.forwarded());
-    figures.put("datagrams.lost", (double) relays.lost());
-    return figures;
+    return lasted;
   }
 
   /** The jar that it runs from, or null: this program. */
--- a/src/main/java/tansytrack/lab/FleetTable.java
+++ b/src/main/java/tansytrack/lab/FleetTable.java
@@ -85,7 +85,8 @@
     }
     Files.createDirectories(out);
     Files.writeString(out.resolve("result.csv"), csv);
-    chart(rows, rules, out);
+    detectionChart(rows, rules, out);
+    costChart(rows, out);
     return rows.stream().allMatch(row -> row.unknown == 0 && row.unhealed == 0);
   }
 
@@ -176,7 +177,7 @@
         row.unhealed);
   }
 
-  private static void chart(List<Row> rows, Rules rules, Path out) throws IOException {
+  private static void detectionChart(List<Row> rows, Rules rules, Path out) throws IOException {
     XYChart chart =
         new XYChartBuilder()
             .width(900)
@@ -206,6 +207,10 @@
     chart.addSeries("first suspicion expected by SWIM", sizes, expected);
     BitmapEncoder.saveBitmap(
         chart, out.resolve("detection.png").toString(), BitmapEncoder.BitmapFormat.PNG);
+  }
+
+  private static void costChart(List<Row> rows, Path out) throws IOException {
+    double[] losses = rows.stream().mapToDouble(row -> row.loss).distinct().toArray();
     XYChart cost =
         new XYChartBuilder()
             .width(900)
--- a/src/main/java/tansytrack/lab/FleetTraffic.java
+++ b/src/main/java/tansytrack/lab/FleetTraffic.java
@@ -182,52 +182,7 @@
     for (int m = 0; plan.hasLoad() && m < managers.size(); m++) {
       String name = managers.get(m);
       LoadFile file = LoadFile.checked("fleet.load", plan.getLoad());
-      OpenLoop load =
-          new OpenLoop(
-              file,
-              listeners.get(m),
-              seed * 64 + m,
-              new OpenLoop.Watcher() {
-                @Override
-                public void asking(String id, Arrival one, long waitMs) {
-                  asked.put(id, one);
-                  taker.put(id, name);
-                  long now = System.nanoTime();
-                  log.add(
-                      new RuleCheck.Asked(
-                          now,
-                          name,
-                          id,
-                          one.grade().equals("load")
-                              ? RuleCheck.Repeat.ONE_SHOT
-                              : RuleCheck.Repeat.HARMLESS,
-                          one.key(),
-                          now + waitMs * MS,
-                          Set.of()));
-                }
-
-                @Override
-                public void answered(String id, LabClient.Answer answer) {
-                  log.add(
-                      new RuleCheck.Answered(
-                          System.nanoTime(),
-                          id,
-                          answer.handled()
-                              ? RuleCheck.Answer.HANDLED
-                              : answer.code().startsWith("53") || answer.code().equals("57P03")
-                                  ? RuleCheck.Answer.BOUNCED
-                                  : RuleCheck.Answer.ABORTED));
-                }
-
-                @Override
-                public void failed(String id, long connectedAt) {
-                  // One that a manager was taken down under is lost with it; one that was never
-                  // taken is owed nothing.
-                  if (connectedAt >= 0 && downSince(name, connectedAt)) {
-                    log.add(new RuleCheck.Left(System.nanoTime(), id));
-                  }
-                }
-              });
+      OpenLoop load = new OpenLoop(file, listeners.get(m), seed * 64 + m, watcher(name));
       loads.add(load);
       run(load::play);
     }
@@ -236,6 +191,49 @@
     }
   }
 
+  /** Writes down what a manager's clients ask and hear. */
+  private OpenLoop.Watcher watcher(String name) {
+    return new OpenLoop.Watcher() {
+      @Override
+      public void asking(String id, Arrival one, long waitMs) {
+        asked.put(id, one);
+        taker.put(id, name);
+        long now = System.nanoTime();
+        log.add(
+            new RuleCheck.Asked(
+                now,
+                name,
+                id,
+                one.grade().equals("load") ? RuleCheck.Repeat.ONE_SHOT : RuleCheck.Repeat.HARMLESS,
+                one.key(),
+                now + waitMs * MS,
+                Set.of()));
+      }
+
+      @Override
+      public void answered(String id, LabClient.Answer answer) {
+        log.add(
+            new RuleCheck.Answered(
+                System.nanoTime(),
+                id,
+                answer.handled()
+                    ? RuleCheck.Answer.HANDLED
+                    : answer.code().startsWith("53") || answer.code().equals("57P03")
+                        ? RuleCheck.Answer.BOUNCED
+                        : RuleCheck.Answer.ABORTED));
+      }
+
+      @Override
+      public void failed(String id, long connectedAt) {
+        // One that a manager was taken down under is lost with it; one that was never
+        // taken is owed nothing.
+        if (connectedAt >= 0 && downSince(name, connectedAt)) {
+          log.add(new RuleCheck.Left(System.nanoTime(), id));
+        }
+      }
+    };
+  }
+
   /**
    * Was that manager killed or ended since? One that ends closes connections for a while, which
    * tasks may cross.
--- a/src/main/java/tansytrack/ledger/Reconciliation.java
+++ b/src/main/java/tansytrack/ledger/Reconciliation.java
@@ -82,42 +82,11 @@
     for (Use use : uses) {
       Run run = match(use, left);
       left.remove(run);
-      String outcome = use.outcome();
-      if (run != null && outcome.equals("OK") && run.work != use.work()) {
-        findings.add(
-            new Finding(
-                true,
-                "work differs",
-                place.engine,
-                place.task,
-                "ledger " + use.work() + " ns, engine " + run.work + " ns"));
-      } else if (run != null && outcome.equals(Use.UNKNOWN)) {
-        findings.add(
-            new Finding(
-                false,
-                "resolved by the engine",
-                place.engine,
-                place.task,
-                "its manager died; the engine "
-                    + (run.done ? "ran it, " + run.work + " ns" : "dropped it")));
-      } else if (run == null && outcome.equals("OK")) {
-        findings.add(
-            new Finding(
-                true,
-                "in the ledger only",
-                place.engine,
-                place.task,
-                "the statement is cut off, or of another time"));
-      } else if (run == null && !NEVER_RUN.contains(outcome) && !MAY_HAVE_RUN.contains(outcome)) {
-        findings.add(
-            new Finding(
-                true,
-                "in the ledger only",
-                place.engine,
-                place.task,
-                "the engine answered " + outcome + " and states no run"));
-      } else {
+      Finding finding = compare(place, use, run);
+      if (finding == null) {
         agreed++;
+      } else {
+        findings.add(finding);
       }
     }
     for (int unmatched = left.size(); unmatched > 0; unmatched--) {
@@ -134,6 +103,45 @@
     }
   }
 
+  /** What is wrong or to be told of a use and the run that fits it, null where both agree. */
+  private static Finding compare(Place place, Use use, Run run) {
+    String outcome = use.outcome();
+    if (run != null && outcome.equals("OK") && run.work != use.work()) {
+      return new Finding(
+          true,
+          "work differs",
+          place.engine,
+          place.task,
+          "ledger " + use.work() + " ns, engine " + run.work + " ns");
+    }
+    if (run != null && outcome.equals(Use.UNKNOWN)) {
+      return new Finding(
+          false,
+          "resolved by the engine",
+          place.engine,
+          place.task,
+          "its manager died; the engine "
+              + (run.done ? "ran it, " + run.work + " ns" : "dropped it"));
+    }
+    if (run == null && outcome.equals("OK")) {
+      return new Finding(
+          true,
+          "in the ledger only",
+          place.engine,
+          place.task,
+          "the statement is cut off, or of another time");
+    }
+    if (run == null && !NEVER_RUN.contains(outcome) && !MAY_HAVE_RUN.contains(outcome)) {
+      return new Finding(
+          true,
+          "in the ledger only",
+          place.engine,
+          place.task,
+          "the engine answered " + outcome + " and states no run");
+    }
+    return null;
+  }
+
   /** The run that fits best: for a good end one with its work, for others one that is not done. */
   private static Run match(Use use, List<Run> runs) {
     Run best = null;
--- a/src/main/java/tansytrack/ledger/Resolutions.java
+++ b/src/main/java/tansytrack/ledger/Resolutions.java
@@ -57,17 +57,7 @@
           said.append(said.length() > SAID.length() ? ", " : "")
               .append(run.engine())
               .append(run.done() ? " ran it, " + run.work() + " ns" : " dropped it");
-          uses.add(
-              new Use(
-                  use.index(),
-                  use.engine(),
-                  use.sentAt(),
-                  0,
-                  use.outcome(),
-                  run.done() ? run.work() : 0,
-                  0,
-                  use.grantedMb(),
-                  true));
+          uses.add(asRun(use, run));
         }
       }
     }
@@ -75,19 +65,7 @@
       resolved.remove(name);
       return null; // the runs are another manager's, at engines that this one did not ask
     }
-    Entry known =
-        new Entry(
-            entry.epoch(),
-            entry.sequence(),
-            entry.task(),
-            entry.tenant(),
-            entry.grade(),
-            entry.takenAt(),
-            entry.endedAt(),
-            End.ABANDONED,
-            0,
-            0,
-            uses);
+    Entry known = abandoned(entry, uses);
     BigDecimal amount = rates.rounded(rates.price(known, periods.day(entry.takenAt())));
     return new Amendment(
         0,
@@ -100,4 +78,33 @@
         now,
         false);
   }
+
+  private static Use asRun(Use use, Reconciliation.Run run) {
+    return new Use(
+        use.index(),
+        use.engine(),
+        use.sentAt(),
+        0,
+        use.outcome(),
+        run.done() ? run.work() : 0,
+        0,
+        use.grantedMb(),
+        true);
+  }
+
+  /** The entry as if its client had left it with those uses. */
+  private static Entry abandoned(Entry entry, List<Use> uses) {
+    return new Entry(
+        entry.epoch(),
+        entry.sequence(),
+        entry.task(),
+        entry.tenant(),
+        entry.grade(),
+        entry.takenAt(),
+        entry.endedAt(),
+        End.ABANDONED,
+        0,
+        0,
+        uses);
+  }
 }
--- a/src/main/java/tansytrack/ledger/disk/Exporter.java
+++ b/src/main/java/tansytrack/ledger/disk/Exporter.java
@@ -67,49 +67,63 @@
   }
 
   private Store.Batch steps(String form, long most, long now) throws IOException {
-    String written = null; // the hash of the temporary file, where this process wrote it
-    String moved = null; // and of the file in place
-    boolean synced = false;
-    boolean folderSynced = false;
-    Store.Batch placed = null;
+    Progress progress = new Progress();
     while (true) {
       List<Store.Batch> batches = store.batches();
       Store.Batch last = batches.isEmpty() ? null : batches.get(batches.size() - 1);
       Store.Batch open = last != null && last.placedAt() == 0 ? last : null;
       long behind = last == null ? 0 : last.last();
-      Path place = open == null ? null : folder.resolve(name(open));
-      Path temporary = open == null ? null : folder.resolve(name(open) + ".tmp");
-      ExportSteps.Step step =
-          ExportSteps.next(
-              new ExportSteps.Found(
-                  store.last() > behind,
-                  open == null ? null : open.sha(),
-                  written != null ? written : hash(temporary),
-                  synced,
-                  moved != null ? moved : hash(place),
-                  folderSynced));
+      ExportSteps.Step step = ExportSteps.next(progress.found(open, store.last() > behind));
       faults.before(step.name());
       switch (step) {
         case SEAL ->
-            written =
+            progress.written =
                 seal(
                     last == null ? 1 : last.number() + 1,
                     behind + 1,
                     Math.min(store.last(), behind + most),
                     form,
                     now);
+        case DONE -> {
+          return progress.placed;
+        }
+        default -> progress.take(step, open, now);
+      }
+    }
+  }
+
+  /** How far this process has come with the open batch; what it did not do itself is looked up. */
+  private final class Progress {
+    private String written; // the hash of the temporary file, where this process wrote it
+    private String moved; // and of the file in place
+    private boolean synced;
+    private boolean folderSynced;
+    private Store.Batch placed;
+
+    ExportSteps.Found found(Store.Batch open, boolean linesLeft) throws IOException {
+      return new ExportSteps.Found(
+          linesLeft,
+          open == null ? null : open.sha(),
+          written != null ? written : hash(open == null ? null : temporary(open)),
+          synced,
+          moved != null ? moved : hash(open == null ? null : place(open)),
+          folderSynced);
+    }
+
+    void take(ExportSteps.Step step, Store.Batch open, long now) throws IOException {
+      switch (step) {
         case WRITE -> {
-          write(open, temporary);
+          write(open, temporary(open));
           written = open.sha();
         }
         case SYNC -> {
-          sync(temporary, StandardOpenOption.WRITE);
+          sync(temporary(open), StandardOpenOption.WRITE);
           synced = true;
         }
         case RENAME -> {
           Files.move(
-              temporary,
-              place,
+              temporary(open),
+              place(open),
               StandardCopyOption.ATOMIC_MOVE,
               StandardCopyOption.REPLACE_EXISTING);
           moved = written;
@@ -120,20 +134,26 @@
         }
         case MARK -> {
           store.placed(open.number(), now);
-          Files.deleteIfExists(temporary);
+          Files.deleteIfExists(temporary(open));
           placed = open;
           written = null;
           moved = null;
           synced = false;
           folderSynced = false;
         }
-        default -> {
-          return placed;
-        }
+        default -> throw new IllegalStateException(step.name());
       }
     }
   }
 
+  private Path place(Store.Batch batch) {
+    return folder.resolve(name(batch));
+  }
+
+  private Path temporary(Store.Batch batch) {
+    return folder.resolve(name(batch) + ".tmp");
+  }
+
   /**
    * Writes the lines to the temporary file and fixes range and hash; before that the file counts
    * for nothing.
--- a/src/main/java/tansytrack/ledger/disk/Recorder.java
+++ b/src/main/java/tansytrack/ledger/disk/Recorder.java
@@ -283,15 +283,7 @@
           failing = false;
         } catch (IOException | RuntimeException e) {
           if (!failing) {
-            Event.error(
-                "ledger.disk.fails",
-                "ledger: "
-                    + e.getMessage()
-                    + "; tried again every "
-                    + AGAIN / MS
-                    + " ms, tasks go on",
-                "cause",
-                e.getMessage());
+            tellFailure(e);
           }
           failing = true;
           if (last && System.nanoTime() > lastEffort) {
@@ -317,6 +309,18 @@
         LockSupport.parkNanos(commitEvery);
       }
     }
+    closeStore();
+  }
+
+  private static void tellFailure(Exception cause) {
+    Event.error(
+        "ledger.disk.fails",
+        "ledger: " + cause.getMessage() + "; tried again every " + AGAIN / MS + " ms, tasks go on",
+        "cause",
+        cause.getMessage());
+  }
+
+  private void closeStore() {
     try {
       store.close();
     } catch (IOException e) {
--- a/src/main/java/tansytrack/operator/OperatorFile.java
+++ b/src/main/java/tansytrack/operator/OperatorFile.java
@@ -184,17 +184,6 @@
       throw billingPlace.wrong(
           field(Billing.getDescriptor(), "grace_hours"), 0, billing.getGraceHours(), "0 and more");
     }
-    List<QuotaLine> quotas = new ArrayList<>();
-    for (int i = 0; i < billing.getQuotasCount(); i++) {
-      Quota quota = billing.getQuotas(i);
-      if (quota.getTasks() < 0 || quota.getWorkSeconds() < 0) {
-        throw billingPlace.wrong(
-            field(Billing.getDescriptor(), "quotas"), i, quota.getTenant(), "amounts from 0 on");
-      }
-      quotas.add(
-          new QuotaLine(
-              quota.getTenant(), quota.getTasks(), quota.getWorkSeconds() * 1_000_000_000L));
-    }
     return new LedgerSection(
         Path.of(from.getFolder()),
         from.getAnswers() == Ledger.Wait.AFTER_COMMIT,
@@ -206,12 +195,27 @@
         periods,
         rates(billing, from.getWaste() == Ledger.Waste.TENANT, billingPlace),
         new Closing(periods, billing.getGraceHours() * HOUR),
-        quotas,
+        quotas(billing, billingPlace),
         TextFormat.printer().emittingSingleLine(true).printToString(billing)
             + " waste: "
             + from.getWaste());
   }
 
+  private static List<QuotaLine> quotas(Billing billing, Place billingPlace) {
+    List<QuotaLine> quotas = new ArrayList<>();
+    for (int i = 0; i < billing.getQuotasCount(); i++) {
+      Quota quota = billing.getQuotas(i);
+      if (quota.getTasks() < 0 || quota.getWorkSeconds() < 0) {
+        throw billingPlace.wrong(
+            field(Billing.getDescriptor(), "quotas"), i, quota.getTenant(), "amounts from 0 on");
+      }
+      quotas.add(
+          new QuotaLine(
+              quota.getTenant(), quota.getTasks(), quota.getWorkSeconds() * 1_000_000_000L));
+    }
+    return quotas;
+  }
+
   private static FleetSection fleet(Fleet from, Place place) {
     Descriptors.Descriptor section = Fleet.getDescriptor();
     Set<String> names = new HashSet<>();
