--- a/src/main/java/tansytrack/service/FileLooks.java
+++ b/src/main/java/tansytrack/service/ConfigurationFilePoller.java
@@ -13,7 +13,7 @@
  * asking a command channel that has moved, and send to engines drained since. Harm: a file that is
  * replaced is taken without a word from whoever replaced it.
  */
-final class FileLooks implements Runnable {
+final class ConfigurationFilePoller implements Runnable {
 
   private static final long PAUSE =
       250_000_000L; // between two looks; the platform counts 4 s from the signal on
@@ -23,7 +23,7 @@
   private List<Object> seen;
 
   /** What changes from now on counts. */
-  FileLooks(String path, Runnable changed) {
+  ConfigurationFilePoller(String path, Runnable changed) {
     this.path = Path.of(path);
     this.changed = changed;
     seen = look();
--- a/src/main/java/tansytrack/service/Rereading.java
+++ b/src/main/java/tansytrack/service/ConfigurationReload.java
@@ -11,7 +11,7 @@
  * there, the loop gets what was made of it, in the order read. The last whole file wins: a signal
  * that comes while the file is being read has it read once more behind that, however many come.
  */
-final class Rereading {
+final class ConfigurationReload {
 
   static final long PATIENCE =
       2_000_000_000L; // for a file that is not settled; the platform counts 4 s
@@ -21,7 +21,7 @@
   private Consumer<ConfigFile.Whole> to; // null until there is a manager
   private boolean missed;
 
-  Rereading(ConfigFile file) {
+  ConfigurationReload(ConfigFile file) {
     this.file = file;
   }
 
--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -186,13 +186,13 @@
   public static int serve(String path, String operator) {
     long until = System.nanoTime() + START_PATIENCE;
     Service service;
-    Rereading rereading;
+    ConfigurationReload reload;
     try {
       ConfigFile file = new ConfigFile(path);
       // Before all else: SIGHUP would end a JVM that has nothing for it.
-      rereading = new Rereading(file);
-      if (!HangUp.take(rereading::signalled)) {
-        new FileLooks(path, rereading::signalled).start();
+      reload = new ConfigurationReload(file);
+      if (!SighupHandler.take(reload::signalled)) {
+        new ConfigurationFilePoller(path, reload::signalled).start();
       }
       Extras extras = operator == null ? Extras.NONE : Installed.extras(operator);
       service = started(file.read(until), extras);
@@ -204,7 +204,7 @@
     Runtime.getRuntime().addShutdownHook(new Thread(service::terminated, "stop"));
     try {
       service.listen(until);
-      rereading.to(service::reread);
+      reload.to(service::reread);
     } catch (IOException | Junk e) {
       service.ended.countDown();
       return unusable(e);
--- a/src/main/java/tansytrack/service/HangUp.java
+++ b/src/main/java/tansytrack/service/SighupHandler.java
@@ -7,9 +7,9 @@
  * SIGHUP, which would end a JVM that has nothing for it. Only sun.misc.Signal can take it; it is
  * called by name, as javac's warning of it cannot be suppressed for one file.
  */
-final class HangUp {
+final class SighupHandler {
 
-  private HangUp() {}
+  private SighupHandler() {}
 
   /**
    * From now on runs it for each SIGHUP, on a thread that the machine starts for it; false where
@@ -21,7 +21,7 @@
       Class<?> handler = Class.forName("sun.misc.SignalHandler");
       Object runs =
           Proxy.newProxyInstance(
-              HangUp.class.getClassLoader(),
+              SighupHandler.class.getClassLoader(),
               new Class<?>[] {handler},
               (proxy, method, arguments) -> {
                 if (method.getName().equals("handle")) {
--- a/src/test/java/tansytrack/service/RestartTest.java
+++ b/src/test/java/tansytrack/service/RestartTest.java
@@ -283,11 +283,11 @@
   @Test
   void theLastWholeFileWinsHoweverSignalsMeet() throws IOException, InterruptedException {
     spoil("cut off");
-    Rereading rereading = new Rereading(new ConfigFile(file().toString()));
+    ConfigurationReload reload = new ConfigurationReload(new ConfigFile(file().toString()));
     List<String> taken = new CopyOnWriteArrayList<>();
     CountDownLatch inFirst = new CountDownLatch(1);
     CountDownLatch goOn = new CountDownLatch(1);
-    rereading.to(
+    reload.to(
         whole -> {
           taken.add(whole.config().name());
           inFirst.countDown();
@@ -297,18 +297,18 @@
             Thread.currentThread().interrupt();
           }
         });
-    Thread first = new Thread(rereading::signalled);
+    Thread first = new Thread(reload::signalled);
     first.start();
     replace(config("one"));
     assertThat(inFirst.await(60, TimeUnit.SECONDS)).isTrue();
     replace(config("two"));
-    Thread second = new Thread(rereading::signalled);
+    Thread second = new Thread(reload::signalled);
     second.start();
     while (second.getState() != Thread.State.BLOCKED) {
       Thread.onSpinWait();
     }
     replace(config("three"));
-    rereading.signalled(); // one waits already: comes back at once
+    reload.signalled(); // one waits already: comes back at once
     goOn.countDown();
     first.join();
     second.join();
@@ -317,14 +317,14 @@
 
   @Test
   void aFileThatStaysSpoiltChangesNothingAndTheNextSignalIsHeard() throws IOException {
-    Rereading rereading = new Rereading(new ConfigFile(file().toString()));
+    ConfigurationReload reload = new ConfigurationReload(new ConfigFile(file().toString()));
     List<String> taken = new CopyOnWriteArrayList<>();
-    rereading.to(whole -> taken.add(whole.config().name()));
+    reload.to(whole -> taken.add(whole.config().name()));
     spoil("nowhere");
-    rereading.signalled();
+    reload.signalled();
     assertThat(taken).isEmpty();
     replace(config("m"));
-    rereading.signalled();
+    reload.signalled();
     assertThat(taken).containsExactly("m");
   }
 
--- a/src/test/java/tansytrack/service/ServiceConfigurationTest.java
+++ b/src/test/java/tansytrack/service/ServiceConfigurationTest.java
@@ -95,9 +95,9 @@
     try (StatementServer second = new StatementServer();
         Client client = new Client(at).started();
         Client open = new Client(at).started()) {
-      Rereading rereading = new Rereading(new ConfigFile(file.toString()));
-      rereading.to(service::reread);
-      HangUp.take(rereading::signalled);
+      ConfigurationReload reload = new ConfigurationReload(new ConfigFile(file.toString()));
+      reload.to(service::reread);
+      SighupHandler.take(reload::signalled);
       open.send(Client.message('Q', Client.task("safe", "00000000000000e3", "late")));
       second.list =
           ("{'cursor':3,'cmds':[" + listed(3, "e", engine.address(), "gone") + "]}")
