--- a/src/main/java/tansytrack/lab/DatagramRelays.java
+++ b/src/main/java/tansytrack/lab/DatagramRelays.java
@@ -12,7 +12,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import tansytrack.lab.world.Faults;
-import tansytrack.lab.world.Way;
+import tansytrack.lab.world.LinkModel;
 
 /**
  * Datagrams between managers, each way through a socket of its own: a manager knows each peer by
@@ -40,12 +40,12 @@
     final int at;
     final int of;
     final DatagramChannel channel;
-    final Way way;
+    final LinkModel link;
 
     Leg(int at, int of, long seed) throws IOException {
       this.at = at;
       this.of = of;
-      way = new Way(seed);
+      link = new LinkModel(seed);
       channel = DatagramChannel.open();
       channel.configureBlocking(false);
       channel.bind(new InetSocketAddress("127.21." + at + '.' + (of + 1), 0));
@@ -143,7 +143,7 @@
       buffer.clear();
       long now = System.nanoTime();
       long[] copies =
-          leg.way.next(
+          leg.link.next(
               faults.weather(
                   now - start,
                   names.get(leg.at),
--- a/src/main/java/tansytrack/lab/FleetRun.java
+++ b/src/main/java/tansytrack/lab/FleetRun.java
@@ -24,7 +24,7 @@
 import tansytrack.lab.proto.Version;
 import tansytrack.lab.world.Faults;
 import tansytrack.lab.world.FleetWorld;
-import tansytrack.lab.world.Sightings;
+import tansytrack.lab.world.MembershipFigures;
 import tansytrack.lab.world.Weather;
 import tansytrack.settings.Unusable;
 import tansytrack.wire.Json;
@@ -225,7 +225,7 @@
     names.forEach(world::start);
     world.play(faults);
     world.run(experiment.getSeconds() * 1000L * MS);
-    return new Sightings(names, faults, world.seen(), world.now()).figures();
+    return new MembershipFigures(names, faults, world.seen(), world.now()).figures();
   }
 
   private Map<String, Double> real() throws IOException, InterruptedException {
@@ -241,7 +241,7 @@
     for (ManagerProcess one : managers) {
       seen.addAll(seen(one, start));
     }
-    Map<String, Double> figures = new Sightings(names, faults, seen, end).figures();
+    Map<String, Double> figures = new MembershipFigures(names, faults, seen, end).figures();
     figures.putAll(served);
     figures.put("datagrams.forwarded", (double) relays.forwarded());
     figures.put("datagrams.lost", (double) relays.lost());
--- a/src/main/java/tansytrack/lab/world/FleetWorld.java
+++ b/src/main/java/tansytrack/lab/world/FleetWorld.java
@@ -29,7 +29,7 @@
   private final SplittableRandom chance;
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final TreeMap<String, Node> nodes = new TreeMap<>(); // by address
-  private final Map<String, Way> ways = new HashMap<>();
+  private final Map<String, LinkModel> links = new HashMap<>();
   private final List<Letter> wiretap = new ArrayList<>();
   private final List<Seen> seen = new ArrayList<>();
   private Weather weather = Weather.FINE;
@@ -297,9 +297,10 @@
         faults == null
             ? weather
             : faults.weather(now - faultsFrom, from.name, from.place, to.name, to.place);
-    Way way =
-        ways.computeIfAbsent(from.address + '>' + to.address, key -> new Way(chance.nextLong()));
-    for (long takes : way.next(here)) {
+    LinkModel link =
+        links.computeIfAbsent(
+            from.address + '>' + to.address, key -> new LinkModel(chance.nextLong()));
+    for (long takes : link.next(here)) {
       if (wiretap.size() < 1 << 16) {
         wiretap.add(send.letter());
       }
--- a/src/main/java/tansytrack/lab/world/Way.java
+++ b/src/main/java/tansytrack/lab/world/LinkModel.java
@@ -5,13 +5,13 @@
 /**
  * One link one way: what becomes of the next letter on it, by the weather and a seed of its own.
  */
-public final class Way {
+public final class LinkModel {
 
   private final SplittableRandom chance;
   private boolean bad; // in a bad stretch
 
   /** A link whose losses and delays are drawn from the seed. */
-  public Way(long seed) {
+  public LinkModel(long seed) {
     chance = new SplittableRandom(seed);
   }
 
--- a/src/main/java/tansytrack/lab/world/Sightings.java
+++ b/src/main/java/tansytrack/lab/world/MembershipFigures.java
@@ -13,7 +13,7 @@
  * What members came to hold of one another, held against what was so: the membership's rules as
  * figures. Reads records only.
  */
-public final class Sightings {
+public final class MembershipFigures {
 
   private static final double MS = 1e6;
   private static final double NEVER = 1e9;
@@ -33,7 +33,7 @@
    * Of the members that were to run from the start on; times from the start of the play, which
    * ended then.
    */
-  public Sightings(
+  public MembershipFigures(
       Collection<String> members, Faults faults, List<FleetWorld.Seen> seen, long end) {
     this.members = members;
     this.faults = faults;
--- a/src/main/java/tansytrack/ledger/Bookkeeper.java
+++ b/src/main/java/tansytrack/ledger/EntryTracker.java
@@ -9,7 +9,7 @@
  * Makes lines of what tasks do: numbers each task as it is taken, and knows which forwards are out.
  * Pure: it is told the time, and gives lines back. It holds as much as there are open tasks.
  */
-public final class Bookkeeper {
+public final class EntryTracker {
 
   /** One open task. */
   private static final class Open {
@@ -40,7 +40,7 @@
   private long sequence;
 
   /** Entries whose earnings are computed by the given function. */
-  public Bookkeeper(Earnings earnings) {
+  public EntryTracker(Earnings earnings) {
     this.earnings = earnings;
   }
 
--- a/src/main/java/tansytrack/ledger/Outflow.java
+++ b/src/main/java/tansytrack/ledger/WriteFlowControl.java
@@ -11,7 +11,7 @@
  * patience at most: guards against clients that hear nothing because a disk is slow or dead. Harm:
  * what is answered then may be lost in a crash, and is counted as such. Pure.
  */
-public final class Outflow {
+public final class WriteFlowControl {
 
   /** One answer that waits, by the number of its line. */
   private record Held(long number, long since, Runnable say) {}
@@ -34,7 +34,7 @@
   /**
    * A hand-over that refuses lines above a bound, and gives up waiting for the disk after a time.
    */
-  public Outflow(long epoch, int mostUnwritten, long patience) {
+  public WriteFlowControl(long epoch, int mostUnwritten, long patience) {
     this.epoch = epoch;
     this.mostUnwritten = mostUnwritten;
     this.patience = patience;
--- a/src/main/java/tansytrack/ledger/disk/Recorder.java
+++ b/src/main/java/tansytrack/ledger/disk/Recorder.java
@@ -12,10 +12,10 @@
 import tansytrack.api.Grade;
 import tansytrack.api.Outcome;
 import tansytrack.api.TaskOffer;
-import tansytrack.ledger.Bookkeeper;
+import tansytrack.ledger.EntryTracker;
 import tansytrack.ledger.Line;
-import tansytrack.ledger.Outflow;
 import tansytrack.ledger.Reconciliation;
+import tansytrack.ledger.WriteFlowControl;
 import tansytrack.log.Event;
 import tansytrack.operator.OperatorFile;
 import tansytrack.state.TaskWatch;
@@ -44,8 +44,8 @@
   private final long commitEvery;
   private final Map<String, Grade> grades = new HashMap<>();
   private final List<TaskWatch.Left> left;
-  private final Bookkeeper book = new Bookkeeper(this::earned);
-  private final Outflow outflow;
+  private final EntryTracker entries = new EntryTracker(this::earned);
+  private final WriteFlowControl flow;
   private final SpscArrayQueue<Line> queue;
   private final Thread writer = new Thread(this::write, "ledger");
   private Timers.Timer timer;
@@ -68,7 +68,7 @@
     bounces = section.bounces();
     commitEvery = section.commitEvery();
     known.forEach(grade -> grades.put(grade.name(), grade));
-    outflow = new Outflow(store.epoch(), section.mostUnwritten(), section.mostWait());
+    flow = new WriteFlowControl(store.epoch(), section.mostUnwritten(), section.mostWait());
     queue = new SpscArrayQueue<>(section.mostUnwritten() + 2);
   }
 
@@ -120,19 +120,19 @@
 
   @Override
   public void taken(long now, TaskOffer offer) {
-    book.taken(now, offer.id(), offer.tenant(), offer.grade());
+    entries.taken(now, offer.id(), offer.tenant(), offer.grade());
   }
 
   @Override
   public boolean admits() {
-    return !bounces || outflow.admits(book.openTasks());
+    return !bounces || flow.admits(entries.openTasks());
   }
 
   @Override
   public void sent(long now, String task, int index, String engine, long memoryMb, Runnable go) {
-    hand(now, book.sent(now, task, index, engine, memoryMb));
+    hand(now, entries.sent(now, task, index, engine, memoryMb));
     if (intentsFirst) {
-      outflow.hold(now, go);
+      flow.hold(now, go);
       overdue();
     } else {
       go.run();
@@ -148,7 +148,7 @@
       long work,
       double memoryMb,
       boolean served) {
-    Line line = book.ended(now, task, index, outcome.name(), work, memoryMb, served);
+    Line line = entries.ended(now, task, index, outcome.name(), work, memoryMb, served);
     if (line != null) {
       hand(now, line);
     }
@@ -156,13 +156,13 @@
 
   @Override
   public void answered(long now, String task, TaskWatch.End end, long bytes, Runnable say) {
-    Line line = book.answered(now, task, tansytrack.ledger.End.valueOf(end.name()), bytes);
-    hand(outflow.offer(now, line, bounces && end == TaskWatch.End.BOUNCED ? book.openTasks() : 0));
+    Line line = entries.answered(now, task, tansytrack.ledger.End.valueOf(end.name()), bytes);
+    hand(flow.offer(now, line, bounces && end == TaskWatch.End.BOUNCED ? entries.openTasks() : 0));
     if (!afterCommit || end != TaskWatch.End.HANDLED) {
       say.run(); // what was given up is told at once, whatever the disk does
       return;
     }
-    outflow.hold(now, say);
+    flow.hold(now, say);
     overdue();
   }
 
@@ -187,7 +187,7 @@
   }
 
   private void overdue() {
-    long next = outflow.overdue(timers.now());
+    long next = flow.overdue(timers.now());
     if (next > 0 && timer == null) {
       timer =
           timers.at(
@@ -200,7 +200,7 @@
   }
 
   private void hand(long now, Line line) {
-    hand(outflow.offer(now, line));
+    hand(flow.offer(now, line));
   }
 
   private void hand(List<Line> lines) {
@@ -216,20 +216,20 @@
 
   private void look() {
     if (!ending) {
-      hand(outflow.idle(timers.now()));
+      hand(flow.idle(timers.now()));
       timers.at(timers.now() + LOOK, this::look);
     }
   }
 
   private void durable(long lines) {
-    outflow.durable(lines);
-    hand(outflow.idle(timers.now()));
+    flow.durable(lines);
+    hand(flow.idle(timers.now()));
   }
 
   @Override
   public void close() {
-    outflow.release();
-    hand(outflow.idle(timers.now()));
+    flow.release();
+    hand(flow.idle(timers.now()));
     lastEffort = System.nanoTime() + LAST;
     ending = true;
     LockSupport.unpark(writer);
@@ -238,27 +238,27 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    long left = outflow.unwritten() + outflow.uncounted();
+    long left = flow.unwritten() + flow.uncounted();
     Event.info(
         "ledger.closed",
         "ledger: "
             + left
             + " lines unwritten, "
-            + outflow.gaps()
+            + flow.gaps()
             + " gaps, "
-            + outflow.answeredUndurable()
+            + flow.answeredUndurable()
             + " forwards and answers before their commit",
         "unwritten",
         left,
         "gaps",
-        outflow.gaps(),
+        flow.gaps(),
         "before_commit",
-        outflow.answeredUndurable());
+        flow.answeredUndurable());
   }
 
   /** Lines handed over that are not yet on the disk; asked in the loop. */
   public long unwritten() {
-    return outflow.unwritten();
+    return flow.unwritten();
   }
 
   // ---- On the thread of its own ----
@@ -300,7 +300,7 @@
       } else if (last) {
         // The loop is in close() and takes no notes any more, so the count is set here; join()
         // orders it.
-        outflow.durable(written);
+        flow.durable(written);
         break;
       }
       if (queue.size() < BATCH / 2
--- a/src/main/java/tansytrack/parts/EngineList.java
+++ b/src/main/java/tansytrack/parts/EngineList.java
@@ -22,6 +22,7 @@
       this.counted = counted;
     }
 
+    /** The number at present. */
     public int now() {
       return now;
     }
@@ -33,6 +34,7 @@
     return counts.get(counts.size() - 1);
   }
 
+  /** All entries by id, as a view that cannot be changed. */
   public List<EngineEntry> all() {
     return Collections.unmodifiableList(entries);
   }
--- a/src/main/java/tansytrack/parts/Tenant.java
+++ b/src/main/java/tansytrack/parts/Tenant.java
@@ -9,6 +9,7 @@
   public double current; // smooth weighted round-robin
   public final ArrayList<T> waiters = new ArrayList<>(); // least time left first
 
+  /** A tenant without waiters; its weight is its part of the turns. */
   public Tenant(double weight) {
     this.weight = weight;
   }
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -36,7 +36,8 @@
   private final Map<HttpLine, Timers.Timer> coming =
       new IdentityHashMap<>(USUAL); // until up, or given up
   private final Set<HttpLine> lines = Collections.newSetFromMap(new IdentityHashMap<>(USUAL));
-  private final ArrayDeque<Runnable> waiting = new ArrayDeque<>(USUAL); // for a connection to be free
+  private final ArrayDeque<Runnable> waiting =
+      new ArrayDeque<>(USUAL); // for a connection to be free
   private boolean refusing; // the last connection that was tried was refused
   private long refusedAt;
   private long heardAt = ANY_TIME; // the last whole answer to any call
--- a/src/test/java/tansytrack/lab/FleetLinksTest.java
+++ b/src/test/java/tansytrack/lab/FleetLinksTest.java
@@ -17,7 +17,7 @@
 import tansytrack.fleet.Standing;
 import tansytrack.lab.world.Faults;
 import tansytrack.lab.world.FleetWorld.Seen;
-import tansytrack.lab.world.Sightings;
+import tansytrack.lab.world.MembershipFigures;
 import tansytrack.lab.world.Weather;
 import tansytrack.settings.Unusable;
 
@@ -101,21 +101,25 @@
     Seen ab = seen(1, "a", "b", Standing.ALIVE);
     Seen ba = seen(2, "b", "a", Standing.ALIVE);
     Map<String, Double> fine =
-        new Sightings(two, kill, List.of(ab, ba, seen(7, "a", "b", Standing.DEAD)), 20 * SECOND)
+        new MembershipFigures(
+                two, kill, List.of(ab, ba, seen(7, "a", "b", Standing.DEAD)), 20 * SECOND)
             .figures();
     assertThat(fine)
         .containsEntry("joined_ms_max", 2000.0)
         .containsEntry("killed.known_ms_max", 2000.0)
         .containsEntry("living.dead_ms_max", 0.0);
     assertThat(
-            new Sightings(two, kill, List.of(ab, ba), 20 * SECOND)
+            new MembershipFigures(two, kill, List.of(ab, ba), 20 * SECOND)
                 .figures()
                 .get("killed.known_ms_max"))
         .isGreaterThan(1e8);
-    assertThat(new Sightings(two, none, List.of(ab), 20 * SECOND).figures().get("joined_ms_max"))
+    assertThat(
+            new MembershipFigures(two, none, List.of(ab), 20 * SECOND)
+                .figures()
+                .get("joined_ms_max"))
         .isGreaterThan(1e8);
     assertThat(
-            new Sightings(
+            new MembershipFigures(
                     two,
                     none,
                     List.of(
@@ -127,7 +131,7 @@
                 .figures())
         .containsEntry("living.dead_ms_max", 2000.0);
     assertThat(
-            new Sightings(
+            new MembershipFigures(
                     two,
                     cut,
                     List.of(
@@ -140,7 +144,8 @@
         .containsEntry("living.dead_ms_max", 0.0)
         .containsEntry("healed_ms_max", 3000.0);
     assertThat(
-            new Sightings(two, cut, List.of(ab, ba, seen(8, "a", "b", Standing.DEAD)), 40 * SECOND)
+            new MembershipFigures(
+                    two, cut, List.of(ab, ba, seen(8, "a", "b", Standing.DEAD)), 40 * SECOND)
                 .figures())
         .satisfies(figures -> assertThat(figures.get("healed_ms_max")).isGreaterThan(1e8))
         .satisfies(figures -> assertThat(figures.get("living.dead_ms_max")).isGreaterThan(5000));
--- a/src/test/java/tansytrack/ledger/BookTest.java
+++ b/src/test/java/tansytrack/ledger/EntryTrackerTest.java
@@ -7,44 +7,45 @@
 import org.junit.jupiter.api.Test;
 
 /** What the loop makes of tasks, and what of it reaches the disk. */
-class BookTest {
+class EntryTrackerTest {
 
   private static final long MS = 1_000_000L;
-  private final Bookkeeper book =
-      new Bookkeeper((grade, end, time) -> end == End.HANDLED && time < 10 * MS ? 2000 : 0);
-  private final Outflow flow = new Outflow(7, 4, 100 * MS);
+  private final EntryTracker entries =
+      new EntryTracker((grade, end, time) -> end == End.HANDLED && time < 10 * MS ? 2000 : 0);
+  private final WriteFlowControl flow = new WriteFlowControl(7, 4, 100 * MS);
   private final List<String> said = new ArrayList<>();
 
   private Line bounced(long number) {
-    book.taken(0, "t" + number, "a", "g");
-    return book.answered(1, "t" + number, End.BOUNCED, 0);
+    entries.taken(0, "t" + number, "a", "g");
+    return entries.answered(1, "t" + number, End.BOUNCED, 0);
   }
 
   @Test
   void anEntryIsCompleteWithItsAnswerOnceNothingIsOut() {
-    book.taken(5, "t", "a", "g");
-    book.sent(6, "t", 0, "e", 64);
-    book.sent(7, "t", 1, "f", 0);
-    assertThat(book.ended(8, "t", 0, "RESET", 0, 0, false))
+    entries.taken(5, "t", "a", "g");
+    entries.sent(6, "t", 0, "e", 64);
+    entries.sent(7, "t", 1, "f", 0);
+    assertThat(entries.ended(8, "t", 0, "RESET", 0, 0, false))
         .isEqualTo(new Line.Ended(1, new Use(0, "e", 6, 8, "RESET", 0, 0, 64, true), false));
-    assertThat(book.answered(9, "t", End.ABANDONED, 0).complete()).isFalse();
-    assertThat(book.openTasks()).isEqualTo(1);
-    assertThat(book.ended(10, "t", 1, "OK", 3, 2.6, false))
+    assertThat(entries.answered(9, "t", End.ABANDONED, 0).complete()).isFalse();
+    assertThat(entries.openTasks()).isEqualTo(1);
+    assertThat(entries.ended(10, "t", 1, "OK", 3, 2.6, false))
         .isEqualTo(new Line.Ended(1, new Use(1, "f", 7, 10, "OK", 3, 3, 0, true), true));
-    assertThat(book.openTasks()).isZero();
-    assertThat(book.ended(11, "t", 1, "OK", 3, 2.6, false)).as("told twice").isNull();
+    assertThat(entries.openTasks()).isZero();
+    assertThat(entries.ended(11, "t", 1, "OK", 3, 2.6, false)).as("told twice").isNull();
   }
 
   @Test
   void aServedTaskEarnsAndItsForwardIsNoWaste() {
-    book.taken(0, "t", "a", "g");
-    book.sent(1, "t", 0, "e", 8);
-    assertThat(((Line.Ended) book.ended(2, "t", 0, "OK", 9, 1, true)).use().wasted()).isFalse();
-    Line.Answered line = (Line.Answered) book.answered(3, "t", End.HANDLED, 40);
+    entries.taken(0, "t", "a", "g");
+    entries.sent(1, "t", 0, "e", 8);
+    assertThat(((Line.Ended) entries.ended(2, "t", 0, "OK", 9, 1, true)).use().wasted()).isFalse();
+    Line.Answered line = (Line.Answered) entries.answered(3, "t", End.HANDLED, 40);
     assertThat(line.complete()).isTrue();
     assertThat(line.earningsMilli()).isEqualTo(2000);
-    book.taken(4, "late", "a", "g");
-    assertThat(((Line.Answered) book.answered(4 + 10 * MS, "late", End.HANDLED, 0)).earningsMilli())
+    entries.taken(4, "late", "a", "g");
+    assertThat(
+            ((Line.Answered) entries.answered(4 + 10 * MS, "late", End.HANDLED, 0)).earningsMilli())
         .isZero();
   }
 
@@ -114,7 +115,7 @@
 
   @Test
   void tasksAreLetInWhileTheirLinesHaveRoom() {
-    Outflow wide = new Outflow(7, 12, MS);
+    WriteFlowControl wide = new WriteFlowControl(7, 12, MS);
     assertThat(wide.admits(0)).isTrue();
     assertThat(wide.admits(1)).isTrue();
     assertThat(wide.admits(2)).isFalse();
--- a/src/test/java/tansytrack/ledger/disk/StoreTest.java
+++ b/src/test/java/tansytrack/ledger/disk/StoreTest.java
@@ -18,9 +18,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import tansytrack.ledger.Amendment;
-import tansytrack.ledger.Bookkeeper;
 import tansytrack.ledger.End;
 import tansytrack.ledger.Entry;
+import tansytrack.ledger.EntryTracker;
 import tansytrack.ledger.Line;
 import tansytrack.ledger.Merged;
 import tansytrack.ledger.Reconciliation;
@@ -30,7 +30,7 @@
 class StoreTest {
 
   @TempDir Path folder;
-  private final Bookkeeper book = new Bookkeeper((grade, end, time) -> 0);
+  private final EntryTracker book = new EntryTracker((grade, end, time) -> 0);
 
   private static void nobody(String task, String engine) {}
 
