--- a/src/main/java/tansytrack/lab/FleetTable.java
+++ b/src/main/java/tansytrack/lab/FleetTable.java
@@ -65,8 +65,10 @@
     List<Row> rows = new ArrayList<>();
     Rules rules = Rules.usual(List.of("m0", "m1", "m2"));
     String head =
-        "members,loss,first_suspicion_p50_ms,swim_expected_ms,known_dead_p50_ms,known_dead_p99_ms,not_known,"
-            + "suspected_an_hour,declared_dead_an_hour,bytes_a_second,letters_a_second,healed_p50_ms,healed_max_ms,not_healed";
+        "members,loss,first_suspicion_p50_ms,swim_expected_ms,known_dead_p50_ms,"
+            + "known_dead_p99_ms,not_known,"
+            + "suspected_an_hour,declared_dead_an_hour,bytes_a_second,letters_a_second,"
+            + "healed_p50_ms,healed_max_ms,not_healed";
     StringBuilder csv = new StringBuilder(head).append('\n');
     to.println(head);
     for (String size : sizes.split(",")) {
@@ -83,7 +85,8 @@
     }
     Files.createDirectories(out);
     Files.writeString(out.resolve("result.csv"), csv);
-    chart(rows, rules, out);
+    detectionChart(rows, rules, out);
+    costChart(rows, out);
     return rows.stream().allMatch(row -> row.unknown == 0 && row.unhealed == 0);
   }
 
@@ -174,7 +177,7 @@
         row.unhealed);
   }
 
-  private static void chart(List<Row> rows, Rules rules, Path out) throws IOException {
+  private static void detectionChart(List<Row> rows, Rules rules, Path out) throws IOException {
     XYChart chart =
         new XYChartBuilder()
             .width(900)
@@ -204,6 +207,10 @@
     chart.addSeries("first suspicion expected by SWIM", sizes, expected);
     BitmapEncoder.saveBitmap(
         chart, out.resolve("detection.png").toString(), BitmapEncoder.BitmapFormat.PNG);
+  }
+
+  private static void costChart(List<Row> rows, Path out) throws IOException {
+    double[] losses = rows.stream().mapToDouble(row -> row.loss).distinct().toArray();
     XYChart cost =
         new XYChartBuilder()
             .width(900)
--- a/src/main/java/tansytrack/ledger/Reconciliation.java
+++ b/src/main/java/tansytrack/ledger/Reconciliation.java
@@ -40,6 +40,7 @@
   private final Set<String> engines = new TreeSet<>();
   private long agreed;
 
+  /** Takes a ledger entry with all its uses of engines. */
   public void take(Entry entry) {
     for (Use use : entry.uses()) {
       told.computeIfAbsent(new Place(use.engine(), entry.task()), place -> new ArrayList<>(1))
@@ -52,11 +53,13 @@
     engines.add(engine);
   }
 
+  /** Takes a run that an engine states. */
   public void take(Run run) {
     engines.add(run.engine);
     ran.computeIfAbsent(new Place(run.engine, run.task), place -> new ArrayList<>(1)).add(run);
   }
 
+  /** Compares both sides, by engine and task in the order of their names. */
   public List<Finding> findings() {
     agreed = 0;
     List<Finding> findings = new ArrayList<>();
@@ -79,45 +82,14 @@
     for (Use use : uses) {
       Run run = match(use, left);
       left.remove(run);
-      String outcome = use.outcome();
-      if (run != null && outcome.equals("OK") && run.work != use.work()) {
-        findings.add(
-            new Finding(
-                true,
-                "work differs",
-                place.engine,
-                place.task,
-                "ledger " + use.work() + " ns, engine " + run.work + " ns"));
-      } else if (run != null && outcome.equals(Use.UNKNOWN)) {
-        findings.add(
-            new Finding(
-                false,
-                "resolved by the engine",
-                place.engine,
-                place.task,
-                "its manager died; the engine "
-                    + (run.done ? "ran it, " + run.work + " ns" : "dropped it")));
-      } else if (run == null && outcome.equals("OK")) {
-        findings.add(
-            new Finding(
-                true,
-                "in the ledger only",
-                place.engine,
-                place.task,
-                "the statement is cut off, or of another time"));
-      } else if (run == null && !NEVER_RUN.contains(outcome) && !MAY_HAVE_RUN.contains(outcome)) {
-        findings.add(
-            new Finding(
-                true,
-                "in the ledger only",
-                place.engine,
-                place.task,
-                "the engine answered " + outcome + " and states no run"));
-      } else {
+      Finding finding = compare(place, use, run);
+      if (finding == null) {
         agreed++;
+      } else {
+        findings.add(finding);
       }
     }
-    for (Run run : left) {
+    for (int unmatched = left.size(); unmatched > 0; unmatched--) {
       findings.add(
           new Finding(
               true,
@@ -125,12 +97,51 @@
               place.engine,
               place.task,
               uses.isEmpty()
-                  ? "no manager's ledger names it: a ledger is missing, or one crashed within its loss"
-                      + " window, or ran with a gap"
+                  ? "no manager's ledger names it: a ledger is missing, or one crashed within its"
+                      + " loss window, or ran with a gap"
                   : "the engine ran it once more than it was forwarded"));
     }
   }
 
+  /** What is wrong or to be told of a use and the run that fits it, null where both agree. */
+  private static Finding compare(Place place, Use use, Run run) {
+    String outcome = use.outcome();
+    if (run != null && outcome.equals("OK") && run.work != use.work()) {
+      return new Finding(
+          true,
+          "work differs",
+          place.engine,
+          place.task,
+          "ledger " + use.work() + " ns, engine " + run.work + " ns");
+    }
+    if (run != null && outcome.equals(Use.UNKNOWN)) {
+      return new Finding(
+          false,
+          "resolved by the engine",
+          place.engine,
+          place.task,
+          "its manager died; the engine "
+              + (run.done ? "ran it, " + run.work + " ns" : "dropped it"));
+    }
+    if (run == null && outcome.equals("OK")) {
+      return new Finding(
+          true,
+          "in the ledger only",
+          place.engine,
+          place.task,
+          "the statement is cut off, or of another time");
+    }
+    if (run == null && !NEVER_RUN.contains(outcome) && !MAY_HAVE_RUN.contains(outcome)) {
+      return new Finding(
+          true,
+          "in the ledger only",
+          place.engine,
+          place.task,
+          "the engine answered " + outcome + " and states no run");
+    }
+    return null;
+  }
+
   /** The run that fits best: for a good end one with its work, for others one that is not done. */
   private static Run match(Use use, List<Run> runs) {
     Run best = null;
--- a/src/main/java/tansytrack/ledger/Resolutions.java
+++ b/src/main/java/tansytrack/ledger/Resolutions.java
@@ -23,6 +23,7 @@
   private final Map<String, List<Reconciliation.Run>> runs = new HashMap<>();
   private final Set<String> resolved = new HashSet<>();
 
+  /** Resolutions that leave out what the amendments made before already say. */
   public Resolutions(Rates rates, Periods periods, List<Amendment> before) {
     this.rates = rates;
     this.periods = periods;
@@ -33,6 +34,7 @@
     }
   }
 
+  /** Takes a run that an engine states; the same statement twice counts once. */
   public void take(Reconciliation.Run run) {
     List<Reconciliation.Run> known = runs.computeIfAbsent(run.task(), task -> new ArrayList<>(1));
     if (!known.contains(run)) {
@@ -55,17 +57,7 @@
           said.append(said.length() > SAID.length() ? ", " : "")
               .append(run.engine())
               .append(run.done() ? " ran it, " + run.work() + " ns" : " dropped it");
-          uses.add(
-              new Use(
-                  use.index(),
-                  use.engine(),
-                  use.sentAt(),
-                  0,
-                  use.outcome(),
-                  run.done() ? run.work() : 0,
-                  0,
-                  use.grantedMb(),
-                  true));
+          uses.add(asRun(use, run));
         }
       }
     }
@@ -73,19 +65,7 @@
       resolved.remove(name);
       return null; // the runs are another manager's, at engines that this one did not ask
     }
-    Entry known =
-        new Entry(
-            entry.epoch(),
-            entry.sequence(),
-            entry.task(),
-            entry.tenant(),
-            entry.grade(),
-            entry.takenAt(),
-            entry.endedAt(),
-            End.ABANDONED,
-            0,
-            0,
-            uses);
+    Entry known = abandoned(entry, uses);
     BigDecimal amount = rates.rounded(rates.price(known, periods.day(entry.takenAt())));
     return new Amendment(
         0,
@@ -98,4 +78,33 @@
         now,
         false);
   }
+
+  private static Use asRun(Use use, Reconciliation.Run run) {
+    return new Use(
+        use.index(),
+        use.engine(),
+        use.sentAt(),
+        0,
+        use.outcome(),
+        run.done() ? run.work() : 0,
+        0,
+        use.grantedMb(),
+        true);
+  }
+
+  /** The entry as if its client had left it with those uses. */
+  private static Entry abandoned(Entry entry, List<Use> uses) {
+    return new Entry(
+        entry.epoch(),
+        entry.sequence(),
+        entry.task(),
+        entry.tenant(),
+        entry.grade(),
+        entry.takenAt(),
+        entry.endedAt(),
+        End.ABANDONED,
+        0,
+        0,
+        uses);
+  }
 }
--- a/src/main/java/tansytrack/ledger/Outflow.java
+++ b/src/main/java/tansytrack/ledger/WriteFlowControl.java
@@ -11,7 +11,7 @@
  * patience at most: guards against clients that hear nothing because a disk is slow or dead. Harm:
  * what is answered then may be lost in a crash, and is counted as such. Pure.
  */
-public final class Outflow {
+public final class WriteFlowControl {
 
   /** One answer that waits, by the number of its line. */
   private record Held(long number, long since, Runnable say) {}
@@ -31,7 +31,10 @@
   private long gapLines;
   private long answeredUndurable;
 
-  public Outflow(long epoch, int mostUnwritten, long patience) {
+  /**
+   * A hand-over that refuses lines above a bound, and gives up waiting for the disk after a time.
+   */
+  public WriteFlowControl(long epoch, int mostUnwritten, long patience) {
     this.epoch = epoch;
     this.mostUnwritten = mostUnwritten;
     this.patience = patience;
@@ -144,18 +147,22 @@
     }
   }
 
+  /** Lines handed over that are not durable yet. */
   public long unwritten() {
     return handed - durable;
   }
 
+  /** Lines that the gap now open leaves out. */
   public long uncounted() {
     return gapLines;
   }
 
+  /** How many gaps were opened so far. */
   public long gaps() {
     return gaps;
   }
 
+  /** How many clients were answered before their entry was durable. */
   public long answeredUndurable() {
     return answeredUndurable;
   }
--- a/src/main/java/tansytrack/service/Channel.java
+++ b/src/main/java/tansytrack/service/Channel.java
@@ -25,7 +25,11 @@
   private static final long SILENT = 500 * MS; // over the block: then the connection is given up
   private static final long PAUSE = 50 * MS; // before a new connection after one that failed
 
-  private static final int LONGEST = 1 << 20; // twice a list of thousands of engines
+  /**
+   * Bytes of the ring; a list may take half of it: 2 MiB, some 11,000 engines of 190 bytes each.
+   * The ring grows only as far as a list fills it.
+   */
+  private static final int LONGEST = 1 << 22;
 
   private final Sockets sockets;
   private final Timers timers;
@@ -66,6 +70,7 @@
   private void nodes(Map<String, Object> nodes) throws Junk {
     List<EngineEntry> entries = new ArrayList<>();
     Map<String, InetSocketAddress> addresses = new HashMap<>();
+    Map<String, String> words = new HashMap<>(); // places and kinds: each once in memory
     for (Object member : Json.list(nodes.get("members"), "members")) {
       Map<String, Object> one = Json.map(member, "a member");
       String id = Json.text(one.get("id"), "id");
@@ -83,8 +88,8 @@
           new EngineEntry(
               id,
               amount(one, "size", 1),
-              word(one, "locality"),
-              word(one, "flavor"),
+              words.computeIfAbsent(word(one, "locality"), same -> same),
+              words.computeIfAbsent(word(one, "flavor"), same -> same),
               (int) amount(one, "cell", 0),
               state,
               Math.round(amount(one, "up_since_ms", 0) * MS)));
--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -99,7 +99,7 @@
 
   Service(Config config, BiFunction<Settings, Actions, Decisions> start, Extras extras)
       throws Junk {
-    this.config = config;
+    this.config = config.withoutKnown();
     timers.now(clock.getAsLong());
     watch = extras.watch().make(config, timers, inbox::add);
     siblings = extras.siblings().make(config, count -> inbox.add(() -> this.siblings(count)));
@@ -186,13 +186,13 @@
   public static int serve(String path, String operator) {
     long until = System.nanoTime() + START_PATIENCE;
     Service service;
-    Rereading rereading;
+    ConfigurationReload reload;
     try {
       ConfigFile file = new ConfigFile(path);
       // Before all else: SIGHUP would end a JVM that has nothing for it.
-      rereading = new Rereading(file);
-      if (!HangUp.take(rereading::signalled)) {
-        new FileLooks(path, rereading::signalled).start();
+      reload = new ConfigurationReload(file);
+      if (!SighupHandler.take(reload::signalled)) {
+        new ConfigurationFilePoller(path, reload::signalled).start();
       }
       Extras extras = operator == null ? Extras.NONE : Installed.extras(operator);
       service = started(file.read(until), extras);
@@ -204,7 +204,7 @@
     Runtime.getRuntime().addShutdownHook(new Thread(service::terminated, "stop"));
     try {
       service.listen(until);
-      rereading.to(service::reread);
+      reload.to(service::reread);
     } catch (IOException | Junk e) {
       service.ended.countDown();
       return unusable(e);
@@ -301,7 +301,7 @@
         "new configuration: command channel at {}{}",
         next.channel(),
         rest.isEmpty() ? "" : "; takes a restart: " + rest);
-    config = next;
+    config = next.withoutKnown();
     manager.descriptors(next.mostDescriptors());
     channel.move(to, next.known());
   }
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -25,17 +25,19 @@
       10_000_000L; // of a connection before its next call: what else belongs
   // to the last answer comes by then
   private static final int TRIES = 4; // of a call that connections break under
+  private static final int USUAL = 2; // connections: of thousands of engines few have more
 
   final String id;
   private final Sockets sockets;
   private final Timers timers;
   private final Limits limits;
   private final Counters counters;
-  private final ArrayDeque<Idle> idle = new ArrayDeque<>(); // the last used at the end
+  private final ArrayDeque<Idle> idle = new ArrayDeque<>(USUAL); // the last used at the end
   private final Map<HttpLine, Timers.Timer> coming =
-      new IdentityHashMap<>(); // until up, or given up
-  private final Set<HttpLine> lines = Collections.newSetFromMap(new IdentityHashMap<>());
-  private final ArrayDeque<Runnable> waiting = new ArrayDeque<>(); // for a connection to be free
+      new IdentityHashMap<>(USUAL); // until up, or given up
+  private final Set<HttpLine> lines = Collections.newSetFromMap(new IdentityHashMap<>(USUAL));
+  private final ArrayDeque<Runnable> waiting =
+      new ArrayDeque<>(USUAL); // for a connection to be free
   private boolean refusing; // the last connection that was tried was refused
   private long refusedAt;
   private long heardAt = ANY_TIME; // the last whole answer to any call
--- a/src/test/java/tansytrack/Manager.java
+++ b/src/test/java/tansytrack/Manager.java
@@ -7,6 +7,7 @@
 import tansytrack.api.Actions;
 import tansytrack.api.Decisions;
 import tansytrack.api.EngineEntry;
+import tansytrack.api.EngineView;
 import tansytrack.api.Grade;
 import tansytrack.api.LoadReport;
 import tansytrack.api.Outcome;
@@ -19,6 +20,7 @@
   static final long MS = 1_000_000L;
 
   int siblings = 1;
+  int position = Settings.UNKNOWN;
   long seed = 7;
   boolean cancels = true;
   boolean copies;
@@ -61,6 +63,7 @@
               new Settings(
                   seed,
                   siblings,
+                  position,
                   "here",
                   List.of(
                       grade("short", Grade.Repeat.HARMLESS, Grade.Scope.ALL, false),
@@ -111,7 +114,11 @@
   }
 
   Manager list(boolean complete, EngineEntry... entries) {
-    module().engines(now, complete, List.of(entries));
+    return list(complete, List.of(entries));
+  }
+
+  Manager list(boolean complete, List<EngineEntry> entries) {
+    module().engines(now, complete, entries);
     module().decide(now);
     return this;
   }
@@ -259,6 +266,11 @@
     return this;
   }
 
+  /** Ids of the engines that it has records of. */
+  List<String> known() {
+    return module().view(now).stream().map(EngineView::id).toList();
+  }
+
   /** Everything done so far that begins with the words. */
   List<String> did(String words) {
     return did.stream().filter(line -> line.startsWith(words)).toList();
--- a/src/test/java/tansytrack/lab/FleetLinksTest.java
+++ b/src/test/java/tansytrack/lab/FleetLinksTest.java
@@ -14,10 +14,11 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import tansytrack.Decide;
 import tansytrack.fleet.Standing;
 import tansytrack.lab.world.Faults;
 import tansytrack.lab.world.FleetWorld.Seen;
-import tansytrack.lab.world.Sightings;
+import tansytrack.lab.world.MembershipFigures;
 import tansytrack.lab.world.Weather;
 import tansytrack.settings.Unusable;
 
@@ -32,7 +33,11 @@
     ByteArrayOutputStream told = new ByteArrayOutputStream();
     boolean held =
         Laboratory.run(
-            Laboratory.read(file), 1, folder, new PrintStream(told, true, StandardCharsets.UTF_8));
+            Laboratory.read(file),
+            1,
+            folder,
+            Decide::new,
+            new PrintStream(told, true, StandardCharsets.UTF_8));
     return held + "\n" + told.toString(StandardCharsets.UTF_8);
   }
 
@@ -101,21 +106,25 @@
     Seen ab = seen(1, "a", "b", Standing.ALIVE);
     Seen ba = seen(2, "b", "a", Standing.ALIVE);
     Map<String, Double> fine =
-        new Sightings(two, kill, List.of(ab, ba, seen(7, "a", "b", Standing.DEAD)), 20 * SECOND)
+        new MembershipFigures(
+                two, kill, List.of(ab, ba, seen(7, "a", "b", Standing.DEAD)), 20 * SECOND)
             .figures();
     assertThat(fine)
         .containsEntry("joined_ms_max", 2000.0)
         .containsEntry("killed.known_ms_max", 2000.0)
         .containsEntry("living.dead_ms_max", 0.0);
     assertThat(
-            new Sightings(two, kill, List.of(ab, ba), 20 * SECOND)
+            new MembershipFigures(two, kill, List.of(ab, ba), 20 * SECOND)
                 .figures()
                 .get("killed.known_ms_max"))
         .isGreaterThan(1e8);
-    assertThat(new Sightings(two, none, List.of(ab), 20 * SECOND).figures().get("joined_ms_max"))
+    assertThat(
+            new MembershipFigures(two, none, List.of(ab), 20 * SECOND)
+                .figures()
+                .get("joined_ms_max"))
         .isGreaterThan(1e8);
     assertThat(
-            new Sightings(
+            new MembershipFigures(
                     two,
                     none,
                     List.of(
@@ -127,7 +136,7 @@
                 .figures())
         .containsEntry("living.dead_ms_max", 2000.0);
     assertThat(
-            new Sightings(
+            new MembershipFigures(
                     two,
                     cut,
                     List.of(
@@ -140,7 +149,8 @@
         .containsEntry("living.dead_ms_max", 0.0)
         .containsEntry("healed_ms_max", 3000.0);
     assertThat(
-            new Sightings(two, cut, List.of(ab, ba, seen(8, "a", "b", Standing.DEAD)), 40 * SECOND)
+            new MembershipFigures(
+                    two, cut, List.of(ab, ba, seen(8, "a", "b", Standing.DEAD)), 40 * SECOND)
                 .figures())
         .satisfies(figures -> assertThat(figures.get("healed_ms_max")).isGreaterThan(1e8))
         .satisfies(figures -> assertThat(figures.get("living.dead_ms_max")).isGreaterThan(5000));
@@ -152,13 +162,20 @@
       value = {
         "managers: 1 | managers: '1'; allowed: 2 to 200",
         "managers: 3 seconds: 1 runs: 1 fleet { places: 4 } | fleet.places: '4'; allowed: 1 to 3",
-        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 9 } | probe_every_ms: '9'",
-        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 weather { loss: 1.5 } } | fleet.weather.loss: '1.500'",
-        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 links { from: 'm7' to: '*' } } | fleet.links.from: 'm7'",
-        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 processes { manager: 'x' } } | processes.manager: 'x'; allowed: m0 to m2",
-        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 versions { manager: '*' jar: '/none' } } | versions.jar: '/none'",
-        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 engines: 1 } | fleet.engine.cores: '0'",
-        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 engine_troubles { engine: 'e1' } } | engine_troubles.engine: 'e1'",
+        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 9 } | probe_every_ms:"
+            + " '9'",
+        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 weather { loss: 1.5 }"
+            + " } | fleet.weather.loss: '1.500'",
+        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 links { from: 'm7'"
+            + " to: '*' } } | fleet.links.from: 'm7'",
+        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 processes { manager:"
+            + " 'x' } } | processes.manager: 'x'; allowed: m0 to m2",
+        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 versions { manager:"
+            + " '*' jar: '/none' } } | versions.jar: '/none'",
+        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 engines: 1 } |"
+            + " fleet.engine.cores: '0'",
+        "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 engine_troubles {"
+            + " engine: 'e1' } } | engine_troubles.engine: 'e1'",
         "managers: 3 seconds: 1 runs: 1 fleet { places: 1 probe_every_ms: 100 } | claims: missing"
       })
   void aFleetThatCannotBeUsedIsSaid(String text, String said) throws Exception {
