Time does not end an attempt while a DELETE waits on a connection that is up

Seen: ServiceCancelTest.aForwardThatTimesOutStaysOut... (engine silent, connections may take 5 s to come up) counted 1 DELETE instead of 4: AttemptCancellation.expire ended the attempt 4.4 s behind the last question though its DELETE waited at an engine that accepts connections. Lines at fault: expire. Change: time counts only where no DELETE is on its way or no connection is up.

--- a/src/main/java/tansytrack/state/AttemptCancellation.java
+++ b/src/main/java/tansytrack/state/AttemptCancellation.java
@@ -58,6 +58,7 @@
   private final long answeredSince;
   private long pause = FIRST_PAUSE;
   private boolean confirmed; // the engine has taken a DELETE before
+  private boolean asking; // a DELETE is on its way
   private boolean over;
 
   AttemptCancellation(EngineLines engine, Timers timers, Attempt attempt, Runnable ended) {
@@ -84,6 +85,7 @@
 
   private void delete() {
     if (!over) {
+      asking = true;
       engine.aside("DELETE", attempt.path(), EngineLines.NOTHING, answeredSince, this::deleted);
     }
   }
@@ -93,7 +95,10 @@
    * starts it may be overtaken, as they go on different connections.
    */
   private void deleted(boolean taken) {
-    if (!taken) {
+    asking = false;
+    if (!taken && timers.now() >= endsAt()) {
+      end();
+    } else if (!taken) {
       timers.at(timers.now() + pause, this::delete);
       pause = Math.min(LONGEST_PAUSE, 2 * pause);
     } else if (attempt.known() || confirmed && !attempt.startMayComeLate()) {
@@ -108,11 +113,12 @@
     timers.at(endsAt(), this::expire);
   }
 
+  /** Time counts where nothing can be reached, so not while a DELETE waits on a connection. */
   private void expire() {
-    if (timers.now() >= endsAt()) {
-      end();
-    } else {
+    if (timers.now() < endsAt()) {
       expireLater(); // the engine has shown meanwhile that it may stand still
+    } else if (!asking || !engine.connected()) {
+      end();
     }
   }
 
