--- a/src/main/java/tansytrack/service/Channel.java
+++ b/src/main/java/tansytrack/service/Channel.java
@@ -183,6 +183,13 @@
     timer = timers.at(timers.now() + (early ? PAUSE : 0), this::ask);
   }
 
+  /** A list that is still coming is no silence, however long it takes. */
+  @Override
+  public void part() {
+    timer.cancel();
+    timer = timers.at(timers.now() + BLOCK * MS + SILENT, this::silent);
+  }
+
   /**
    * Asked again at once, as what breaks counts as told soon; a failure right behind another waits a
    * little.
--- a/src/main/java/tansytrack/wire/Connection.java
+++ b/src/main/java/tansytrack/wire/Connection.java
@@ -125,7 +125,7 @@
   void heard(IoBuffer bytes, long at) {
     int count = bytes.remaining();
     if (unread.getAndAdd(-count) > MOST_UNREAD && unread.get() <= MOST_UNREAD && session != null) {
-      session.resumeRead();
+      sockets.resumeRead(session);
     }
     if (!open()) {
       return;
--- a/src/main/java/tansytrack/wire/HttpLine.java
+++ b/src/main/java/tansytrack/wire/HttpLine.java
@@ -27,6 +27,9 @@
 
     /** The call has gone out whole. */
     default void written() {}
+
+    /** More of the answer has come, and it is not whole yet. */
+    default void part() {}
   }
 
   /** Who owns the line: told when it is free for the next call, or of no more use. */
@@ -95,6 +98,7 @@
     fresh = false;
     Http.Answer answer = Http.answer(connection.in);
     if (answer == null) {
+      caller.part();
       return;
     }
     // More behind it belongs to no call. A second copy does no harm; anything else may be the rest
--- a/src/main/java/tansytrack/wire/Sockets.java
+++ b/src/main/java/tansytrack/wire/Sockets.java
@@ -159,6 +159,15 @@
     return open;
   }
 
+  /**
+   * Reads on. Guards against a selector that waits up to a second, as MINA does not wake it for
+   * this: a list of a megabyte came in steps of 32 KiB a second. A flush of nothing wakes it.
+   */
+  void resumeRead(IoSession session) {
+    session.resumeRead();
+    processors.flush((NioSession) session);
+  }
+
   void gone(Connection connection) {
     open--;
   }
--- a/src/test/java/tansytrack/service/LongListTest.java
+++ b/src/test/java/tansytrack/service/LongListTest.java
@@ -21,6 +21,8 @@
   private static final int ENGINES = 6200;
   private static final long PATIENCE_NANOS = 20_000_000_000L;
   private static final long PAUSE_MS = 20;
+  private static final long QUIET_MS =
+      3000; // far more than a list takes, and the channel's patience
 
   /** Addresses where nothing listens: no task is sent here, and the settings allow no probe. */
   private static final EngineList LIST =
@@ -45,6 +47,31 @@
     }
   }
 
+  /**
+   * Guards against reading that is suspended and goes on only as something else wakes the selector:
+   * here nothing does, until the list must have come.
+   */
+  @Test
+  void aLongListComesInOneGoThoughNothingElseHappens()
+      throws IOException, InterruptedException, Junk {
+    try (StandInChannel channel = new StandInChannel(new InetSocketAddress("127.0.0.1", 0))) {
+      channel.tell("{\"revision\":1,\"complete\":false,\"members\":[]}");
+      ServiceTest.Running running = new ServiceTest.Running(ServiceTest.config(channel.address()));
+      try {
+        channel.tell(LIST.whole());
+        Thread.sleep(QUIET_MS);
+        try (ServiceTest.Client client = new ServiceTest.Client(running.at).started()) {
+          assertThat(client.ask("SHOW STATS"))
+              .contains("channel.lists,2;")
+              .doesNotContain("channel.silent")
+              .doesNotContain("channel.failed");
+        }
+      } finally {
+        running.end();
+      }
+    }
+  }
+
   /** The counters once they contain that text, or the last ones before patience ends. */
   private static String statsWith(ServiceTest.Client client, String text)
       throws IOException, InterruptedException {
