--- a/src/main/java/tansytrack/lab/scale/HollowManager.java
+++ b/src/main/java/tansytrack/lab/scale/HollowManager.java
@@ -33,6 +33,7 @@
   private Decisions module;
   private int life;
   private long asked; // statements so far
+  private long due; // when the next one comes; 0: none yet
 
   HollowManager(int index, int zone, Shard shard, ScaleWorld world, SplittableRandom chance) {
     this.index = index;
@@ -81,9 +82,14 @@
     return module == null ? List.of() : module.view(now());
   }
 
-  /** How long until the next statement comes to it. */
-  long nextGap(double rate) {
-    return (long) (-Math.log(1 - chance.nextDouble()) * ScalePlan.SECOND / rate);
+  /**
+   * When the next statement comes to it. Counted on from when the last one was due, not from the
+   * step at which it came: else steps would thin the rate.
+   */
+  long nextDue(double rate) {
+    due = due == 0 ? now() : due;
+    due += (long) (-Math.log(1 - chance.nextDouble()) * ScalePlan.SECOND / rate);
+    return due;
   }
 
   private long now() {
--- a/src/main/java/tansytrack/lab/scale/ScaleWorld.java
+++ b/src/main/java/tansytrack/lab/scale/ScaleWorld.java
@@ -91,7 +91,7 @@
           (1 + manager.index % STARTS) * VirtualTime.STEP,
           () -> {
             start(manager);
-            own.in(manager.nextGap(plan.rate()), () -> ask(manager));
+            own.at(manager.nextDue(plan.rate()), () -> ask(manager));
           });
     }
     new Failures(plan, this).set();
@@ -120,10 +120,15 @@
     shards.forEach(shard -> shard.deliver(timeline));
   }
 
+  /** All statements come that are due by this step, and the next one is set. */
   private void ask(HollowManager manager) {
-    if (clock.now() < VirtualTime.ORIGIN + plan.duration()) {
+    long due = clock.now();
+    while (due <= clock.now() && clock.now() < VirtualTime.ORIGIN + plan.duration()) {
       manager.ask(plan.meanCost(), plan.deadline());
-      manager.shard.timeline.in(manager.nextGap(plan.rate()), () -> ask(manager));
+      due = manager.nextDue(plan.rate());
+    }
+    if (due > clock.now()) {
+      manager.shard.timeline.at(due, () -> ask(manager));
     }
   }
 
--- a/src/test/java/tansytrack/lab/scale/ScaleTest.java
+++ b/src/test/java/tansytrack/lab/scale/ScaleTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import tansytrack.Decide;
@@ -74,6 +75,15 @@
     assertThat(figure(result, "pairs_removed")).isEqualTo(20);
   }
 
+  @ParameterizedTest
+  @ValueSource(doubles = {8, 64, 400})
+  void statementsComeAtTheRateThatIsTold(double rate) {
+    ScalePlan plan = new ScalePlan(20, 60, 5, 6, rate, FailureSchedule.REST, 1);
+    double intended = 20 * rate * 6;
+    assertThat(figure(played(plan, Decide::new), "statements"))
+        .isBetween(0.92 * intended, 1.08 * intended);
+  }
+
   @Test
   void largerFleetHoldsABoundedSubsetEvenly() {
     ScaleResult result = played(plan(64, 600, FailureSchedule.REST, 1), Decide::new);
