--- a/src/main/java/tansytrack/lab/ScaleMemory.java
+++ b/src/main/java/tansytrack/lab/ScaleMemory.java
@@ -50,8 +50,8 @@
       throw new Unusable(
           String.format(
               Locale.ROOT,
-              "--managers, --engines: '%s' need %s MiB (%.0f engines held by a manager, %.0f bytes a pair); "
-                  + "allowed: half of this machine's memory, %s MiB",
+              "--managers, --engines: '%s' need %s MiB (%.0f engines held by a manager,"
+                  + " %.0f bytes a pair); allowed: half of this machine's memory, %s MiB",
               sizes,
               mib(need),
               pairs,
--- a/src/main/java/tansytrack/lab/ScaleTable.java
+++ b/src/main/java/tansytrack/lab/ScaleTable.java
@@ -82,7 +82,8 @@
       throw new Unusable(
           String.format(
               Locale.ROOT,
-              "--rate '%s': statements of %d ns would fill the engines; allowed: at most %.1f at this size",
+              "--rate '%s': statements of %d ns would fill the engines;"
+                  + " allowed: at most %.1f at this size",
               Claims.shown(plan.rate()),
               plan.meanCost(),
               plan.rate() * plan.meanCost() / ScalePlan.LEAST_COST));
