A key's next query waits where a hung engine takes no new connections

Ruled out: refusals and DELETEs (none), an answer meanwhile (none). Lines at fault: AttemptCancellation.endsUnasked took time for proof; a machine that is cut off and a process that hangs with its backlog full look alike. Change: an attempt of a query that keeps an order counts as at an engine that stands still, until the list says that the engine has gone. Measured: AttemptEndTest.timeEndsNothingOfAKeyWhereNoConnectionComesUp; AttemptEndTest, ManagerTest, ServiceCancelTest pass.

--- a/src/main/java/tansytrack/state/AttemptCancellation.java
+++ b/src/main/java/tansytrack/state/AttemptCancellation.java
@@ -41,6 +41,7 @@
    * @param known the engine ever said that it has the query
    * @param silent a call for it went without an answer; only connections that have answered since
    *     may carry the cancellation
+   * @param ordered the next query of its key must not begin beside it
    * @param startMayComeLate the call that starts it may be taken up as late as engines keep a query
    */
   record Attempt(
@@ -49,6 +50,7 @@
       long deadline,
       boolean known,
       boolean silent,
+      boolean ordered,
       boolean startMayComeLate) {}
 
   private final EngineLines engine;
@@ -70,12 +72,15 @@
   }
 
   /**
-   * When a query that is not asked for any more has ended for sure. An engine that accepts
-   * connections and answers nothing may stand still, and then drops nothing either: there only the
-   * query's own time counts.
+   * When a query that is not asked for any more has ended for sure. An engine that stands still
+   * drops nothing meanwhile: there only the query's own time counts. One that accepts connections
+   * and answers nothing shows that; one that takes no new connections either looks like a machine
+   * that is cut off, so a query that keeps an order counts as if it stood still until the list says
+   * that the engine has gone.
    */
-  static long endsUnasked(EngineLines engine, long askedAt, long deadline) {
-    return (engine.unresponsive() ? Math.max(askedAt, deadline) : askedAt) + DROPPED_UNASKED;
+  static long endsUnasked(EngineLines engine, long askedAt, long deadline, boolean ordered) {
+    boolean mayStandStill = (ordered || engine.unresponsive()) && !engine.retired();
+    return (mayStandStill ? Math.max(askedAt, deadline) : askedAt) + DROPPED_UNASKED;
   }
 
   void start() {
@@ -130,6 +135,6 @@
   }
 
   private long endsAt() {
-    return endsUnasked(engine, attempt.askedAt(), attempt.deadline());
+    return endsUnasked(engine, attempt.askedAt(), attempt.deadline(), attempt.ordered());
   }
 }
--- a/src/main/java/tansytrack/state/EngineLines.java
+++ b/src/main/java/tansytrack/state/EngineLines.java
@@ -90,6 +90,11 @@
     dropIdle();
   }
 
+  /** It has left the list: its machine is gone, or will be within moments. */
+  boolean retired() {
+    return retired;
+  }
+
   boolean takes() {
     return takes;
   }
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiFunction;
 import org.tinylog.Logger;
 import tansytrack.api.Actions;
@@ -69,6 +70,7 @@
   private int mostSessions;
   private final SecureRandom secrets = new SecureRandom();
   private final Intake intake;
+  private final Set<String> orderedClasses; // whose queries run one at a time, by key
   private final Map<String, OpenTask> tasks = new HashMap<>();
   private final Map<String, EngineLines> engines = new LinkedHashMap<>();
   private final Map<Integer, PgSession> sessions = new LinkedHashMap<>(); // the oldest first
@@ -99,6 +101,11 @@
         new Intake(
             config.settings().grades().stream().map(Grade::name).collect(toSet()),
             config.settings().tenants().stream().map(Settings.Tenant::name).collect(toSet()));
+    orderedClasses =
+        config.settings().grades().stream()
+            .filter(Grade::inOrder)
+            .map(Grade::name)
+            .collect(toSet());
     module = start.apply(config.settings(), this);
     timers.at(timers.now() + ROUND, this::round);
   }
@@ -272,7 +279,14 @@
       return;
     }
     OpenTask task =
-        new OpenTask(offer.id(), offer.grade(), statement.body(), offer.cutOffAt(), stamp, session);
+        new OpenTask(
+            offer.id(),
+            offer.grade(),
+            statement.body(),
+            offer.cutOffAt(),
+            offer.key() != null && orderedClasses.contains(offer.grade()),
+            stamp,
+            session);
     session.open(task);
     owed++;
     tasks.put(task.id, task);
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -291,7 +291,7 @@
   }
 
   private long endsUnasked() {
-    return AttemptCancellation.endsUnasked(engine, askedAt, until);
+    return AttemptCancellation.endsUnasked(engine, askedAt, until, task.ordered);
   }
 
   private long pause() {
@@ -384,6 +384,7 @@
               until,
               heard,
               silent || stalled,
+              task.ordered,
               outcome == Outcome.RESET && (silent || stalled));
       new AttemptCancellation(engine, timers, attempt, () -> end(outcome)).start();
     }
--- a/src/main/java/tansytrack/state/OpenTask.java
+++ b/src/main/java/tansytrack/state/OpenTask.java
@@ -11,6 +11,7 @@
   final String grade;
   final byte[] statement;
   final long cutOffAt;
+  final boolean ordered; // one at a time with the others of its key
   final String stamp; // a mark by which engines know a repeat, as its client gave it; or null
   PgSession session; // null once it is answered or abandoned
   long memoryMb;
@@ -19,11 +20,18 @@
   int out;
 
   OpenTask(
-      String id, String grade, byte[] statement, long cutOffAt, String stamp, PgSession session) {
+      String id,
+      String grade,
+      byte[] statement,
+      long cutOffAt,
+      boolean ordered,
+      String stamp,
+      PgSession session) {
     this.id = id;
     this.grade = grade;
     this.statement = statement;
     this.cutOffAt = cutOffAt;
+    this.ordered = ordered;
     this.stamp = stamp;
     this.session = session;
   }
--- a/src/test/java/tansytrack/service/AttemptEndTest.java
+++ b/src/test/java/tansytrack/service/AttemptEndTest.java
@@ -173,6 +173,32 @@
     assertThat(second.answer()).endsWith("SELECT 1");
   }
 
+  /**
+   * An engine that stands still and takes no new connections looks like a machine that is cut off:
+   * the next query of a key waits all the same.
+   */
+  @Test
+  void timeEndsNothingOfAKeyWhereNoConnectionComesUp() throws Exception {
+    Client first = ordered(FIRST);
+    next("POST /o").answer(NOT_OVER);
+    ScriptedPeer.Call asked = next("GET /o/" + FIRST + "/0");
+    engine.full();
+    asked.answer(NOT_OVER);
+    next("GET /o/" + FIRST + "/0"); // on the connection that is up; it stays without an answer
+    Client second = ordered(SECOND);
+    assertThat(engine.next(6000)).as("what comes while no connection comes up").isNull();
+    engine.accepting();
+    next("GET /o/" + FIRST + "/0").answer(GOOD);
+    assertThat(first.answer()).endsWith("SELECT 1");
+    ScriptedPeer.Call begun = engine.next(MINUTE);
+    while (begun.text().startsWith("GET /o/" + FIRST)) {
+      begun = engine.next(MINUTE); // questions that waited for their connections meanwhile
+    }
+    assertThat(begun.text()).isEqualTo("POST /o");
+    begun.answer(GOOD);
+    assertThat(second.answer()).endsWith("SELECT 1");
+  }
+
   /** A process that dies resets its connections and refuses new ones: that ends what it ran. */
   @Test
   void aProcessThatDiesEndsWhatItRan() throws Exception {
