--- a/src/main/java/tansytrack/LabCommands.java
+++ b/src/main/java/tansytrack/LabCommands.java
@@ -243,9 +243,11 @@
 
     @Override
     public String about() {
-      return "lab footprint: real managers before a stand-in channel with a long list: memory, processor time at rest and under\n"
-          + "a light load, control bytes, start, how soon a change has reached all. Leaves result.csv, a row a manager.\n"
-          + "Exit code 1: a change did not reach all; 2: cannot be used, or a manager does not come up.";
+      return """
+          lab footprint: real managers before a stand-in channel with a long list: memory, processor
+          time at rest and under a light load, control bytes, start, how soon a change has reached
+          all. Leaves result.csv, a row a manager. Exit code 1: a change did not reach all; 2: cannot
+          be used, or a manager does not come up.""";
     }
 
     @Override
--- a/src/main/java/tansytrack/lab/ScaleCharts.java
+++ b/src/main/java/tansytrack/lab/ScaleCharts.java
@@ -57,13 +57,13 @@
     return IntStream.range(0, count).asDoubleStream().toArray();
   }
 
-  private static XYChart chart(String title, String x, String y) {
+  private static XYChart chart(String title, String sizes, String figure) {
     return new XYChartBuilder()
         .width(WIDTH)
         .height(HEIGHT)
         .title(title)
-        .xAxisTitle(x)
-        .yAxisTitle(y)
+        .xAxisTitle(sizes)
+        .yAxisTitle(figure)
         .build();
   }
 
--- a/src/main/java/tansytrack/lab/scale/HollowEngine.java
+++ b/src/main/java/tansytrack/lab/scale/HollowEngine.java
@@ -102,7 +102,7 @@
     if (!busy()) {
       model.advance(now);
     }
-    EngineModel.Taken taken = model.start(now, attempt.id, attempt.statement.cost, 1);
+    EngineModel.Taken taken = model.start(now, attempt.id, (double) attempt.statement.cost, 1);
     attempts++;
     if (taken == EngineModel.Taken.STARTED) {
       work += attempt.statement.cost;
--- a/src/main/java/tansytrack/state/AttemptCancellation.java
+++ b/src/main/java/tansytrack/state/AttemptCancellation.java
@@ -106,7 +106,7 @@
     } else if (!taken) {
       timers.at(timers.now() + pause, this::delete);
       pause = Math.min(LONGEST_PAUSE, 2 * pause);
-    } else if (attempt.known() || confirmed && !attempt.startMayComeLate()) {
+    } else if (attempt.known() || (confirmed && !attempt.startMayComeLate())) {
       end();
     } else if (!confirmed) {
       confirmed = true;
