A cancellation whose time passes while a DELETE is on its way still ends

Found by reading: AttemptCancellation.expire leaves the end to the DELETE that is on its way; deleted() did nothing for a second DELETE that was taken where the start may come late, so that the attempt would never have ended. It now sets the time again. Measured: ManagerTest, ServiceCancelTest pass.

--- a/src/main/java/tansytrack/state/AttemptCancellation.java
+++ b/src/main/java/tansytrack/state/AttemptCancellation.java
@@ -111,6 +111,8 @@
     } else if (!confirmed) {
       confirmed = true;
       timers.at(timers.now() + OVERTAKEN, this::delete);
+    } else {
+      expireLater(); // the time may have passed while this DELETE was on its way
     }
   }
 
