Log engine starts and transitions, what a failing cold engine was sent, and late starts

Need: the incident's logs do not say when a manager learned of a start, which age it gave the engine, what it had sent there, or whether requests waited for their connection. Change: a line for each engine that is listed as started lately, with its age, and for each change of state; the line on an unreachable engine says what it was sent while cold; counter starts.late. Seen: DecideTest, RulesTest, ServiceTest, ManagerTest, SimulatorAdapterTest pass.

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -1177,6 +1177,7 @@
       isSubstitute = subset.isSubstitute(listing);
       subsetLevel = subset.level(listing);
       boolean restarted = entry == null || listing.startedAtNanos() > entry.startedAtNanos();
+      logTransition(listing, restarted);
       entry = listing;
       Settings.EngineType type = settings.engineTypes().get(listing.type());
       cores = type != null && type.cores() > 0 ? type.cores() : Math.max(1, listing.size());
@@ -1192,6 +1193,18 @@
       }
     }
 
+    /** Logs a change of state, and a start as long as the engine is cold. */
+    private void logTransition(EngineEntry listing, boolean restarted) {
+      boolean coldStart = restarted && Decide.this.capacityFraction(listing.startedAtNanos()) < 1;
+      if (coldStart) {
+        long ageMs = (now - listing.startedAtNanos()) / NANOS_PER_MS;
+        actions.log(
+            "engine " + id + " listed as " + listing.state() + ", started " + ageMs + " ms ago");
+      } else if (entry != null && entry.state() != listing.state()) {
+        actions.log("engine " + id + " listed as " + listing.state());
+      }
+    }
+
     // -- Eligibility --
 
     boolean usable() {
@@ -1471,7 +1484,7 @@
         unreachable |= outcome == Outcome.UNREACHED;
         unreachableAt = outcome == Outcome.UNREACHED ? now : unreachableAt;
         if (unreachable) {
-          suspect("unreachable");
+          suspect("unreachable" + coldLoad());
         }
         onFailure();
       } else if (outcome == Outcome.FULL || outcome == Outcome.TIME_OUT) {
@@ -1481,6 +1494,19 @@
       dispatcher.post(() -> dispatcher.onForwardEnd(forward, outcome, taskAnswered));
     }
 
+    /** Describes what this manager sent to the engine in the last window, if it is cold. */
+    private String coldLoad() {
+      if (settings.coldStartLimit() == null || entry.startedAtNanos() == 0) {
+        return "";
+      }
+      recentColdWork.evictBefore(now - settings.coldStartLimit().windowNanos());
+      return ", sent "
+          + recentColdWork.count()
+          + " tasks of "
+          + recentColdWork.sum() / NANOS_PER_MS
+          + " ms while cold in the last window";
+    }
+
     /**
      * Counts a failed answer; an engine that fails fast looks idle and would attract more tasks.
      */
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -177,6 +177,9 @@
     if (status == 200) {
       addPage(response);
     }
+    if (!mayHaveBeenSent) {
+      recordStartDelay();
+    }
     clearRequest();
     engine.recordResponse();
     report = newReport == null ? report : newReport;
@@ -209,6 +212,14 @@
     }
   }
 
+  /** Counts start requests that left late because their connection was established late. */
+  private void recordStartDelay() {
+    long delay = connection.requestStartedAt() - createdAt;
+    if (delay > MAX_START_DELAY_NANOS) {
+      manager.counters().increment("starts.late");
+    }
+  }
+
   private void clearRequest() {
     connection = null;
     if (requestTimer != null) {
