--- a/src/main/java/tansytrack/lab/FakeEngine.java
+++ b/src/main/java/tansytrack/lab/FakeEngine.java
@@ -14,11 +14,13 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
+import tansytrack.lab.proto.AnswerFault;
 import tansytrack.lab.simulation.EngineModel;
 
 /**
@@ -90,13 +92,18 @@
 
   private final Listener listener;
 
+  // The fault of the answers to start requests, and which requests it affects.
+  private final AnswerFault answerFault;
+  private final Random random = new Random(1);
+
   /** An engine whose queries share cores, and which crashes, by a model. */
   FakeEngine(
       String name,
       InetSocketAddress address,
       EngineModel model,
       ToDoubleFunction<String> workNanos,
-      Listener listener)
+      Listener listener,
+      AnswerFault answerFault)
       throws IOException {
     this.name = name;
     minMs = 0;
@@ -104,6 +111,7 @@
     this.model = model;
     this.workNanos = workNanos;
     this.listener = listener;
+    this.answerFault = answerFault;
     listen(address);
     scheduleRepeating(MODEL_INTERVAL_MS, MODEL_INTERVAL_MS, this::advance);
   }
@@ -120,6 +128,7 @@
     model = null;
     workNanos = null;
     listener = null;
+    answerFault = AnswerFault.getDefaultInstance();
     listen(address);
   }
 
@@ -234,11 +243,14 @@
         + body;
   }
 
-  private String answer(String head) throws InterruptedException {
+  private String answer(String head) throws IOException, InterruptedException {
     String[] request = head.substring(0, head.indexOf("\r\n")).split(" ");
     String path = request.length > 1 ? request[1] : "";
     if (request[0].equals("POST") && path.equals("/o")) {
       Query query = admit(headerField(head, "x-req"));
+      if (query != null && random.nextDouble() < answerFault.getPart()) {
+        return failedAnswer(query);
+      }
       return query == null
           ? response("503 Service Unavailable", "X-Not-Run: 1\r\n" + loadReport(), "")
           : awaitResult(query);
@@ -263,6 +275,17 @@
     };
   }
 
+  /** Ends a query at once, and returns the answer by the fault of this engine's answers. */
+  private String failedAnswer(Query query) throws IOException {
+    end(query, false);
+    return switch (answerFault.getKind()) {
+      case ERROR -> response("500 Internal Server Error", "", "");
+      case NOT_RUN -> response("503 Service Unavailable", "X-Not-Run: 1\r\n", "");
+      case GARBAGE -> "no answer\r\n\r\n";
+      default -> throw new IOException("reset");
+    };
+  }
+
   private synchronized Query openQuery(String id) {
     return openQueries.get(id);
   }
--- a/src/main/java/tansytrack/lab/FleetTraffic.java
+++ b/src/main/java/tansytrack/lab/FleetTraffic.java
@@ -34,6 +34,9 @@
   // The time that a manager may take from SIGTERM to its exit. It closes its connections within it.
   private static final long SHUTDOWN_NANOS = 4000 * NANOS_PER_MS;
 
+  // The time between the end of a replaced engine's process and the start of the next one.
+  private static final long REPLACEMENT_DELAY_NANOS = 200 * NANOS_PER_MS;
+
   private final FleetPlan plan;
   private final FaultSchedule faults;
   private final List<String> managers;
@@ -57,6 +60,9 @@
   // Start time of each restarted engine, by System.nanoTime().
   private final Map<Integer, Long> engineStartNanos = new HashMap<>();
 
+  // The same as the command channel tells it, as a Unix time in milliseconds.
+  private final Map<Integer, Long> engineStartUnixMs = new HashMap<>();
+
   private final List<OpenLoopGenerator> loads = new ArrayList<>();
   private final List<Thread> threads = new ArrayList<>();
   private int revision = 1;
@@ -158,16 +164,14 @@
             events.add(
                 new InvariantChecker.ForwardEnded(System.nanoTime(), engine, id, mayHaveRun));
           }
-        });
+        },
+        plan.getAnswers());
   }
 
   /** Announces an engine to all managers, to each by the address of its own relay. */
   private synchronized void announce(int engine, String phase) {
     long startedNanos = engineStartNanos.getOrDefault(engine, 0L);
-    long startedUnixMs =
-        startedNanos == 0
-            ? 0
-            : System.currentTimeMillis() - (System.nanoTime() - startedNanos) / NANOS_PER_MS;
+    long startedUnixMs = engineStartUnixMs.getOrDefault(engine, 0L);
     events.add(
         new InvariantChecker.EngineListed(
             System.nanoTime(),
@@ -262,6 +266,11 @@
                         : InvariantChecker.TaskResult.ABORTED));
       }
 
+      @Override
+      public void taskAbandoned(String id) {
+        events.add(new InvariantChecker.TaskAbandoned(System.nanoTime(), id));
+      }
+
       @Override
       public void taskFailed(String id, long connectedAt) {
         // A task is abandoned only if its manager was killed or terminated; if the connection was
@@ -324,16 +333,20 @@
     sleepUntil(scheduleStartNanos + fault.getAtMs() * NANOS_PER_MS);
     switch (fault.getKind()) {
       case RESTART -> {
-        FakeEngine previous = replaceEngine(index, null);
-        previous.close();
-        previous.loseQueries();
+        endProcess(index);
         sleepUntil(scheduleStartNanos + (fault.getAtMs() + fault.getForMs()) * NANOS_PER_MS);
-        synchronized (this) {
-          engineStartNanos.put(index, System.nanoTime());
-        }
-        crashCount += previous.hasCrashed() ? 1 : 0;
-        replaceEngine(
-            index, createEngine(index, engineAddresses.get(index), engineStartNanos.get(index)));
+        startProcess(index);
+        announce(index, "ready");
+      }
+      case REPLACE -> {
+        announce(index, "draining");
+        long goneAt = scheduleStartNanos + (fault.getAtMs() + fault.getForMs()) * NANOS_PER_MS;
+        sleepUntil(goneAt);
+        announce(index, "gone");
+        endProcess(index);
+        sleepUntil(goneAt + REPLACEMENT_DELAY_NANOS);
+        startProcess(index);
+        sleepUntil(goneAt + REPLACEMENT_DELAY_NANOS + fault.getListedAfterMs() * NANOS_PER_MS);
         announce(index, "ready");
       }
       case SLOW -> {
@@ -350,6 +363,26 @@
     }
   }
 
+  /** Ends the process of an engine; its queries are lost. */
+  private void endProcess(int index) throws IOException {
+    FakeEngine previous = replaceEngine(index, null);
+    previous.close();
+    previous.loseQueries();
+    synchronized (this) {
+      crashCount += previous.hasCrashed() ? 1 : 0;
+    }
+  }
+
+  /** Starts an engine again, cold, at the same address. */
+  private void startProcess(int index) throws IOException {
+    long startedNanos = System.nanoTime();
+    synchronized (this) {
+      engineStartNanos.put(index, startedNanos);
+      engineStartUnixMs.put(index, System.currentTimeMillis() + plan.getChannelClockErrorMs());
+    }
+    replaceEngine(index, createEngine(index, engineAddresses.get(index), startedNanos));
+  }
+
   /** Returns the engine at an index, and replaces it unless the replacement is null. */
   private synchronized FakeEngine replaceEngine(int index, FakeEngine replacement) {
     FakeEngine previous = engines.get(index);
@@ -409,6 +442,9 @@
     InvariantChecker.violations(limits, sorted)
         .forEach((rule, count) -> figures.put("broken." + rule, (double) count));
     InvariantChecker.firstViolations(limits, sorted).forEach(System.err::println);
+    InvariantChecker.ColdStartLoad coldStartLoad = InvariantChecker.coldStartLoad(limits, sorted);
+    figures.put("cold.load_by_work_max", coldStartLoad.byWork());
+    figures.put("cold.load_by_requests_max", coldStartLoad.byRequests());
     for (FakeEngine engine : engines) {
       crashCount += engine.hasCrashed() ? 1 : 0;
     }
--- a/src/main/java/tansytrack/lab/LabClient.java
+++ b/src/main/java/tansytrack/lab/LabClient.java
@@ -57,6 +57,11 @@
     readAnswer();
   }
 
+  /** Sets the timeout of each read from now on. */
+  void setTimeout(int timeoutMs) throws IOException {
+    socket.setSoTimeout(timeoutMs);
+  }
+
   /** Sends one simple query and waits for its whole answer. */
   public Answer query(String statement) throws IOException {
     byte[] text = (statement + '\0').getBytes(StandardCharsets.UTF_8);
--- a/src/main/java/tansytrack/lab/OpenLoopGenerator.java
+++ b/src/main/java/tansytrack/lab/OpenLoopGenerator.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -43,6 +44,9 @@
 
           @Override
           public void taskFailed(String id, long connectedAt) {}
+
+          @Override
+          public void taskAbandoned(String id) {}
         };
 
     /** An attempt is sent; the client waits that long for the answer. */
@@ -58,6 +62,9 @@
      *     task was not sent
      */
     void taskFailed(String id, long connectedAt);
+
+    /** The client closes its connection without waiting for the answer. */
+    void taskAbandoned(String id);
   }
 
   private final LoadFile file;
@@ -212,14 +219,17 @@
 
     private LabClient.Answer attempt(Arrival arrival, long timeoutMs, int attempt) {
       String id = String.format("%016x", seed << 48 ^ ++lastId);
+      double leavePart = file.definition.getClients().getLeavePart();
+      boolean leaves = leavePart > 0 && random.nextDouble() < leavePart;
       try {
         if (client == null) {
           connectedAtNanos = -1;
-          client =
-              new LabClient(
-                  to, file.queryClass(arrival.queryClass()).getWaitMs() + SOCKET_TIMEOUT_SLACK_MS);
+          client = new LabClient(to, socketTimeoutMs(arrival));
           connectedAtNanos = System.nanoTime();
         }
+        if (leaves) {
+          client.setTimeout(Math.max(1, file.definition.getClients().getLeaveAfterMs()));
+        }
         listener.taskSubmitted(id, arrival, timeoutMs);
         LabClient.Answer answer =
             client.query(
@@ -241,14 +251,25 @@
                     + arrival.dataSet()
                     + ".orders");
         listener.taskAnswered(id, answer);
+        if (leaves) {
+          client.setTimeout(socketTimeoutMs(arrival));
+        }
         return answer;
       } catch (IOException e) {
-        listener.taskFailed(id, connectedAtNanos);
+        if (leaves && e instanceof SocketTimeoutException) {
+          listener.taskAbandoned(id);
+        } else {
+          listener.taskFailed(id, connectedAtNanos);
+        }
         closeConnection();
         return null;
       }
     }
 
+    private int socketTimeoutMs(Arrival arrival) {
+      return file.queryClass(arrival.queryClass()).getWaitMs() + SOCKET_TIMEOUT_SLACK_MS;
+    }
+
     private void closeConnection() {
       try {
         if (client != null) {
--- a/src/main/java/tansytrack/lab/StreamRelay.java
+++ b/src/main/java/tansytrack/lab/StreamRelay.java
@@ -146,6 +146,7 @@
 
   private void copy(Socket from, Socket to, boolean isRequest) {
     byte[] bytes = new byte[BUFFER_BYTES];
+    boolean first = isRequest;
     try {
       InputStream in = from.getInputStream();
       OutputStream out = to.getOutputStream();
@@ -154,6 +155,13 @@
         if (fault != null && fault.kind() == FaultSchedule.StreamFaultKind.SLOW) {
           Thread.sleep(fault.delayNanos() / 1_000_000);
         }
+        if (first
+            && fault != null
+            && fault.kind() == FaultSchedule.StreamFaultKind.LATE
+            && random.nextDouble() < fault.share()) {
+          Thread.sleep(random.nextInt((int) (1 + fault.delayNanos() / 1_000_000)));
+        }
+        first = false;
         while (isActive(FaultSchedule.StreamFaultKind.SILENT) && !closed) {
           Thread.sleep(FAULT_CHECK_MS);
         }
--- a/src/main/java/tansytrack/lab/simulation/EngineModel.java
+++ b/src/main/java/tansytrack/lab/simulation/EngineModel.java
@@ -127,7 +127,7 @@
       double mean = totalWork / totalQueries;
       double allowed =
           spec.overloadFactor() * capacityFraction(at) * spec.cores() * spec.windowNanos() / mean;
-      if (recentWork / mean > allowed + 3 * Math.sqrt(allowed) + 3) {
+      if (recentWork / mean > SlowStartThreshold.maxRequests(allowed)) {
         crashed = true;
         queries.clear();
         return Admission.DOWN;
--- a/src/main/java/tansytrack/lab/simulation/FaultSchedule.java
+++ b/src/main/java/tansytrack/lab/simulation/FaultSchedule.java
@@ -59,14 +59,16 @@
    * A fault of the connections from a manager to an engine or to the engine list. SILENT holds
    * bytes back until the fault ends, SLOW delays them, RESET resets connections, REFUSED refuses
    * new ones. With FLAKY a share of a manager's writes resets the connection, and half of the
-   * written bytes reach the other side all the same, late.
+   * written bytes reach the other side all the same, late. With LATE the first bytes of a share of
+   * new connections are delayed.
    */
   public enum StreamFaultKind {
     SILENT,
     SLOW,
     RESET,
     REFUSED,
-    FLAKY
+    FLAKY,
+    LATE
   }
 
   /** A fault of the streams from one end to the other for a time. */
--- a/src/main/java/tansytrack/lab/simulation/InvariantChecker.java
+++ b/src/main/java/tansytrack/lab/simulation/InvariantChecker.java
@@ -134,8 +134,9 @@
   private final Map<String, ArrayDeque<Long>> recentRetries = new HashMap<>();
   // By manager and key, in the order sent.
   private final Map<String, List<TaskSubmitted>> tasksByKey = new HashMap<>();
-  private double totalWork;
-  private long totalForwards;
+  // Mean work of all forwards in the log, in nanoseconds.
+  private double meanWork;
+  private ColdStartLoad coldStartLoad = new ColdStartLoad(0, 0);
   private long logStart;
 
   private InvariantChecker(Limits limits) {
@@ -152,6 +153,17 @@
     return check(limits, log).firstMessages;
   }
 
+  /**
+   * The highest load that any cold engine received within a window, in relation to what it bears:
+   * by the work and by the number of its requests. The invariant {@code cold} holds up to 1.
+   */
+  public record ColdStartLoad(double byWork, double byRequests) {}
+
+  /** Returns the highest load that any cold engine received. */
+  public static ColdStartLoad coldStartLoad(Limits limits, List<? extends Event> log) {
+    return check(limits, log).coldStartLoad;
+  }
+
   private static InvariantChecker check(Limits limits, List<? extends Event> log) {
     InvariantChecker checker = new InvariantChecker(limits);
     for (String invariant : List.of("lost", "twice", "drain", "cold", "order", "place", "ration")) {
@@ -167,6 +179,12 @@
       }
     }
     checker.logStart = sorted.isEmpty() ? 0 : sorted.get(0).at();
+    checker.meanWork =
+        sorted.stream()
+            .filter(ForwardArrived.class::isInstance)
+            .mapToDouble(event -> ((ForwardArrived) event).work())
+            .average()
+            .orElse(1);
     sorted.forEach(checker::process);
     checker.checkUnanswered();
     return checker;
@@ -271,8 +289,6 @@
           arrival.at(),
           arrival.task() + " reached " + arrival.engine() + " in " + engine.zone());
     }
-    totalWork += arrival.work();
-    totalForwards++;
     if (engine != null) {
       checkColdStart(arrival, engine);
     }
@@ -284,7 +300,10 @@
     }
   }
 
-  /** Invariant 4: the work that all managers together send to a cold engine within the window. */
+  /**
+   * Invariant 4: what all managers together send to a cold engine within the window, both by the
+   * work and by the number of the requests.
+   */
   private void checkColdStart(ForwardArrived arrival, EngineListed engine) {
     double warmUpProgress =
         engine.startedAt() == 0 || limits.warmUpNanos() <= 0
@@ -300,7 +319,6 @@
       return;
     }
     recent.add(arrival);
-    double meanWork = totalWork / totalForwards;
     double capacityFraction =
         limits.startCapacityFraction()
             + (1 - limits.startCapacityFraction()) * Math.max(0, warmUpProgress);
@@ -310,15 +328,22 @@
             * limits.cores()
             * limits.windowNanos()
             / meanWork;
-    double sent = recent.stream().mapToDouble(ForwardArrived::work).sum() / meanWork;
-    if (sent > allowed + 3 * Math.sqrt(allowed) + 3) {
+    double sentWork = recent.stream().mapToDouble(ForwardArrived::work).sum() / meanWork;
+    double limit = SlowStartThreshold.maxRequests(allowed);
+    coldStartLoad =
+        new ColdStartLoad(
+            Math.max(coldStartLoad.byWork(), sentWork / limit),
+            Math.max(coldStartLoad.byRequests(), recent.size() / limit));
+    if (Math.max(sentWork, recent.size()) > limit) {
       violate(
           "cold",
           arrival.at(),
           engine.engine()
               + " received "
-              + Math.round(sent)
-              + " tasks of mean work; "
+              + recent.size()
+              + " tasks, work of "
+              + Math.round(sentWork)
+              + " mean ones; "
               + Math.round(allowed)
               + " are allowed while it is cold");
     }
--- a/src/test/java/tansytrack/ManagerHarness.java
+++ b/src/test/java/tansytrack/ManagerHarness.java
@@ -33,6 +33,7 @@
   boolean probing;
   long connectTimeoutNanos;
   boolean hasTenants = true; // whether the settings name tenants
+  boolean confirmsForwards = true; // whether engines confirm at once that they received a forward
   Settings.ColdStartLimit coldStartLimit;
   Settings.RetryBudget retryBudget;
   final List<String> actions = new ArrayList<>();
