Slow start moves from Decide into policy.SlowStart; no change of behaviour

Need: the incident's fixes go into one place that is tested alone; Decide held ages, budget, shares and permits among engines and health.

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -25,6 +25,7 @@
 import tansytrack.api.Settings;
 import tansytrack.api.TaskRequest;
 import tansytrack.policy.EngineSubset;
+import tansytrack.policy.SlowStart;
 import tansytrack.util.EngineList;
 import tansytrack.util.EventLoop;
 import tansytrack.util.KeyQueue;
@@ -87,13 +88,6 @@
   private static final double SEVERE_LOG_SLOWDOWN = Math.log(5);
   // How long one sign of pressure counts; also the shortest time between two halvings of a limit.
   private static final long PRESSURE_DURATION_NANOS = 1000 * NANOS_PER_MS;
-  // The part of a cold engine's budget that is used; the rest allows for errors of estimation.
-  private static final double COLD_BUDGET_FRACTION = 0.9;
-  // How many standard deviations are kept free where the sum over all managers depends on chance.
-  private static final double COLD_SAFETY_DEVIATIONS = 4;
-  // The excess that the limit on cold engines tolerates: this many square roots of the number of
-  // tasks, plus this many tasks.
-  private static final double COLD_LIMIT_TOLERANCE = 2;
   // A task that needs less than this fraction of the manager's share of a pool's memory is admitted
   // to an idle engine even if the pool's memory is used up.
   private static final double SMALL_TASK_MEMORY_FRACTION = 0.25;
@@ -149,6 +143,7 @@
   private final EventLoop eventLoop = new EventLoop();
   private final EngineList engineList = new EngineList();
   private final EngineSubset subset;
+  private final SlowStart slowStart;
   // The engines in use, and those that still have open forwards.
   private final Map<String, Engine> engines = new TreeMap<>();
   private final Map<String, Task> tasks = new LinkedHashMap<>();
@@ -172,6 +167,7 @@
     subset = new EngineSubset(settings, engineList);
     this.actions = actions;
     random = new SplittableRandom(settings.seed());
+    slowStart = new SlowStart(settings, random);
     for (QueryClass queryClass : settings.queryClasses()) {
       String poolKey =
           new TreeSet<>(queryClass.allowedZones())
@@ -201,6 +197,7 @@
   public void onEngineList(long at, boolean complete, List<EngineEntry> entries) {
     now = at;
     firstListAt = firstListAt < 0 ? at : firstListAt;
+    slowStart.onEngineList(at);
     Map<String, EngineEntry> entriesById = new TreeMap<>();
     entries.forEach(entry -> entriesById.put(entry.id(), entry));
     if (complete) {
@@ -457,7 +454,7 @@
               healthy,
               entry ->
                   !engines.containsKey(entry.id())
-                      && capacityFraction(entry.startedAtNanos()) >= 1);
+                      && slowStart.capacityFraction(now, entry.startedAtNanos()) >= 1);
       if (changed != null) {
         engines.computeIfAbsent(changed.id(), Engine::new).postListing(changed);
       }
@@ -691,6 +688,7 @@
       lastTaskAt = now;
       meanLogValue = movingAverage(meanLogValue, task.logValue, SMOOTHING_FACTOR);
       meanCost = movingAverage(meanCost, task.cost, SMOOTHING_FACTOR);
+      slowStart.updateMeanCost(meanCost);
       task.statistics.meanLogValue =
           movingAverage(task.statistics.meanLogValue, task.logValue, SMOOTHING_FACTOR);
       if (task.cannotEndInTime()) {
@@ -1030,10 +1028,16 @@
       engines
           .values()
           .removeIf(
-              engine ->
-                  engine.awaitsRemoval
-                      && engine.openForwards.isEmpty()
-                      && now >= engine.retainedUntil);
+              engine -> {
+                boolean removed =
+                    engine.awaitsRemoval
+                        && engine.openForwards.isEmpty()
+                        && now >= engine.retainedUntil;
+                if (removed) {
+                  slowStart.forget(engine.id);
+                }
+                return removed;
+              });
       updateCapacity();
       pools.values().forEach(EnginePool::adjustSubstitutes);
       updatePrices();
@@ -1086,16 +1090,6 @@
     return candidates.get(pickWeighted(weights, random.nextDouble()));
   }
 
-  /** Returns the fraction of its capacity that an engine started at that time has by now. */
-  private double capacityFraction(long startedAt) {
-    Settings.ColdStartLimit limit = settings.coldStartLimit();
-    if (limit == null || startedAt <= 0 || now - startedAt >= limit.warmUpNanos()) {
-      return 1;
-    }
-    double age = Math.max(0, now - startedAt) / (double) limit.warmUpNanos();
-    return limit.startCapacityFraction() + (1 - limit.startCapacityFraction()) * age;
-  }
-
   // ---- Engines: state, concurrency limit and health; every task is sent from here ----
 
   /** The actor of one engine: it sends tasks there and tracks its load and health. */
@@ -1134,22 +1128,17 @@
     double expectedAnswersDeviation = INITIAL_EXPECTED_ANSWERS;
     double failureRate; // moving average of the fraction of failed answers
     boolean unreachable; // at the last attempt; excludes the engine even if most are suspected
-    long unreachableAt;
     boolean suspected;
     long nextTrialAt;
     long trialInterval;
-    // A cold-start permit is drawn once per window. It lets this manager send a task that exceeds
-    // its even share, if it has sent no other work to the cold engine within the window.
-    long coldPermitUntil; // the end of the window for which coldPermitDraw holds
-    double coldPermitDraw; // a random number below 1; a permit is given if it is below the chance
-    final SlidingWindow recentColdWork =
-        new SlidingWindow(); // work sent while cold, in nanoseconds
+    final SlowStart.EngineRecord start;
     final LinkedHashSet<Long> warmDataSets =
         new LinkedHashSet<>(); // data sets last read, oldest first
 
     Engine(String id) {
       super(eventLoop);
       this.id = id;
+      start = slowStart.engine(id);
       nextProbeAt = now + (long) (random.nextDouble() * dispatcher.probeInterval());
     }
 
@@ -1163,9 +1152,8 @@
       dispatcher.post(dispatcher::updateCapacity);
       boolean isUsed = listing != null && subset.uses(listing);
       ready = isUsed && listing.state() == EngineEntry.State.READY;
-      boolean leavesSubset =
-          listing != null && !isUsed && !awaitsRemoval && settings.coldStartLimit() != null;
-      retainedUntil = leavesSubset ? now + settings.coldStartLimit().windowNanos() : retainedUntil;
+      boolean leavesSubset = listing != null && !isUsed && !awaitsRemoval;
+      retainedUntil = leavesSubset ? now + slowStart.windowNanos() : retainedUntil;
       awaitsRemoval = !isUsed || listing.state() == EngineEntry.State.GONE;
       servedPools.clear();
       if (listing == null) {
@@ -1178,6 +1166,7 @@
       subsetLevel = subset.level(listing);
       boolean restarted = entry == null || listing.startedAtNanos() > entry.startedAtNanos();
       logTransition(listing, restarted);
+      start.onListing(listing, restarted);
       entry = listing;
       Settings.EngineType type = settings.engineTypes().get(listing.type());
       cores = type != null && type.cores() > 0 ? type.cores() : Math.max(1, listing.size());
@@ -1188,14 +1177,15 @@
         suspected = unreachable = false;
         report = null;
         logSlowdownToFleet = limit.logSlowdownToBest = failureRate = 0;
-        limit.pressureUntil = unreachableAt = failedProbes = 0;
+        limit.pressureUntil = failedProbes = 0;
         limit.maxThreads = cores * INITIAL_THREADS_PER_CORE * share();
       }
     }
 
     /** Logs a change of state, and a start as long as the engine is cold. */
     private void logTransition(EngineEntry listing, boolean restarted) {
-      boolean coldStart = restarted && Decide.this.capacityFraction(listing.startedAtNanos()) < 1;
+      boolean coldStart =
+          restarted && slowStart.capacityFraction(now, listing.startedAtNanos()) < 1;
       if (coldStart) {
         long ageMs = (now - listing.startedAtNanos()) / NANOS_PER_MS;
         actions.log(
@@ -1216,93 +1206,22 @@
     }
 
     private double capacityFraction() {
-      return Decide.this.capacityFraction(coldSince());
-    }
-
-    /**
-     * Rule 4: tells whether the task is within this manager's even share of what a cold engine may
-     * get, or, where the share is too small for it, whether a random cold-start permit admits it.
-     */
-    private boolean coldLimitAllows(Task task) {
-      if (capacityFraction() >= 1 || isSubstitute) {
-        return capacityFraction() >= 1;
-      }
-      recentColdWork.evictBefore(now - settings.coldStartLimit().windowNanos());
-      double sentWork = recentColdWork.sum();
-      return sentWork + task.cost <= evenColdShare() || sentWork == 0 && coldPermitChance(task) > 0;
+      return start.capacityFraction(now);
     }
 
-    /**
-     * Returns the work that this manager may always send. Where the share is less than a usual
-     * task, half of it is left to cold-start permits.
-     */
-    private double evenColdShare() {
-      double share = coldBudget() / maxExpectedManagers();
-      return dispatcher.meanCost > share ? share / 2 : share;
+    /** Rule 4: tells whether the slow start of the engine admits the task. */
+    private boolean slowStartAllows(Task task) {
+      return isSubstitute
+          ? capacityFraction() >= 1
+          : start.allows(now, task.cost, cores, maxExpectedManagers());
     }
 
     private double expectedManagers() {
       return managerCount / (double) (1 << subsetLevel);
     }
 
-    /**
-     * Returns an upper bound on the managers that use the engine, as their number varies by chance,
-     * with outdated lists, and with indexes that are unknown or held by two managers.
-     */
-    double maxExpectedManagers() {
-      return Math.min(
-          managerCount,
-          expectedManagers() + COLD_SAFETY_DEVIATIONS * Math.sqrt(expectedManagers()));
-    }
-
-    /**
-     * Returns when the engine started; an unreachable one counts as restarted, as lists arrive
-     * late.
-     */
-    private long coldSince() {
-      return Math.max(entry.startedAtNanos(), unreachableAt);
-    }
-
-    /**
-     * Returns the work that all managers together may send to the cold engine within a window. It
-     * grows over the first window where the engine is older than this process, because an earlier
-     * process of this manager may have sent tasks to it.
-     */
-    private double coldBudget() {
-      long window = settings.coldStartLimit().windowNanos();
-      double knownFraction =
-          coldSince() >= firstListAt ? 1 : Math.min(1, (now - firstListAt) / (double) window);
-      return COLD_BUDGET_FRACTION
-          * settings.coldStartLimit().overloadFactor()
-          * capacityFraction()
-          * cores
-          * window
-          * knownFraction;
-    }
-
-    /**
-     * Returns the probability of a cold-start permit for a task that exceeds the even share; 0
-     * where the random draw of this window gave none.
-     */
-    private double coldPermitChance(Task task) {
-      if (now >= coldPermitUntil) {
-        coldPermitUntil = now + settings.coldStartLimit().windowNanos();
-        coldPermitDraw = random.nextDouble();
-      }
-      // For all managers: what the even shares leave, plus the tolerated excess, and at most what
-      // the engine can execute.
-      double tolerance =
-          COLD_LIMIT_TOLERANCE
-              * (Math.sqrt(coldBudget() * dispatcher.meanCost) + dispatcher.meanCost);
-      double totalWork = coldBudget() - evenColdShare() * maxExpectedManagers() + tolerance;
-      // Solves work + COLD_SAFETY_DEVIATIONS * sqrt(work * cost) = totalWork for sqrt(work): the
-      // second term is the margin for the number of permits, which depends on chance.
-      double rootMargin = COLD_SAFETY_DEVIATIONS * Math.sqrt(task.cost) / 2;
-      double rootWork = Math.sqrt(totalWork + rootMargin * rootMargin) - rootMargin;
-      double work =
-          Math.min(rootWork * rootWork, coldBudget() / settings.coldStartLimit().overloadFactor());
-      double probability = work / (maxExpectedManagers() * task.cost);
-      return coldPermitDraw < probability ? Math.min(1, probability) : 0;
+    private double maxExpectedManagers() {
+      return SlowStart.maxManagers(managerCount, expectedManagers());
     }
 
     /**
@@ -1313,7 +1232,7 @@
       return ready
           && servedPools.contains(task.statistics.pool)
           && task.mayRetryOn(this)
-          && coldLimitAllows(task)
+          && slowStartAllows(task)
           && task.forwardsSent < capabilities.maxForwards()
           && (task.forwardsSent == 0 || dispatcher.retryBudgetAllows())
           && (task.keyQueue == null
@@ -1445,9 +1364,7 @@
       }
       addUsage(task.queryClass.threads(), memoryMb);
       threadsSentSinceReport += task.queryClass.threads();
-      if (capacityFraction() < 1) {
-        recentColdWork.add(now, (long) task.cost);
-      }
+      start.onSent(now, task.cost);
       warmDataSets.add(task.request.dataSet());
       if (warmDataSets.size() > MAX_WARM_DATA_SETS) {
         warmDataSets.remove(warmDataSets.iterator().next());
@@ -1482,7 +1399,9 @@
           || outcome == Outcome.UNREACHED
           || outcome == Outcome.RESET) {
         unreachable |= outcome == Outcome.UNREACHED;
-        unreachableAt = outcome == Outcome.UNREACHED ? now : unreachableAt;
+        if (outcome == Outcome.UNREACHED) {
+          start.onUnreachable(now);
+        }
         if (unreachable) {
           suspect("unreachable" + coldLoad());
         }
@@ -1499,11 +1418,10 @@
       if (settings.coldStartLimit() == null || entry.startedAtNanos() == 0) {
         return "";
       }
-      recentColdWork.evictBefore(now - settings.coldStartLimit().windowNanos());
       return ", sent "
-          + recentColdWork.count()
+          + start.recentRequests(now)
           + " tasks of "
-          + recentColdWork.sum() / NANOS_PER_MS
+          + (long) start.recentWork(now) / NANOS_PER_MS
           + " ms while cold in the last window";
     }
 
@@ -1753,9 +1671,10 @@
                   WARM_DATA_EXPONENT
                       * clamp(dispatcher.coldDataLogRatio - dispatcher.warmDataLogRatio, 0, 0.5))
               : 1;
-      if (capacityFraction() < 1 && task.cost > evenColdShare()) {
+      if (start.needsPermit(now, task.cost, cores, maxExpectedManagers())) {
         // Compensates for the permit: the engine is chosen as often as if none were needed.
-        weight /= Math.max(coldPermitChance(task), 1e-9);
+        double chance = start.permitChance(now, task.cost, cores, maxExpectedManagers());
+        weight /= Math.max(chance, 1e-9);
       }
       weight *=
           capabilities.crossZonePriced() && !entry.zone().equals(settings.zone())
--- /dev/null
+++ b/src/main/java/tansytrack/policy/SlowStart.java
@@ -0,0 +1,200 @@
+package tansytrack.policy;
+
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import tansytrack.api.EngineEntry;
+import tansytrack.api.Settings;
+
+/**
+ * Rule 4: limits what this manager sends to engines that have started lately (slow start). All
+ * managers together must not send a cold engine more than a budget within any window, although they
+ * do not talk to each other. Each manager may always send an even share of the budget; where a
+ * share is less than one request, random permits admit single requests. The reasons for the design
+ * are in docs/design.md. Times are in nanoseconds.
+ */
+public final class SlowStart {
+
+  // The part of a cold engine's budget that is used; the rest allows for errors of estimation.
+  private static final double BUDGET_FRACTION = 0.9;
+  // How many standard deviations are kept free where the sum over all managers depends on chance.
+  private static final double SAFETY_DEVIATIONS = 4;
+  // The excess that the rule tolerates: this many square roots of the number of requests, plus this
+  // many requests.
+  private static final double TOLERANCE = 2;
+
+  // Null where engines are never cold.
+  private final Settings.ColdStartLimit limit;
+  private final SplittableRandom random;
+  private final Map<String, EngineRecord> records = new TreeMap<>();
+  // The time of the first engine list, or -1.
+  private long firstListAt = -1;
+  private double meanCost = Double.NaN;
+
+  /** Creates the limits of one manager. */
+  public SlowStart(Settings settings, SplittableRandom random) {
+    limit = settings.coldStartLimit();
+    this.random = random;
+  }
+
+  /** Takes note of the time of an engine list. */
+  public void onEngineList(long now) {
+    firstListAt = firstListAt < 0 ? now : firstListAt;
+  }
+
+  /** Takes note of the mean cost of the tasks that were accepted. */
+  public void updateMeanCost(double cost) {
+    meanCost = cost;
+  }
+
+  /** Returns the fraction of its capacity that an engine started at that time has by now. */
+  public double capacityFraction(long now, long startedAt) {
+    if (limit == null || startedAt <= 0 || now - startedAt >= limit.warmUpNanos()) {
+      return 1;
+    }
+    double age = Math.max(0, now - startedAt) / (double) limit.warmUpNanos();
+    return limit.startCapacityFraction() + (1 - limit.startCapacityFraction()) * age;
+  }
+
+  /** Returns the record of an engine. */
+  public EngineRecord engine(String id) {
+    return records.computeIfAbsent(id, key -> new EngineRecord());
+  }
+
+  /** Removes the record of an engine that is no longer used. */
+  public void forget(String id) {
+    records.remove(id);
+  }
+
+  /** The window within which the budget is counted; 0 where engines are never cold. */
+  public long windowNanos() {
+    return limit == null ? 0 : limit.windowNanos();
+  }
+
+  /**
+   * Returns an upper bound on the managers that use an engine, as their number varies by chance,
+   * with outdated lists, and with indexes that are unknown or held by two managers.
+   *
+   * @param managers the number of all managers
+   * @param expected the expected number of those that use the engine
+   */
+  public static double maxManagers(int managers, double expected) {
+    return Math.min(managers, expected + SAFETY_DEVIATIONS * Math.sqrt(expected));
+  }
+
+  /** The start of one engine, and what this manager has sent to it lately. */
+  public final class EngineRecord {
+    private final RequestWindow requests = new RequestWindow();
+    private long startedAt;
+    private long unreachableAt;
+    // A permit is drawn once per window. It lets this manager send a request that exceeds its even
+    // share, if it has sent none within the window.
+    private long permitUntil;
+    private double permitDraw;
+
+    private EngineRecord() {}
+
+    /** Takes over an entry of the engine list. */
+    public void onListing(EngineEntry entry, boolean restarted) {
+      startedAt = entry.startedAtNanos();
+      unreachableAt = restarted ? 0 : unreachableAt;
+    }
+
+    /** Takes note that the engine could not be reached: it may have restarted. */
+    public void onUnreachable(long now) {
+      unreachableAt = now;
+    }
+
+    /** Records a request that is sent to the engine now. */
+    public void onSent(long now, double cost) {
+      if (capacityFraction(now) < 1) {
+        requests.add(now, (long) cost);
+      }
+    }
+
+    /** Returns the fraction of its capacity that the engine has by now. */
+    public double capacityFraction(long now) {
+      return SlowStart.this.capacityFraction(now, coldSince());
+    }
+
+    private long coldSince() {
+      return Math.max(startedAt, unreachableAt);
+    }
+
+    /** Returns the number of requests in the present window. */
+    public int recentRequests(long now) {
+      requests.evictBefore(now - windowNanos());
+      return requests.count();
+    }
+
+    /** Returns the work of the requests in the present window. */
+    public double recentWork(long now) {
+      requests.evictBefore(now - windowNanos());
+      return requests.work();
+    }
+
+    /**
+     * Tells whether a request is within this manager's even share of what the engine may get, or,
+     * where the share is too small for it, whether a random permit admits it.
+     */
+    public boolean allows(long now, double cost, double cores, double managers) {
+      return capacityFraction(now) >= 1
+          || recentWork(now) + cost <= evenShare(now, cores, managers)
+          || recentRequests(now) == 0 && permitChance(now, cost, cores, managers) > 0;
+    }
+
+    /** Tells whether a request exceeds the even share, so that it needs a permit. */
+    public boolean needsPermit(long now, double cost, double cores, double managers) {
+      return capacityFraction(now) < 1 && cost > evenShare(now, cores, managers);
+    }
+
+    /**
+     * Returns the work that this manager may always send. Where the share is less than a usual
+     * request, half of it is left to permits.
+     */
+    private double evenShare(long now, double cores, double managers) {
+      double share = budget(now, cores) / managers;
+      return meanCost > share ? share / 2 : share;
+    }
+
+    /**
+     * Returns the work that all managers together may send to the engine within a window. It grows
+     * over the first window where the engine is older than this process, because an earlier process
+     * of this manager may have sent requests to it.
+     */
+    private double budget(long now, double cores) {
+      long window = limit.windowNanos();
+      double knownFraction =
+          coldSince() >= firstListAt ? 1 : Math.min(1, (now - firstListAt) / (double) window);
+      return BUDGET_FRACTION
+          * limit.overloadFactor()
+          * capacityFraction(now)
+          * cores
+          * window
+          * knownFraction;
+    }
+
+    /**
+     * Returns the probability of a permit for a request that exceeds the even share; 0 where the
+     * random draw of this window gave none.
+     */
+    public double permitChance(long now, double cost, double cores, double managers) {
+      if (now >= permitUntil) {
+        permitUntil = now + limit.windowNanos();
+        permitDraw = random.nextDouble();
+      }
+      double budget = budget(now, cores);
+      // For all managers: what the even shares leave, plus the tolerated excess, and at most what
+      // the engine can execute.
+      double tolerance = TOLERANCE * (Math.sqrt(budget * meanCost) + meanCost);
+      double totalWork = budget - evenShare(now, cores, managers) * managers + tolerance;
+      // Solves work + SAFETY_DEVIATIONS * sqrt(work * cost) = totalWork for sqrt(work): the second
+      // term is the margin for the number of permits, which depends on chance.
+      double rootMargin = SAFETY_DEVIATIONS * Math.sqrt(cost) / 2;
+      double rootWork = Math.sqrt(totalWork + rootMargin * rootMargin) - rootMargin;
+      double work = Math.min(rootWork * rootWork, budget / limit.overloadFactor());
+      double probability = work / (managers * cost);
+      return permitDraw < probability ? Math.min(1, probability) : 0;
+    }
+  }
+}
