Slow start: the budget of a cold engine also counts requests, not only their work

What callers saw: a cold engine failed under load; while attempts end early (errors, refusals, clients that leave), it was sent up to 3.1 times the requests that it bears. Cause: the budget was kept in estimated work alone, so that cheap tasks passed where dear ones did not fit; as long as answers take their time, the concurrency limit hid it. Why this works: a request passes only if both the work and the number of requests, in mean ones, stay within the even share, and a permit is charged for the larger of both; so both sums stay under the budget whatever ends the attempts. SlowStartRulesTest.requestsOfClients...: 3 of 6 cases failed before (53 and 51 of 41, 264 of 143), pass now.

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -688,7 +688,7 @@
       lastTaskAt = now;
       meanLogValue = movingAverage(meanLogValue, task.logValue, SMOOTHING_FACTOR);
       meanCost = movingAverage(meanCost, task.cost, SMOOTHING_FACTOR);
-      slowStart.updateMeanCost(meanCost);
+      slowStart.onTask(task.cost);
       task.statistics.meanLogValue =
           movingAverage(task.statistics.meanLogValue, task.logValue, SMOOTHING_FACTOR);
       if (task.cannotEndInTime()) {
--- a/src/main/java/tansytrack/policy/SlowStart.java
+++ b/src/main/java/tansytrack/policy/SlowStart.java
@@ -9,9 +9,10 @@
 /**
  * Rule 4: limits what this manager sends to engines that have started lately (slow start). All
  * managers together must not send a cold engine more than a budget within any window, although they
- * do not talk to each other. Each manager may always send an even share of the budget; where a
- * share is less than one request, random permits admit single requests. The reasons for the design
- * are in docs/design.md. Times are in nanoseconds.
+ * do not talk to each other. The budget is kept both in work and in requests of mean work. Each
+ * manager may always send an even share of it; where a share is less than one request, random
+ * permits admit single requests. The reasons for the design are in docs/design.md. Times are in
+ * nanoseconds.
  */
 public final class SlowStart {
 
@@ -29,7 +30,7 @@
   private final Map<String, EngineRecord> records = new TreeMap<>();
   // The time of the first engine list, or -1.
   private long firstListAt = -1;
-  private double meanCost = Double.NaN;
+  private final MeanCost meanCost = new MeanCost();
 
   /** Creates the limits of one manager. */
   public SlowStart(Settings settings, SplittableRandom random) {
@@ -42,9 +43,9 @@
     firstListAt = firstListAt < 0 ? now : firstListAt;
   }
 
-  /** Takes note of the mean cost of the tasks that were accepted. */
-  public void updateMeanCost(double cost) {
-    meanCost = cost;
+  /** Takes note of the cost of a task that was accepted. */
+  public void onTask(double cost) {
+    meanCost.add(cost);
   }
 
   /** Returns the fraction of its capacity that an engine started at that time has by now. */
@@ -138,23 +139,34 @@
      * where the share is too small for it, whether a random permit admits it.
      */
     public boolean allows(long now, double cost, double cores, double managers) {
-      return capacityFraction(now) >= 1
-          || recentWork(now) + cost <= evenShare(now, cores, managers)
+      if (capacityFraction(now) >= 1) {
+        return true;
+      }
+      double share = evenShare(now, cores, managers);
+      boolean withinShare =
+          recentWork(now) + cost <= share
+              && (recentRequests(now) + 1) * meanCost.estimate() <= share;
+      return withinShare
           || recentRequests(now) == 0 && permitChance(now, cost, cores, managers) > 0;
     }
 
     /** Tells whether a request exceeds the even share, so that it needs a permit. */
     public boolean needsPermit(long now, double cost, double cores, double managers) {
-      return capacityFraction(now) < 1 && cost > evenShare(now, cores, managers);
+      return capacityFraction(now) < 1 && charge(cost) > evenShare(now, cores, managers);
     }
 
     /**
-     * Returns the work that this manager may always send. Where the share is less than a usual
-     * request, half of it is left to permits.
+     * Returns the work that this manager may always send. Where that is less than one request of
+     * mean work, it is all left to permits.
      */
     private double evenShare(long now, double cores, double managers) {
       double share = budget(now, cores) / managers;
-      return meanCost > share ? share / 2 : share;
+      return meanCost.estimate() > share ? 0 : share;
+    }
+
+    /** Returns what a single request takes of the budget, in work and as a request. */
+    private double charge(double cost) {
+      return Math.max(cost, meanCost.estimate());
     }
 
     /**
@@ -186,14 +198,16 @@
       double budget = budget(now, cores);
       // For all managers: what the even shares leave, plus the tolerated excess, and at most what
       // the engine can execute.
-      double tolerance = TOLERANCE * (Math.sqrt(budget * meanCost) + meanCost);
+      double mean = meanCost.estimate();
+      double tolerance = TOLERANCE * (Math.sqrt(budget * mean) + mean);
       double totalWork = budget - evenShare(now, cores, managers) * managers + tolerance;
-      // Solves work + SAFETY_DEVIATIONS * sqrt(work * cost) = totalWork for sqrt(work): the second
-      // term is the margin for the number of permits, which depends on chance.
-      double rootMargin = SAFETY_DEVIATIONS * Math.sqrt(cost) / 2;
+      // Solves work + SAFETY_DEVIATIONS * sqrt(work * charge) = totalWork for sqrt(work): the
+      // second term is the margin for the number of permits, which depends on chance.
+      double charge = charge(cost);
+      double rootMargin = SAFETY_DEVIATIONS * Math.sqrt(charge) / 2;
       double rootWork = Math.sqrt(totalWork + rootMargin * rootMargin) - rootMargin;
       double work = Math.min(rootWork * rootWork, budget / limit.overloadFactor());
-      double probability = work / (managers * cost);
+      double probability = work / (managers * charge);
       return permitDraw < probability ? Math.min(1, probability) : 0;
     }
   }
