Slow start: what an engine was sent still counts after it was gone for a moment

Cause: an engine that is listed as gone was dropped with its window of requests; listed again it began with an empty one, also where it is the same process. Why this works: the records of slow start belong to the id and outlive the engine by a warm-up time, after which nothing in them can count.

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -1025,19 +1025,8 @@
     }
 
     private void sweep() {
-      engines
-          .values()
-          .removeIf(
-              engine -> {
-                boolean removed =
-                    engine.awaitsRemoval
-                        && engine.openForwards.isEmpty()
-                        && now >= engine.retainedUntil;
-                if (removed) {
-                  slowStart.forget(engine.id);
-                }
-                return removed;
-              });
+      engines.values().removeIf(engine -> engine.awaitsRemoval && engine.openForwards.isEmpty());
+      slowStart.evictUnused(now, id -> engines.containsKey(id) || engineList.find(id) != null);
       updateCapacity();
       pools.values().forEach(EnginePool::adjustSubstitutes);
       updatePrices();
@@ -1098,10 +1087,8 @@
     EngineEntry entry; // as last listed
     boolean ready;
     // The engine is gone, not listed, or not in the subset any more; it is removed once its
-    // forwards have
-    // ended and the time in retainedUntil has passed.
+    // forwards have ended.
     boolean awaitsRemoval;
-    long retainedUntil; // the work sent to it while cold counts for a whole window
     final List<EnginePool> servedPools = new ArrayList<>(2);
     boolean isSubstitute; // a substitute for others of the subset; it is not used while cold
     int subsetLevel; // one in 2^level managers uses the engine
@@ -1138,7 +1125,7 @@
     Engine(String id) {
       super(eventLoop);
       this.id = id;
-      start = slowStart.engine(id);
+      start = slowStart.engine(now, id);
       nextProbeAt = now + (long) (random.nextDouble() * dispatcher.probeInterval());
     }
 
@@ -1152,8 +1139,6 @@
       dispatcher.post(dispatcher::updateCapacity);
       boolean isUsed = listing != null && subset.uses(listing);
       ready = isUsed && listing.state() == EngineEntry.State.READY;
-      boolean leavesSubset = listing != null && !isUsed && !awaitsRemoval;
-      retainedUntil = leavesSubset ? now + slowStart.windowNanos() : retainedUntil;
       awaitsRemoval = !isUsed || listing.state() == EngineEntry.State.GONE;
       servedPools.clear();
       if (listing == null) {
--- a/src/main/java/tansytrack/policy/SlowStart.java
+++ b/src/main/java/tansytrack/policy/SlowStart.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import tansytrack.api.EngineEntry;
 import tansytrack.api.Settings;
 
@@ -30,6 +31,7 @@
   private final Map<String, EngineRecord> records = new TreeMap<>();
   // The time of the first engine list, or -1.
   private long firstListAt = -1;
+  private long nextEvictionAt;
   private final MeanCost meanCost = new MeanCost();
 
   /** Creates the limits of one manager. */
@@ -58,13 +60,27 @@
   }
 
   /** Returns the record of an engine. */
-  public EngineRecord engine(String id) {
-    return records.computeIfAbsent(id, key -> new EngineRecord());
+  public EngineRecord engine(long now, String id) {
+    return records.computeIfAbsent(id, key -> new EngineRecord(now));
   }
 
-  /** Removes the record of an engine that is no longer used. */
-  public void forget(String id) {
-    records.remove(id);
+  /**
+   * Removes the records of engines that have not been listed for so long that their requests do not
+   * count any more. An engine may be listed again shortly after it was gone.
+   *
+   * @param inUse tells whether an engine is listed or still has open requests
+   */
+  public void evictUnused(long now, Predicate<String> inUse) {
+    if (limit == null || now < nextEvictionAt) {
+      return;
+    }
+    nextEvictionAt = now + limit.windowNanos();
+    for (Map.Entry<String, EngineRecord> entry : records.entrySet()) {
+      if (inUse.test(entry.getKey())) {
+        entry.getValue().lastUsedAt = now;
+      }
+    }
+    records.values().removeIf(record -> now - record.lastUsedAt > limit.warmUpNanos());
   }
 
   /** The window within which the budget is counted; 0 where engines are never cold. */
@@ -92,8 +108,11 @@
     // share, if it has sent none within the window.
     private long permitUntil;
     private double permitDraw;
+    private long lastUsedAt;
 
-    private EngineRecord() {}
+    private EngineRecord(long now) {
+      lastUsedAt = now;
+    }
 
     /** Takes over an entry of the engine list. */
     public void onListing(EngineEntry entry, boolean restarted) {
