--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -387,7 +387,11 @@
         .endForward("t", 0, UNREACHED);
     assertThat(manager.submitAll(4, "u# short a").actionsWith("forward u")).isEmpty();
     // The requests that were sent when it returned count for one window more.
-    manager.advance(1050).endForward("t", 1, OK).advance(1000);
+    manager.advance(1050).endForward("t", 1, OK);
+    for (int i = 0; i < 4; i++) {
+      manager.endForward("u" + i, 0, OK);
+    }
+    manager.advance(1000);
     manager.submitAll(30, "w# stamp b cost=900");
     assertThat(manager.actionsWith("forward w").size()).isBetween(1, 3);
   }
