Slow start: an engine's age counts from when this manager was told of its process

What callers saw: cold engines failed under load where the clock of the list service and a manager's differ. Cause: up_since_ms, by the list service's clock, was compared with the manager's own, whose offset is taken once at its start and follows by 1 ms a second: an hour's difference makes each engine look warm, or cold for an hour. A start time that was set back was not taken for a new process. Why this works: the budget uses the latest time at which the present process can have started, by the monotonic clock: when this manager was first told of it, also for a first list, whose start times cannot be checked. Start times only tell processes apart and serve estimates that no rule depends on, unless implausible.

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -197,7 +197,6 @@
   public void onEngineList(long at, boolean complete, List<EngineEntry> entries) {
     now = at;
     firstListAt = firstListAt < 0 ? at : firstListAt;
-    slowStart.onEngineList(at);
     Map<String, EngineEntry> entriesById = new TreeMap<>();
     entries.forEach(entry -> entriesById.put(entry.id(), entry));
     if (complete) {
@@ -205,6 +204,7 @@
     } else {
       entriesById.values().forEach(engineList::put);
     }
+    slowStart.onEngineList(at, entriesById.values());
     boolean subsetChanged = subset.updateLevels(managerCount);
     Stream.concat(entries.stream(), subsetChanged ? engineList.all().stream() : Stream.empty())
         .filter(subset::uses)
@@ -451,10 +451,7 @@
               .toList();
       EngineEntry changed =
           group.adjustSubstitutes(
-              healthy,
-              entry ->
-                  !engines.containsKey(entry.id())
-                      && slowStart.capacityFraction(now, entry.startedAtNanos()) >= 1);
+              healthy, entry -> !engines.containsKey(entry.id()) && slowStart.isWarm(now, entry));
       if (changed != null) {
         engines.computeIfAbsent(changed.id(), Engine::new).postListing(changed);
       }
@@ -1149,9 +1146,11 @@
       pools.values().stream().filter(pool -> pool.group.uses(listing)).forEach(servedPools::add);
       isSubstitute = subset.isSubstitute(listing);
       subsetLevel = subset.level(listing);
-      boolean restarted = entry == null || listing.startedAtNanos() > entry.startedAtNanos();
+      boolean restarted =
+          entry == null
+              || listing.startedAtNanos() != 0
+                  && listing.startedAtNanos() != entry.startedAtNanos();
       logTransition(listing, restarted);
-      start.onListing(listing, restarted);
       entry = listing;
       Settings.EngineType type = settings.engineTypes().get(listing.type());
       cores = type != null && type.cores() > 0 ? type.cores() : Math.max(1, listing.size());
@@ -1169,9 +1168,7 @@
 
     /** Logs a change of state, and a start as long as the engine is cold. */
     private void logTransition(EngineEntry listing, boolean restarted) {
-      boolean coldStart =
-          restarted && slowStart.capacityFraction(now, listing.startedAtNanos()) < 1;
-      if (coldStart) {
+      if (restarted && start.mayBeCold(now)) {
         long ageMs = (now - listing.startedAtNanos()) / NANOS_PER_MS;
         actions.log(
             "engine " + id + " listed as " + listing.state() + ", started " + ageMs + " ms ago");
@@ -1197,7 +1194,7 @@
     /** Rule 4: tells whether the slow start of the engine admits the task. */
     private boolean slowStartAllows(Task task) {
       return isSubstitute
-          ? capacityFraction() >= 1
+          ? !start.mayBeCold(now)
           : start.allows(now, task.cost, cores, maxExpectedManagers());
     }
 
@@ -1400,7 +1397,7 @@
 
     /** Describes what this manager sent to the engine in the last window, if it is cold. */
     private String coldLoad() {
-      if (settings.coldStartLimit() == null || entry.startedAtNanos() == 0) {
+      if (!start.mayBeCold(now)) {
         return "";
       }
       return ", sent "
--- a/src/main/java/tansytrack/policy/SlowStart.java
+++ b/src/main/java/tansytrack/policy/SlowStart.java
@@ -1,5 +1,6 @@
 package tansytrack.policy;
 
+import java.util.Collection;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -14,6 +15,11 @@
  * manager may always send an even share of it; where a share is less than one request, random
  * permits admit single requests. The reasons for the design are in docs/design.md. Times are in
  * nanoseconds.
+ *
+ * <p>The engine list tells start times by a clock that may differ from this manager's by any
+ * amount, so the budget does not depend on them: an engine counts as started when this manager was
+ * first told of its present process. A start time serves to tell processes apart, and for estimates
+ * of capacity that no rule depends on.
  */
 public final class SlowStart {
 
@@ -40,9 +46,14 @@
     this.random = random;
   }
 
-  /** Takes note of the time of an engine list. */
-  public void onEngineList(long now) {
+  /** Takes over the entries of an engine list. */
+  public void onEngineList(long now, Collection<EngineEntry> entries) {
     firstListAt = firstListAt < 0 ? now : firstListAt;
+    for (EngineEntry entry : entries) {
+      if (entry.startedAtNanos() != 0 && entry.state() != EngineEntry.State.GONE && limit != null) {
+        engine(now, entry.id()).onListing(now, entry.startedAtNanos());
+      }
+    }
   }
 
   /** Takes note of the cost of a task that was accepted. */
@@ -50,9 +61,15 @@
     meanCost.add(cost);
   }
 
+  /** Tells whether a listed engine is certainly warm. */
+  public boolean isWarm(long now, EngineEntry entry) {
+    EngineRecord record = records.get(entry.id());
+    return record == null || !record.mayBeCold(now);
+  }
+
   /** Returns the fraction of its capacity that an engine started at that time has by now. */
-  public double capacityFraction(long now, long startedAt) {
-    if (limit == null || startedAt <= 0 || now - startedAt >= limit.warmUpNanos()) {
+  private double capacityOfStart(long now, long startedAt) {
+    if (limit == null || startedAt == 0 || now - startedAt >= limit.warmUpNanos()) {
       return 1;
     }
     double age = Math.max(0, now - startedAt) / (double) limit.warmUpNanos();
@@ -102,7 +119,10 @@
   /** The start of one engine, and what this manager has sent to it lately. */
   public final class EngineRecord {
     private final RequestWindow requests = new RequestWindow();
-    private long startedAt;
+    // The start time of the present process, by the clock of the list; 0 if it was long ago.
+    private long listedStart;
+    // When this manager was first told of the present process; 0 if that started long ago.
+    private long firstListedAt;
     private long unreachableAt;
     // A permit is drawn once per window. It lets this manager send a request that exceeds its even
     // share, if it has sent none within the window.
@@ -114,10 +134,13 @@
       lastUsedAt = now;
     }
 
-    /** Takes over an entry of the engine list. */
-    public void onListing(EngineEntry entry, boolean restarted) {
-      startedAt = entry.startedAtNanos();
-      unreachableAt = restarted ? 0 : unreachableAt;
+    /** Takes over the start time of a list; another one means another process. */
+    private void onListing(long now, long startedAt) {
+      if (startedAt != listedStart) {
+        listedStart = startedAt;
+        firstListedAt = now;
+        unreachableAt = 0;
+      }
     }
 
     /** Takes note that the engine could not be reached: it may have restarted. */
@@ -127,18 +150,38 @@
 
     /** Records a request that is sent to the engine now. */
     public void onSent(long now, double cost) {
-      if (capacityFraction(now) < 1) {
+      if (mayBeCold(now)) {
         requests.add(now, (long) cost);
       }
     }
 
-    /** Returns the fraction of its capacity that the engine has by now. */
+    /**
+     * Returns an estimate of the fraction of its capacity that the engine has by now. A start time
+     * that lies in the future is not believed, nor is one by which an engine is warm when this
+     * manager has just seen it start.
+     */
     public double capacityFraction(long now) {
-      return SlowStart.this.capacityFraction(now, coldSince());
+      boolean seenToStart = firstListedAt > firstListAt;
+      boolean implausible =
+          listedStart > firstListedAt
+              || seenToStart && capacityOfStart(firstListedAt, listedStart) >= 1;
+      long estimatedStart = implausible ? firstListedAt : listedStart;
+      return capacityOfStart(now, Math.max(estimatedStart, unreachableAt));
+    }
+
+    /** Tells whether the engine may be cold, as far as this manager can know. */
+    public boolean mayBeCold(long now) {
+      return minCapacityFraction(now) < 1;
+    }
+
+    /** Returns the fraction of its capacity that the engine has at least. */
+    private double minCapacityFraction(long now) {
+      return capacityOfStart(now, latestStart());
     }
 
-    private long coldSince() {
-      return Math.max(startedAt, unreachableAt);
+    /** Returns the latest time at which the present process may have started. */
+    private long latestStart() {
+      return Math.max(firstListedAt, unreachableAt);
     }
 
     /** Returns the number of requests in the present window. */
@@ -158,7 +201,7 @@
      * where the share is too small for it, whether a random permit admits it.
      */
     public boolean allows(long now, double cost, double cores, double managers) {
-      if (capacityFraction(now) >= 1) {
+      if (!mayBeCold(now)) {
         return true;
       }
       double share = evenShare(now, cores, managers);
@@ -171,7 +214,7 @@
 
     /** Tells whether a request exceeds the even share, so that it needs a permit. */
     public boolean needsPermit(long now, double cost, double cores, double managers) {
-      return capacityFraction(now) < 1 && charge(cost) > evenShare(now, cores, managers);
+      return mayBeCold(now) && charge(cost) > evenShare(now, cores, managers);
     }
 
     /**
@@ -190,16 +233,18 @@
 
     /**
      * Returns the work that all managers together may send to the engine within a window. It grows
-     * over the first window where the engine is older than this process, because an earlier process
-     * of this manager may have sent requests to it.
+     * over the first window of this process where the engine was listed by then, because an earlier
+     * process of this manager may have sent requests to it.
      */
     private double budget(long now, double cores) {
       long window = limit.windowNanos();
       double knownFraction =
-          coldSince() >= firstListAt ? 1 : Math.min(1, (now - firstListAt) / (double) window);
+          latestStart() >= firstListAt + window
+              ? 1
+              : Math.min(1, (now - firstListAt) / (double) window);
       return BUDGET_FRACTION
           * limit.overloadFactor()
-          * capacityFraction(now)
+          * minCapacityFraction(now)
           * cores
           * window
           * knownFraction;
