Slow start: a request counts until its engine has confirmed it, and a window longer

Cause: a request was counted from the decision to send it, and left the count a window later. It leaves when its connection is up and arrives when the network and the engine let it, so what was sent in two windows could arrive in one; permits of two windows likewise. Why this works: a request may arrive at any time until the engine's first response to it, or its end; it counts until then and for a window more, so the sum by arrival in any window stays within the sum counted. Permits are drawn a window and a connect timeout apart.

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -167,7 +167,7 @@
     subset = new EngineSubset(settings, engineList);
     this.actions = actions;
     random = new SplittableRandom(settings.seed());
-    slowStart = new SlowStart(settings, random);
+    slowStart = new SlowStart(settings, actions.reportsArrivals(), random);
     for (QueryClass queryClass : settings.queryClasses()) {
       String poolKey =
           new TreeSet<>(queryClass.allowedZones())
@@ -269,6 +269,15 @@
     }
   }
 
+  @Override
+  public void onForwardReceived(long at, String id, int index, String engine) {
+    now = at;
+    Forward forward = findForward(engine, id, index);
+    if (forward != null) {
+      forward.engine.post(() -> forward.request.confirm(at));
+    }
+  }
+
   @Override
   public void onProbeEnd(long at, String engine, Outcome outcome, LoadReport report) {
     now = at;
@@ -627,7 +636,13 @@
 
   /** One attempt to execute a task on an engine. */
   private record Forward(
-      Task task, Engine engine, int index, long sentAt, double memoryMb, boolean warmData) {}
+      Task task,
+      Engine engine,
+      int index,
+      long sentAt,
+      double memoryMb,
+      boolean warmData,
+      SlowStart.SentRequest request) {}
 
   // ---- The dispatcher: tenant queues, dispatching, final answers ----
 
@@ -1330,7 +1345,9 @@
       }
       actions.forward(task.id, id, 0);
       boolean warmData = warmDataSets.remove(task.request.dataSet());
-      Forward forward = new Forward(task, this, task.forwardsSent, now, memoryMb, warmData);
+      Forward forward =
+          new Forward(
+              task, this, task.forwardsSent, now, memoryMb, warmData, start.onSent(now, task.cost));
       expectedAnswers = openForwards.isEmpty() ? 0 : expectedAnswers;
       lastSignOfLifeAt = openForwards.isEmpty() ? now : lastSignOfLifeAt;
       lastSweepAt = openForwards.isEmpty() ? now : lastSweepAt;
@@ -1346,7 +1363,6 @@
       }
       addUsage(task.queryClass.threads(), memoryMb);
       threadsSentSinceReport += task.queryClass.threads();
-      start.onSent(now, task.cost);
       warmDataSets.add(task.request.dataSet());
       if (warmDataSets.size() > MAX_WARM_DATA_SETS) {
         warmDataSets.remove(warmDataSets.iterator().next());
@@ -1367,6 +1383,7 @@
         double memoryMb,
         LoadReport received) {
       openForwards.remove(forward);
+      forward.request.confirm(now);
       addUsage(-forward.task.queryClass.threads(), -forward.memoryMb);
       onReport(received);
       if (outcome == Outcome.OK) {
--- a/src/main/java/tansytrack/api/Actions.java
+++ b/src/main/java/tansytrack/api/Actions.java
@@ -27,6 +27,14 @@
   /** Schedules one wake-up after the given time; it comes with the same token. */
   void scheduleWakeUp(long delayNanos, String token);
 
+  /**
+   * Whether {@link DecisionModule#onForwardReceived} tells when an engine has received a forward.
+   * Where it does not, a forward counts as received when it is sent.
+   */
+  default boolean reportsArrivals() {
+    return false;
+  }
+
   /** Writes a line to the log. */
   void log(String text);
 }
--- a/src/main/java/tansytrack/api/DecisionModule.java
+++ b/src/main/java/tansytrack/api/DecisionModule.java
@@ -50,6 +50,12 @@
       double memoryMb,
       LoadReport report);
 
+  /**
+   * The engine has confirmed that it received a forward, which goes on. A forward that ends needs
+   * no confirmation.
+   */
+  void onForwardReceived(long now, String task, int index, String engine);
+
   /** A probe has ended; the report is null where the engine sent none. */
   void onProbeEnd(long now, String engine, Outcome outcome, LoadReport report);
 
--- a/src/main/java/tansytrack/policy/RequestWindow.java
+++ b/src/main/java/tansytrack/policy/RequestWindow.java
@@ -1,25 +1,57 @@
 package tansytrack.policy;
 
-import tansytrack.util.SlidingWindow;
+import java.util.ArrayList;
+import java.util.List;
 
-/** The requests that one engine was sent lately, with their work. */
+/**
+ * The requests that one engine was sent and that count within the present window. A request may
+ * arrive at any time until the engine has confirmed it, so it counts until then and for a window
+ * afterwards.
+ */
 final class RequestWindow {
 
-  private final SlidingWindow window = new SlidingWindow();
+  private static final long UNCONFIRMED = Long.MAX_VALUE;
 
-  void add(long now, long work) {
-    window.add(now, work);
+  /** A request that was sent to the engine. */
+  private static final class Request implements SlowStart.SentRequest {
+    final double work;
+    long arrivedBy;
+
+    Request(double work, long arrivedBy) {
+      this.work = work;
+      this.arrivedBy = arrivedBy;
+    }
+
+    @Override
+    public void confirm(long now) {
+      arrivedBy = Math.min(arrivedBy, now);
+    }
+  }
+
+  private final List<Request> requests = new ArrayList<>(2);
+
+  /** Adds a request that will be confirmed. */
+  SlowStart.SentRequest addUnconfirmed(double work) {
+    return add(work, UNCONFIRMED);
+  }
+
+  /** Adds a request that arrives at the given time. */
+  SlowStart.SentRequest add(double work, long arrivedBy) {
+    Request request = new Request(work, arrivedBy);
+    requests.add(request);
+    return request;
   }
 
+  /** Removes the requests that arrived before a time. */
   void evictBefore(long time) {
-    window.evictBefore(time);
+    requests.removeIf(request -> request.arrivedBy < time);
   }
 
   int count() {
-    return window.count();
+    return requests.size();
   }
 
   double work() {
-    return window.sum();
+    return requests.stream().mapToDouble(request -> request.work).sum();
   }
 }
--- a/src/main/java/tansytrack/policy/SlowStart.java
+++ b/src/main/java/tansytrack/policy/SlowStart.java
@@ -31,8 +31,13 @@
   // many requests.
   private static final double TOLERANCE = 2;
 
+  private static final SentRequest NOT_COUNTED = now -> {};
+
   // Null where engines are never cold.
   private final Settings.ColdStartLimit limit;
+  // The time by which the arrivals of requests sent at the same time may differ.
+  private final long maxDelayNanos;
+  private final boolean arrivalsReported;
   private final SplittableRandom random;
   private final Map<String, EngineRecord> records = new TreeMap<>();
   // The time of the first engine list, or -1.
@@ -40,9 +45,16 @@
   private long nextEvictionAt;
   private final MeanCost meanCost = new MeanCost();
 
-  /** Creates the limits of one manager. */
-  public SlowStart(Settings settings, SplittableRandom random) {
+  /**
+   * Creates the limits of one manager.
+   *
+   * @param arrivalsReported whether requests are confirmed when an engine has received them; else
+   *     they count as received when they are sent
+   */
+  public SlowStart(Settings settings, boolean arrivalsReported, SplittableRandom random) {
     limit = settings.coldStartLimit();
+    maxDelayNanos = arrivalsReported ? settings.capabilities().connectTimeoutNanos() : 0;
+    this.arrivalsReported = arrivalsReported;
     this.random = random;
   }
 
@@ -116,6 +128,12 @@
     return Math.min(managers, expected + SAFETY_DEVIATIONS * Math.sqrt(expected));
   }
 
+  /** A request that was sent to an engine. */
+  public interface SentRequest {
+    /** Takes note that the engine has received the request, or will not receive it any more. */
+    void confirm(long now);
+  }
+
   /** The start of one engine, and what this manager has sent to it lately. */
   public final class EngineRecord {
     private final RequestWindow requests = new RequestWindow();
@@ -124,7 +142,8 @@
     // When this manager was first told of the present process; 0 if that started long ago.
     private long firstListedAt;
     private long unreachableAt;
-    // A permit is drawn once per window. It lets this manager send a request that exceeds its even
+    // A permit is drawn once per window, and so much later that requests of two permits do not
+    // arrive within one. It lets this manager send a request that exceeds its even
     // share, if it has sent none within the window.
     private long permitUntil;
     private double permitDraw;
@@ -148,11 +167,13 @@
       unreachableAt = now;
     }
 
-    /** Records a request that is sent to the engine now. */
-    public void onSent(long now, double cost) {
-      if (mayBeCold(now)) {
-        requests.add(now, (long) cost);
+    /** Records a request that is sent to the engine now; it counts also before it arrives. */
+    public SentRequest onSent(long now, double cost) {
+      requests.evictBefore(now - windowNanos());
+      if (!mayBeCold(now)) {
+        return NOT_COUNTED;
       }
+      return arrivalsReported ? requests.addUnconfirmed(cost) : requests.add(cost, now);
     }
 
     /**
@@ -256,7 +277,7 @@
      */
     public double permitChance(long now, double cost, double cores, double managers) {
       if (now >= permitUntil) {
-        permitUntil = now + limit.windowNanos();
+        permitUntil = now + limit.windowNanos() + maxDelayNanos;
         permitDraw = random.nextDouble();
       }
       double budget = budget(now, cores);
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -452,6 +452,12 @@
 
   // ---- Results of forwards and probes ----
 
+  /** Handles the first response that shows that the engine has received a forward. */
+  void forwardReceived(OpenForward forward) {
+    decisionPending = true;
+    module.onForwardReceived(timers.now(), forward.task.id, forward.index, forward.engine.id);
+  }
+
   /** Handles the end of a forward; the pages are null unless its outcome is OK. */
   void forwardEnded(
       OpenForward forward,
@@ -624,6 +630,11 @@
         });
   }
 
+  @Override
+  public boolean reportsArrivals() {
+    return true;
+  }
+
   @Override
   public void log(String text) {
     Logger.info(text);
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -184,7 +184,11 @@
     engine.recordResponse();
     report = newReport == null ? report : newReport;
     mayHaveBeenSent = true;
-    knownToEngine |= status == 200 || status == 202;
+    boolean confirmed = status == 200 || status == 202;
+    if (confirmed && !knownToEngine) {
+      manager.forwardReceived(this);
+    }
+    knownToEngine |= confirmed;
     lastPolledAt = timers.now();
     boolean afterFailure = consecutiveFailures > 0 || responseOverdue;
     boolean wasOverdue = responseOverdue;
--- a/src/test/java/tansytrack/lab/scale/ScaleTest.java
+++ b/src/test/java/tansytrack/lab/scale/ScaleTest.java
@@ -168,6 +168,9 @@
         double memoryMb,
         LoadReport report) {}
 
+    @Override
+    public void onForwardReceived(long now, String task, int index, String engine) {}
+
     @Override
     public void onProbeEnd(long now, String engine, Outcome outcome, LoadReport report) {}
 
