Slow start: what an engine was sent before its restart was told counts for a window

Cause: requests were recorded only while an engine counted as cold. A restart that the list tells late finds an empty window, although the new process has received requests. Evidence: 8 sent behind 50 of the same window (SlowStartRulesTest.whatAnEngineWasSentBeforeItsRestartWasToldCounts failed before: 7 instead of 0). Why this works: requests to any engine are recorded; when its process changes, those that may have reached the new one count for a window, those held by connections of the old one do not.

--- a/src/main/java/tansytrack/policy/RequestWindow.java
+++ b/src/main/java/tansytrack/policy/RequestWindow.java
@@ -15,9 +15,11 @@
   /** A request that was sent to the engine. */
   private static final class Request implements SlowStart.SentRequest {
     final double work;
+    final long sentAt;
     long arrivedBy;
 
-    Request(double work, long arrivedBy) {
+    Request(long sentAt, double work, long arrivedBy) {
+      this.sentAt = sentAt;
       this.work = work;
       this.arrivedBy = arrivedBy;
     }
@@ -31,17 +33,28 @@
   private final List<Request> requests = new ArrayList<>(2);
 
   /** Adds a request that will be confirmed. */
-  SlowStart.SentRequest addUnconfirmed(double work) {
-    return add(work, UNCONFIRMED);
+  SlowStart.SentRequest addUnconfirmed(long now, double work) {
+    return add(new Request(now, work, UNCONFIRMED));
   }
 
-  /** Adds a request that arrives at the given time. */
-  SlowStart.SentRequest add(double work, long arrivedBy) {
-    Request request = new Request(work, arrivedBy);
+  /** Adds a request that arrives at once. */
+  SlowStart.SentRequest add(long now, double work) {
+    return add(new Request(now, work, now));
+  }
+
+  private SlowStart.SentRequest add(Request request) {
     requests.add(request);
     return request;
   }
 
+  /**
+   * Takes note that the engine is another process. It may have received the latest requests, but
+   * none whose connection was established before its start.
+   */
+  void onNewProcess(long maxDelay) {
+    requests.forEach(request -> request.confirm(request.sentAt + maxDelay));
+  }
+
   /** Removes the requests that arrived before a time. */
   void evictBefore(long time) {
     requests.removeIf(request -> request.arrivedBy < time);
--- a/src/main/java/tansytrack/policy/SlowStart.java
+++ b/src/main/java/tansytrack/policy/SlowStart.java
@@ -159,6 +159,7 @@
         listedStart = startedAt;
         firstListedAt = now;
         unreachableAt = 0;
+        requests.onNewProcess(maxDelayNanos);
       }
     }
 
@@ -167,13 +168,16 @@
       unreachableAt = now;
     }
 
-    /** Records a request that is sent to the engine now; it counts also before it arrives. */
+    /**
+     * Records a request that is sent to the engine now. It counts also before it arrives, and if
+     * the engine turns out later to have restarted before.
+     */
     public SentRequest onSent(long now, double cost) {
-      requests.evictBefore(now - windowNanos());
-      if (!mayBeCold(now)) {
+      if (limit == null) {
         return NOT_COUNTED;
       }
-      return arrivalsReported ? requests.addUnconfirmed(cost) : requests.add(cost, now);
+      requests.evictBefore(now - windowNanos());
+      return arrivalsReported ? requests.addUnconfirmed(now, cost) : requests.add(now, cost);
     }
 
     /**
