--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -177,11 +177,18 @@
     if (status == 200) {
       addPage(response);
     }
+    if (!mayHaveBeenSent) {
+      recordStartDelay();
+    }
     clearRequest();
     engine.recordResponse();
     report = newReport == null ? report : newReport;
     mayHaveBeenSent = true;
-    knownToEngine |= status == 200 || status == 202;
+    boolean confirmed = status == 200 || status == 202;
+    if (confirmed && !knownToEngine) {
+      manager.forwardReceived(this);
+    }
+    knownToEngine |= confirmed;
     lastPolledAt = timers.now();
     boolean afterFailure = consecutiveFailures > 0 || responseOverdue;
     boolean wasOverdue = responseOverdue;
@@ -209,6 +216,14 @@
     }
   }
 
+  /** Counts start requests that left late because their connection was established late. */
+  private void recordStartDelay() {
+    long delay = connection.requestStartedAt() - createdAt;
+    if (delay > MAX_START_DELAY_NANOS) {
+      manager.counters().increment("starts.late");
+    }
+  }
+
   private void clearRequest() {
     connection = null;
     if (requestTimer != null) {
