A request tells an engine the time that is left when it leaves, not when it is made

Cause: X-Wait-Ms was computed and written into the output buffer when the request was made; the buffer leaves when the connection is established. Why this works: the header fields of a request are determined when it is written, at once on an open connection, else when the connection is established; no other place words a start request.

--- a/src/main/java/tansytrack/state/EngineConnections.java
+++ b/src/main/java/tansytrack/state/EngineConnections.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import tansytrack.wire.HttpCodec;
 import tansytrack.wire.HttpConnection;
 import tansytrack.wire.Sockets;
@@ -19,6 +20,7 @@
 final class EngineConnections implements HttpConnection.Pool {
 
   static final byte[] EMPTY_BODY = new byte[0];
+  private static final Supplier<String> NO_HEADERS = () -> "";
 
   /** Earlier than any response: permits connections that have not delivered one recently. */
   static final long ANY_TIME = Long.MIN_VALUE;
@@ -241,12 +243,13 @@
 
   /**
    * Sends a request on an idle connection or a new one; returns null, and sends nothing, if the
-   * limit of open connections is reached.
+   * limit of open connections is reached. The header fields are determined when the request leaves,
+   * which is when its connection is established.
    */
   HttpConnection send(
       String method,
       String path,
-      String headers,
+      Supplier<String> headers,
       byte[] body,
       HttpConnection.ResponseHandler handler) {
     return send(method, path, headers, body, ANY_TIME, handler);
@@ -255,7 +258,7 @@
   private HttpConnection send(
       String method,
       String path,
-      String headers,
+      Supplier<String> headers,
       byte[] body,
       long answeredSince,
       HttpConnection.ResponseHandler handler) {
@@ -281,7 +284,7 @@
   }
 
   HttpConnection send(String method, String path, HttpConnection.ResponseHandler handler) {
-    return send(method, path, "", EMPTY_BODY, handler);
+    return send(method, path, NO_HEADERS, EMPTY_BODY, handler);
   }
 
   /**
@@ -335,7 +338,7 @@
     private void send() {
       attempts++;
       written = false;
-      connection = EngineConnections.this.send(method, path, "", body, answeredSince, this);
+      connection = EngineConnections.this.send(method, path, NO_HEADERS, body, answeredSince, this);
       newConnection = connection != null && !connection.connected();
       timer =
           timers.schedule(
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -115,24 +115,24 @@
   }
 
   private void sendStart() {
-    long remainingMs = Math.max(1, (deadline - timers.now()) / 1_000_000);
-    String headers =
-        "X-Req: "
-            + task.id
-            + "\r\nX-Class: "
-            + task.queryClass
-            + "\r\nX-Wait-Ms: "
-            + remainingMs
-            + "\r\n"
-            + (task.idempotencyKey == null
-                ? ""
-                : "Idempotency-Key: " + task.idempotencyKey + "\r\n")
-            + (task.memoryMb > 0 ? "Grant-Mb: " + task.memoryMb + "\r\n" : "")
-            + "Rank: "
-            + task.priority
-            + "\r\n";
     openPollPath = null;
-    requestMade(engine.send("POST", "/o", headers, task.statement, this));
+    requestMade(engine.send("POST", "/o", this::startHeaders, task.statement, this));
+  }
+
+  private String startHeaders() {
+    long remainingMs = Math.max(1, (deadline - timers.now()) / 1_000_000);
+    return "X-Req: "
+        + task.id
+        + "\r\nX-Class: "
+        + task.queryClass
+        + "\r\nX-Wait-Ms: "
+        + remainingMs
+        + "\r\n"
+        + (task.idempotencyKey == null ? "" : "Idempotency-Key: " + task.idempotencyKey + "\r\n")
+        + (task.memoryMb > 0 ? "Grant-Mb: " + task.memoryMb + "\r\n" : "")
+        + "Rank: "
+        + task.priority
+        + "\r\n";
   }
 
   private void poll(String pagePath) {
--- a/src/main/java/tansytrack/wire/Connection.java
+++ b/src/main/java/tansytrack/wire/Connection.java
@@ -23,6 +23,9 @@
      */
     void received(long receivedAt) throws ProtocolException;
 
+    /** Called once when the connection has been established, before anything is sent. */
+    default void established() {}
+
     /** Called when the output buffer is empty and the operating system has taken all of it. */
     default void writeCompleted() {}
 
@@ -147,6 +150,7 @@
     }
     session = openedSession;
     connectedAt = sockets.now();
+    owner.established();
     flush();
   }
 
--- a/src/main/java/tansytrack/wire/HttpConnection.java
+++ b/src/main/java/tansytrack/wire/HttpConnection.java
@@ -1,6 +1,7 @@
 package tansytrack.wire;
 
 import java.net.InetSocketAddress;
+import java.util.function.Supplier;
 
 /** A client connection for HTTP requests, one at a time. */
 public final class HttpConnection implements Connection.Owner {
@@ -58,6 +59,8 @@
   private final Pool pool;
   private final Sockets sockets;
   private ResponseHandler handler;
+  // Writes the open request; null once it is written.
+  private Runnable unwrittenRequest;
   private long requestedAt;
   // Bytes that had been sent before the open request.
   private long sentBeforeRequest;
@@ -120,12 +123,38 @@
    */
   public void send(
       String method, String path, String headers, byte[] body, ResponseHandler responseHandler) {
+    send(method, path, () -> headers, body, responseHandler);
+  }
+
+  /**
+   * Sends a request whose header fields are determined when it is written, as the connection may be
+   * established much later.
+   */
+  public void send(
+      String method,
+      String path,
+      Supplier<String> headers,
+      byte[] body,
+      ResponseHandler responseHandler) {
     handler = responseHandler;
     requestedAt = sockets.now();
     sentBeforeRequest = connection.bytesPossiblySent();
     awaitingFirstByte = true;
-    HttpCodec.writeRequest(connection.output, method, path, host, headers, body);
-    connection.flush();
+    unwrittenRequest =
+        () -> HttpCodec.writeRequest(connection.output, method, path, host, headers.get(), body);
+    if (connection.connected()) {
+      established();
+      connection.flush();
+    }
+  }
+
+  @Override
+  public void established() {
+    Runnable request = unwrittenRequest;
+    unwrittenRequest = null;
+    if (request != null) {
+      request.run();
+    }
   }
 
   @Override
--- a/src/test/java/tansytrack/state/EngineConnectionsTest.java
+++ b/src/test/java/tansytrack/state/EngineConnectionsTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import tansytrack.wire.HttpCodec;
@@ -66,10 +67,12 @@
     }
   }
 
-  private static void readRequest(DataInputStream in) throws Exception {
-    for (String head = ""; !head.endsWith("\r\n\r\n"); ) {
+  private static String readRequest(DataInputStream in) throws Exception {
+    String head = "";
+    while (!head.endsWith("\r\n\r\n")) {
       head += (char) in.readByte();
     }
+    return head;
   }
 
   private static byte[] response(String body) {
@@ -148,4 +151,39 @@
       sockets.close();
     }
   }
+
+  /**
+   * Guards against a query that may run longer than its client waits: its connection is established
+   * late, and the request told the time that was left when it was made.
+   */
+  @Test
+  void aRequestTellsWhatHoldsWhenItsConnectionIsEstablished() throws Exception {
+    Timers timers = new Timers();
+    timers.now(clock.get());
+    Sockets sockets = new Sockets(this::handOver, clock::get);
+    try (ServerSocket engine = new ServerSocket(0, 9, InetAddress.getLoopbackAddress())) {
+      EngineConnections.Limits limits = new EngineConnections.Limits(1000 * MS, 9000 * MS);
+      limits.maxOpenConnections = 9;
+      EngineConnections connections =
+          new EngineConnections("e", sockets, timers, limits, new Counters());
+      connections.updateListing((InetSocketAddress) engine.getLocalSocketAddress(), true);
+      long deadline = clock.get() + 1000 * MS;
+      connections.send(
+          "POST",
+          "/o",
+          () -> "X-Wait-Ms: " + (deadline - timers.now()) / MS + "\r\n",
+          new byte[0],
+          recordingHandler());
+      Runnable established = events.poll(1, TimeUnit.MINUTES);
+      clock.addAndGet(400 * MS);
+      timers.now(clock.get());
+      established.run();
+      try (Socket connection = engine.accept()) {
+        assertThat(readRequest(new DataInputStream(connection.getInputStream())))
+            .contains("X-Wait-Ms: 600\r\n");
+      }
+    } finally {
+      sockets.close();
+    }
+  }
 }
