--- a/src/main/java/tansytrack/LabCommands.java
+++ b/src/main/java/tansytrack/LabCommands.java
@@ -18,6 +18,7 @@
 import tansytrack.lab.LoadCommand;
 import tansytrack.lab.MembershipTable;
 import tansytrack.lab.ScaleTable;
+import tansytrack.lab.SoakRun;
 import tansytrack.lab.footprint.FootprintOptions;
 import tansytrack.lab.footprint.FootprintTable;
 import tansytrack.lab.proto.Experiment;
@@ -37,10 +38,11 @@
         required = true,
         metaVar = "COMMAND",
         handler = SubCommandHandler.class,
-        usage = "engines, run, load, fleet, scale, footprint, explore or ledger-bench")
+        usage = "engines, run, soak, load, fleet, scale, footprint, explore or ledger-bench")
     @SubCommands({
       @SubCommand(name = "engines", impl = Engines.class),
       @SubCommand(name = "run", impl = Run.class),
+      @SubCommand(name = "soak", impl = Soak.class),
       @SubCommand(name = "load", impl = Load.class),
       @SubCommand(name = "fleet", impl = Fleet.class),
       @SubCommand(name = "scale", impl = Scale.class),
@@ -52,8 +54,8 @@
 
     @Override
     public String description() {
-      return "lab: fake engines and experiments on loopback. Commands: engines, run, load, fleet,\n"
-          + "scale, footprint, explore, ledger-bench.";
+      return "lab: fake engines and experiments on loopback. Commands: engines, run, soak, load,\n"
+          + "fleet, scale, footprint, explore, ledger-bench.";
     }
 
     @Override
@@ -149,6 +151,41 @@
     }
   }
 
+  /** Runs seeded fault schedules. */
+  public static final class Soak extends ErrorReportingCommand {
+    @Option(name = "--seeds", metaVar = "N..N", usage = "the seeds, each with its own schedule")
+    private String seeds = "1..3";
+
+    @Option(
+        name = "--out",
+        metaVar = "FOLDER",
+        usage = "folder for the results; absent: a new temporary folder")
+    private String outputFolder;
+
+    @Override
+    public String description() {
+      return """
+          lab soak: runs manager processes under seeded schedules of faults, and checks the
+          rules over all managers. Exit code 1: a seed failed; 2: wrong usage.""";
+    }
+
+    @Override
+    protected int execute() throws IOException {
+      Path folder =
+          outputFolder == null
+              ? Files.createTempDirectory("tansytrack-soak")
+              : Path.of(outputFolder);
+      try {
+        boolean held = SoakRun.run(seeds, folder, Decide::new, System.out);
+        System.out.println("results in " + folder);
+        return held ? 0 : EXIT_DIFFERENCE;
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return EXIT_DIFFERENCE;
+      }
+    }
+  }
+
   /** Sends an open-loop load. */
   public static final class Load extends SeededRun {
     @Argument(
--- a/src/main/java/tansytrack/lab/FakeEngine.java
+++ b/src/main/java/tansytrack/lab/FakeEngine.java
@@ -277,7 +277,7 @@
 
   /** Ends a query at once, and returns the answer by the fault of this engine's answers. */
   private String failedAnswer(Query query) throws IOException {
-    end(query, false);
+    end(query, false, answerFault.getKind() != AnswerFault.Kind.NOT_RUN);
     return switch (answerFault.getKind()) {
       case ERROR -> response("500 Internal Server Error", "", "");
       case NOT_RUN -> response("503 Service Unavailable", "X-Not-Run: 1\r\n", "");
@@ -363,13 +363,17 @@
     model.slowdown(System.nanoTime(), factor);
   }
 
-  private synchronized void end(Query query, boolean done) {
+  private void end(Query query, boolean done) {
+    end(query, done, true);
+  }
+
+  private synchronized void end(Query query, boolean done, boolean mayHaveRun) {
     if (query != null && !query.ended) {
       query.ended = true;
       query.completed = done;
       if (model != null) {
         model.cancel(System.nanoTime(), query.id);
-        listener.forwardEnded(name, query.id, true);
+        listener.forwardEnded(name, query.id, mayHaveRun);
       } else {
         query.completion.cancel(false);
       }
--- a/src/test/java/tansytrack/lab/simulation/InvariantCheckerTest.java
+++ b/src/test/java/tansytrack/lab/simulation/InvariantCheckerTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import tansytrack.lab.simulation.InvariantChecker.EngineListed;
 import tansytrack.lab.simulation.InvariantChecker.Event;
@@ -194,6 +195,49 @@
     assertThat(InvariantChecker.violations(LIMITS, log).values()).containsOnly(0);
   }
 
+  /**
+   * A cold engine that is allowed N requests of mean work bears 2 roots of N and 2 more, or with N
+   * under 30, 3 roots of N and 3 more. Requests to a warm engine set the mean.
+   */
+  @ParameterizedTest(name = "{0} requests of {1} ms, mean of {2} ms: {3} violations")
+  @CsvSource({
+    // N = 30, up to 42.95: by number, then by work.
+    "42, 40, 80, 0",
+    "43, 40, 80, 1",
+    "21, 163, 80, 0",
+    "21, 164, 80, 1",
+    // N = 24, up to 41.7.
+    "41, 50, 100, 0",
+    "42, 50, 100, 1"
+  })
+  void countsTheLoadOfAColdEngineByNumberAndByWork(
+      int requests, double costMs, double meanCostMs, int expected) {
+    InvariantChecker.Limits limits =
+        new InvariantChecker.Limits(
+            20 * NANOS_PER_MS,
+            1,
+            1000 * NANOS_PER_MS,
+            4,
+            0.3,
+            Long.MAX_VALUE,
+            2,
+            1000 * NANOS_PER_MS,
+            1,
+            0.1,
+            0);
+    List<Event> log = new ArrayList<>();
+    log.add(listed(1, true, 1));
+    for (int i = 0; i < requests; i++) {
+      log.add(
+          new ForwardArrived((10L + i) * NANOS_PER_MS, "m", "e", "c" + i, costMs * NANOS_PER_MS));
+      double otherCostMs = 2 * meanCostMs - costMs;
+      log.add(
+          new ForwardArrived(
+              (10L + i) * NANOS_PER_MS, "m", "f", "d" + i, otherCostMs * NANOS_PER_MS));
+    }
+    assertThat(InvariantChecker.violations(limits, log).get("cold")).isEqualTo(expected);
+  }
+
   private static final EngineModel.Spec SPEC =
       new EngineModel.Spec(4, 40, 0.3, 10_000 * NANOS_PER_MS, 2, 1000 * NANOS_PER_MS);
 
