Slow start: an engine that could not be reached is held to work alone until a start is told

The number of requests, unconfirmed ones and those of before then filled budgets of engines that had not restarted at all. Change: the rule binds where a start has been told. Until then the budget is a precaution, as it was: in work alone, of what was sent since the engine was unreachable. When a start is told, all that was sent in the window counts.

--- a/src/main/java/tansytrack/policy/RequestWindow.java
+++ b/src/main/java/tansytrack/policy/RequestWindow.java
@@ -67,4 +67,17 @@
   double work() {
     return requests.stream().mapToDouble(request -> request.work).sum();
   }
+
+  /** Returns the number of requests that were sent since a time. */
+  int countSentSince(long time) {
+    return (int) requests.stream().filter(request -> request.sentAt >= time).count();
+  }
+
+  /** Returns the work of the requests that were sent since a time. */
+  double workSentSince(long time) {
+    return requests.stream()
+        .filter(request -> request.sentAt >= time)
+        .mapToDouble(request -> request.work)
+        .sum();
+  }
 }
--- a/src/main/java/tansytrack/policy/SlowStart.java
+++ b/src/main/java/tansytrack/policy/SlowStart.java
@@ -230,30 +230,54 @@
         return true;
       }
       double share = evenShare(now, cores, managers);
-      boolean withinShare =
-          recentWork(now) + cost <= share
-              && (recentRequests(now) + 1) * meanCost.estimate() <= share;
-      return withinShare
-          || recentRequests(now) == 0 && permitChance(now, cost, cores, managers) > 0;
+      boolean withinWork = countedWork(now) + cost <= share;
+      boolean withinNumber =
+          !toldOfStart(now) || (countedRequests(now) + 1) * meanCost.estimate() <= share;
+      return withinWork && withinNumber
+          || countedRequests(now) == 0 && permitChance(now, cost, cores, managers) > 0;
+    }
+
+    /**
+     * Tells whether the list has told of a start within the warm-up time. The rule binds from then
+     * on. An engine that could not be reached may have restarted before the list tells; until it
+     * does, the budget is a precaution, which takes the work that was sent since.
+     */
+    private boolean toldOfStart(long now) {
+      return capacityOfStart(now, firstListedAt) < 1;
+    }
+
+    private double countedWork(long now) {
+      return toldOfStart(now) ? recentWork(now) : requests.workSentSince(precautionStart(now));
+    }
+
+    private int countedRequests(long now) {
+      return toldOfStart(now) ? recentRequests(now) : requests.countSentSince(precautionStart(now));
+    }
+
+    private long precautionStart(long now) {
+      return Math.max(unreachableAt, now - windowNanos());
     }
 
     /** Tells whether a request exceeds the even share, so that it needs a permit. */
     public boolean needsPermit(long now, double cost, double cores, double managers) {
-      return mayBeCold(now) && charge(cost) > evenShare(now, cores, managers);
+      return mayBeCold(now) && charge(now, cost) > evenShare(now, cores, managers);
     }
 
     /**
      * Returns the work that this manager may always send. Where that is less than one request of
-     * mean work, it is all left to permits.
+     * mean work, it is left to permits, or half of it as long as the number does not count.
      */
     private double evenShare(long now, double cores, double managers) {
       double share = budget(now, cores) / managers;
-      return meanCost.estimate() > share ? 0 : share;
+      if (meanCost.estimate() <= share) {
+        return share;
+      }
+      return toldOfStart(now) ? 0 : share / 2;
     }
 
     /** Returns what a single request takes of the budget, in work and as a request. */
-    private double charge(double cost) {
-      return Math.max(cost, meanCost.estimate());
+    private double charge(long now, double cost) {
+      return toldOfStart(now) ? Math.max(cost, meanCost.estimate()) : cost;
     }
 
     /**
@@ -292,7 +316,7 @@
       double totalWork = budget - evenShare(now, cores, managers) * managers + tolerance;
       // Solves work + SAFETY_DEVIATIONS * sqrt(work * charge) = totalWork for sqrt(work): the
       // second term is the margin for the number of permits, which depends on chance.
-      double charge = charge(cost);
+      double charge = charge(now, cost);
       double rootMargin = SAFETY_DEVIATIONS * Math.sqrt(charge) / 2;
       double rootWork = Math.sqrt(totalWork + rootMargin * rootMargin) - rootMargin;
       double work = Math.min(rootWork * rootWork, budget / limit.overloadFactor());
