Slow start: the number may use what the rule tolerates; a 202 tells when a request had arrived

Cause, by reading: the number was held to 0.9 of N although the rule tolerates N + 2 roots of N + 2, and the number that all managers send does not depend on chance; a running request counted from its 202, which comes a long poll (250 ms) after its arrival. Change: the number is held to 0.9 of what is tolerated; a 202 confirms the arrival a long poll earlier, not before the request was made.

--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -270,11 +270,11 @@
   }
 
   @Override
-  public void onForwardReceived(long at, String id, int index, String engine) {
+  public void onForwardReceived(long at, String id, int index, String engine, long receivedBy) {
     now = at;
     Forward forward = findForward(engine, id, index);
     if (forward != null) {
-      forward.engine.post(() -> forward.request.confirm(at));
+      forward.engine.post(() -> forward.request.confirm(receivedBy));
     }
   }
 
--- a/src/main/java/tansytrack/api/DecisionModule.java
+++ b/src/main/java/tansytrack/api/DecisionModule.java
@@ -51,10 +51,10 @@
       LoadReport report);
 
   /**
-   * The engine has confirmed that it received a forward, which goes on. A forward that ends needs
-   * no confirmation.
+   * The engine has confirmed that it received a forward, which goes on, by the given time. A
+   * forward that ends needs no confirmation.
    */
-  void onForwardReceived(long now, String task, int index, String engine);
+  void onForwardReceived(long now, String task, int index, String engine, long receivedBy);
 
   /** A probe has ended; the report is null where the engine sent none. */
   void onProbeEnd(long now, String engine, Outcome outcome, LoadReport report);
--- a/src/main/java/tansytrack/policy/SlowStart.java
+++ b/src/main/java/tansytrack/policy/SlowStart.java
@@ -232,7 +232,8 @@
       double share = evenShare(now, cores, managers);
       boolean withinWork = countedWork(now) + cost <= share;
       boolean withinNumber =
-          !toldOfStart(now) || (countedRequests(now) + 1) * meanCost.estimate() <= share;
+          !toldOfStart(now)
+              || share > 0 && countedRequests(now) + 1 <= evenNumber(now, cores, managers);
       return withinWork && withinNumber
           || countedRequests(now) == 0 && permitChance(now, cost, cores, managers) > 0;
     }
@@ -275,6 +276,17 @@
       return toldOfStart(now) ? 0 : share / 2;
     }
 
+    /**
+     * Returns the number of requests that this manager may always send. Unlike their work, the
+     * number that all managers send does not depend on chance, so it may use the excess that the
+     * rule tolerates.
+     */
+    private double evenNumber(long now, double cores, double managers) {
+      double allowed = budget(now, cores) / BUDGET_FRACTION / meanCost.estimate();
+      double tolerated = allowed + TOLERANCE * (Math.sqrt(allowed) + 1);
+      return BUDGET_FRACTION * tolerated / managers;
+    }
+
     /** Returns what a single request takes of the budget, in work and as a request. */
     private double charge(long now, double cost) {
       return toldOfStart(now) ? Math.max(cost, meanCost.estimate()) : cost;
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -452,10 +452,14 @@
 
   // ---- Results of forwards and probes ----
 
-  /** Handles the first response that shows that the engine has received a forward. */
-  void forwardReceived(OpenForward forward) {
+  /**
+   * Handles the first response that shows that the engine has received a forward, by the given
+   * time.
+   */
+  void forwardReceived(OpenForward forward, long receivedBy) {
     decisionPending = true;
-    module.onForwardReceived(timers.now(), forward.task.id, forward.index, forward.engine.id);
+    module.onForwardReceived(
+        timers.now(), forward.task.id, forward.index, forward.engine.id, receivedBy);
   }
 
   /** Handles the end of a forward; the pages are null unless its outcome is OK. */
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -186,7 +186,7 @@
     mayHaveBeenSent = true;
     boolean confirmed = status == 200 || status == 202;
     if (confirmed && !knownToEngine) {
-      manager.forwardReceived(this);
+      manager.forwardReceived(this, status == 202 ? longPollStart() : timers.now());
     }
     knownToEngine |= confirmed;
     lastPolledAt = timers.now();
@@ -224,6 +224,11 @@
     }
   }
 
+  /** The engine answers 202 a long poll after the request has arrived, or later. */
+  private long longPollStart() {
+    return Math.max(requestedAt, timers.now() - MAX_LONG_POLL_NANOS);
+  }
+
   private void clearRequest() {
     connection = null;
     if (requestTimer != null) {
