--- a/src/main/java/tansytrack/lab/FleetTraffic.java
+++ b/src/main/java/tansytrack/lab/FleetTraffic.java
@@ -454,16 +454,17 @@
     InvariantChecker.ColdStartLoad coldStartLoad = InvariantChecker.coldStartLoad(limits, sorted);
     figures.put("cold.load_by_work_max", coldStartLoad.byWork());
     figures.put("cold.load_by_requests_max", coldStartLoad.byRequests());
-    for (FakeEngine engine : engines) {
-      crashCount += engine.hasCrashed() ? 1 : 0;
-    }
-    // The figure that counts the crashes of engines.
-    figures.put("engines.fallen", (double) crashCount);
+    figures.put("engines.fallen", (double) countCrashes());
     figures.put("tasks", tasks);
     figures.put("share_min", tasks == 0 ? 1 : answeredInTime / tasks);
     return figures;
   }
 
+  /** Returns the number of engines that have crashed, including the present ones. */
+  private int countCrashes() {
+    return crashCount + (int) engines.stream().filter(FakeEngine::hasCrashed).count();
+  }
+
   /**
    * The time after the announcement of a drain in which forwards may still arrive. A manager whose
    * connection to the command channel is disturbed counts as told when it is, and at the latest
--- a/src/main/java/tansytrack/policy/MeanCost.java
+++ b/src/main/java/tansytrack/policy/MeanCost.java
@@ -25,7 +25,7 @@
 
   /** Returns the estimate; 0 until the first task. */
   double estimate() {
-    double effectiveSamples = Math.min(Math.max(samples, 1), MAX_EFFECTIVE_SAMPLES);
+    double effectiveSamples = Math.min((double) Math.max(samples, 1), MAX_EFFECTIVE_SAMPLES);
     return mean + Math.sqrt(variance / effectiveSamples);
   }
 }
--- a/src/main/java/tansytrack/policy/SlowStart.java
+++ b/src/main/java/tansytrack/policy/SlowStart.java
@@ -189,7 +189,7 @@
       boolean seenToStart = firstListedAt > firstListAt;
       boolean implausible =
           listedStart > firstListedAt
-              || seenToStart && capacityOfStart(firstListedAt, listedStart) >= 1;
+              || (seenToStart && capacityOfStart(firstListedAt, listedStart) >= 1);
       long estimatedStart = implausible ? firstListedAt : listedStart;
       return capacityOfStart(now, Math.max(estimatedStart, unreachableAt));
     }
@@ -232,10 +232,10 @@
       double share = evenShare(now, cores, managers);
       boolean withinWork = countedWork(now) + cost <= share;
       boolean withinNumber =
-          !toldOfStart(now)
-              || share > 0 && countedRequests(now) + 1 <= evenNumber(now, cores, managers);
-      return withinWork && withinNumber
-          || countedRequests(now) == 0 && permitChance(now, cost, cores, managers) > 0;
+          share > 0 && countedRequests(now) + 1 <= evenNumber(now, cores, managers);
+      boolean withinShare = withinWork && (withinNumber || !toldOfStart(now));
+      return withinShare
+          || (countedRequests(now) == 0 && permitChance(now, cost, cores, managers) > 0);
     }
 
     /**
--- a/src/test/java/tansytrack/DecideTest.java
+++ b/src/test/java/tansytrack/DecideTest.java
@@ -18,7 +18,6 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import tansytrack.api.EngineEntry.State;
 import tansytrack.api.Outcome;
-import tansytrack.api.Settings;
 
 /** The decisions, and each protective mechanism with the failure that it guards against. */
 class DecideTest {
@@ -372,30 +371,6 @@
     assertThat(manager.actionsWith("bounce u")).hasSize(rejected ? 1 : 0);
   }
 
-  @Test
-  void unreachableEngineIsColdWhenItReturns() {
-    // Guards against overloading an engine that restarted before a list shows it, and against
-    // sending to dead engines because all engines are suspected.
-    ManagerHarness manager = new ManagerHarness();
-    manager.coldStartLimit =
-        new Settings.ColdStartLimit(
-            0.3, 10_000 * ManagerHarness.NANOS_PER_MS, 2, 1000 * ManagerHarness.NANOS_PER_MS);
-    manager
-        .listEngines(true, small("e"))
-        .submit("t short a")
-        .decide()
-        .endForward("t", 0, UNREACHED);
-    assertThat(manager.submitAll(4, "u# short a").actionsWith("forward u")).isEmpty();
-    // The requests that were sent when it returned count for one window more.
-    manager.advance(1050).endForward("t", 1, OK);
-    for (int i = 0; i < 4; i++) {
-      manager.endForward("u" + i, 0, OK);
-    }
-    manager.advance(1001);
-    manager.submitAll(30, "w# stamp b cost=900");
-    assertThat(manager.actionsWith("forward w").size()).isBetween(1, 3);
-  }
-
   @Test
   void restartedEngineIsNoLongerSuspected() {
     ManagerHarness manager = managerWithHistory(false).submit("t short a").decide();
--- a/src/test/java/tansytrack/SlowStartRulesTest.java
+++ b/src/test/java/tansytrack/SlowStartRulesTest.java
@@ -198,4 +198,27 @@
     manager.advance(100).listEngines(false, ready(manager.now() / NANOS_PER_MS - 500));
     assertThat(burst(manager, "u")).isZero();
   }
+
+  /**
+   * Guards against overloading an engine that restarted before a list shows it, and against sending
+   * to dead engines because all engines are suspected.
+   */
+  @Test
+  void unreachableEngineIsColdWhenItReturns() {
+    ManagerHarness manager = manager(1, 7);
+    manager
+        .listEngines(true, ready(0))
+        .submit("t short a")
+        .decide()
+        .endForward("t", 0, Outcome.UNREACHED);
+    assertThat(manager.submitAll(4, "u# short a").actionsWith("forward u")).isEmpty();
+    // The requests that were sent when it returned count for one window more.
+    manager.advance(1050).endForward("t", 1, Outcome.OK);
+    for (int i = 0; i < 4; i++) {
+      manager.endForward("u" + i, 0, Outcome.OK);
+    }
+    manager.advance(1001);
+    manager.submitAll(30, "w# stamp b cost=900");
+    assertThat(manager.actionsWith("forward w").size()).isBetween(1, 3);
+  }
 }
--- a/src/test/java/tansytrack/build/KnownFailuresScriptTest.java
+++ b/src/test/java/tansytrack/build/KnownFailuresScriptTest.java
@@ -23,13 +23,15 @@
   // Fails a run of all tests if the file "build-fails" exists, and a run of one test if the file
   // "listed-fails" does. Says that no test ran if the file "nothing-runs" exists.
   private static final String FAKE_MAVEN =
-      "#!/bin/sh\n"
-          + "echo \"mvn $*\" >> calls\n"
-          + "[ -f nothing-runs ] && echo 'Tests run: 0' || echo 'Tests run: 1, Failures: 0'\n"
-          + "case \"$*\" in\n"
-          + "  *surefire:test*) [ ! -f listed-fails ] ;;\n"
-          + "  *) [ ! -f build-fails ] ;;\n"
-          + "esac\n";
+      """
+      #!/bin/sh
+      echo "mvn $*" >> calls
+      [ -f nothing-runs ] && echo 'Tests run: 0' || echo 'Tests run: 1, Failures: 0'
+      case "$*" in
+        *surefire:test*) [ ! -f listed-fails ] ;;
+        *) [ ! -f build-fails ] ;;
+      esac
+      """;
 
   private record Result(int exitCode, String output, List<String> mavenCalls) {}
 
