--- a/review/src/Client.java
+++ b/review/src/Client.java
@@ -1,5 +1,6 @@
 import java.io.BufferedInputStream;
 import java.io.DataInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -19,12 +20,18 @@
 
   private final Socket socket = new Socket();
   private final DataInputStream in;
+  private final InetSocketAddress address;
+  private byte[] key = new byte[8];
+  // Whether rows are read and only counted.
+  boolean countsOnly;
+  int rowCount;
 
   Client(InetSocketAddress address, int timeoutMs) throws IOException {
+    this.address = address;
     socket.setTcpNoDelay(true);
     socket.setSoTimeout(timeoutMs);
     socket.connect(address, timeoutMs);
-    in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+    in = new DataInputStream(new BufferedInputStream(socket.getInputStream(), 1 << 16));
     byte[] parameters = "user\0app\0database\0bi\0\0".getBytes(StandardCharsets.US_ASCII);
     socket
         .getOutputStream()
@@ -54,14 +61,26 @@
     String code = "served";
     String text = "";
     List<List<String>> rows = new ArrayList<>();
+    rowCount = 0;
     while (true) {
       int type = in.readUnsignedByte();
-      byte[] body = in.readNBytes(in.readInt() - 4);
+      int length = in.readInt() - 4;
+      if (countsOnly && type == 'D') {
+        in.skipNBytes(length);
+        rowCount++;
+        continue;
+      }
+      byte[] body = in.readNBytes(length);
+      if (body.length < length) {
+        throw new EOFException();
+      }
       if (type == 'E') {
         for (String field : new String(body, StandardCharsets.UTF_8).split("\0")) {
           code = field.startsWith("C") ? field.substring(1) : code;
           text = field.startsWith("M") ? field.substring(1) : text;
         }
+      } else if (type == 'K') {
+        key = body;
       } else if (type == 'D') {
         ByteBuffer buffer = ByteBuffer.wrap(body);
         List<String> row = new ArrayList<>();
@@ -77,6 +96,18 @@
     }
   }
 
+  /** Sends a CancelRequest with the session's key on a new connection. */
+  void cancel() throws IOException {
+    try (Socket other = new Socket()) {
+      other.connect(address, 2000);
+      other
+          .getOutputStream()
+          .write(ByteBuffer.allocate(16).putInt(16).putInt(80877102).put(key).array());
+      other.setSoTimeout(2000);
+      other.getInputStream().read();
+    }
+  }
+
   @Override
   public void close() throws IOException {
     socket.close();
--- a/review/src/Engine.java
+++ b/review/src/Engine.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.regex.Matcher;
@@ -15,10 +16,12 @@
 
 /**
  * An engine as PROTOCOL.md describes it. A statement names its run time in a string literal
- * ('run=NNN', in milliseconds); the rows of its result name the engine and the id of the request.
+ * ('run=NNN', in milliseconds); unless told otherwise the rows of its result name the engine and
+ * the id of the request.
  */
 final class Engine {
   private static final Pattern RUN = Pattern.compile("run=(\\d+)");
+  private static final int PAGE_BYTES = 6_000;
 
   /** Receives what the engine runs. */
   interface Listener {
@@ -29,12 +32,18 @@
     default void ended(String engine, String id, String how) {}
   }
 
+  /** Makes the rows of a result as text: whole rows, 48,000 bytes at most in all. */
+  interface Result {
+    String rows(String engine, String id);
+  }
+
   private static final class Query {
     final String id;
     final long endsAt;
     long askedAt = System.nanoTime();
     boolean good;
     boolean given;
+    List<String> pages;
 
     Query(String id, long runMs) {
       this.id = id;
@@ -47,12 +56,17 @@
   private final Recorder record;
   private final Listener listener;
   private final Map<String, Query> queries = new HashMap<>();
-  private final int rowsPerResult;
+  volatile Result result;
   // The share of good answers that come twice, and how much later the second one comes.
   volatile double secondCopies;
   volatile int minCopyDelayMs = 2;
   volatile int maxCopyDelayMs = 8;
   volatile int copiesSent;
+  // The share of good answers whose length field tells less than the body has.
+  volatile double shortLengths;
+  volatile int shortSent;
+  // A hanging engine takes connections and tasks, and answers none.
+  volatile boolean hangs;
   private final Random random;
 
   Engine(String id, Recorder record, Listener listener, int rowsPerResult, long seed)
@@ -60,7 +74,7 @@
     this.id = id;
     this.record = record;
     this.listener = listener;
-    this.rowsPerResult = rowsPerResult;
+    result = (engine, query) -> (engine + "\t" + query + "\tnone\n").repeat(rowsPerResult);
     random = new Random(seed);
     ServerSocket server = new ServerSocket();
     server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 512);
@@ -89,12 +103,16 @@
     try (socket) {
       while (true) {
         Http.Request request = Http.read(socket.getInputStream());
+        while (hangs) {
+          Thread.sleep(5);
+        }
         byte[] response = answer(request);
+        boolean good = response.length > 12 && response[9] == '2' && response[11] == '0';
         OutputStream out = socket.getOutputStream();
         synchronized (out) {
-          out.write(response);
+          out.write(good ? maybeShorten(request, response) : response);
         }
-        if (response.length > 12 && response[9] == '2' && response[11] == '0') {
+        if (good) {
           maybeSendAgain(out, response);
         }
       }
@@ -103,6 +121,26 @@
     }
   }
 
+  /** Spoils a good answer, where that is asked for: its length field tells too little. */
+  private byte[] maybeShorten(Http.Request request, byte[] response) {
+    String text = new String(response, StandardCharsets.UTF_8);
+    int bodyAt = text.indexOf("\r\n\r\n") + 4;
+    int length = text.length() - bodyAt;
+    int told;
+    synchronized (random) {
+      if (length == 0 || shortLengths <= 0 || random.nextDouble() >= shortLengths) {
+        return response;
+      }
+      told = random.nextInt(length);
+      shortSent++;
+    }
+    record.line(
+        "engine %s answers %s with a wrong length: %d instead of %d",
+        id, request.path(), told, length);
+    return text.replaceFirst("Content-Length: \\d+", "Content-Length: " + told)
+        .getBytes(StandardCharsets.UTF_8);
+  }
+
   /** Sends a second copy of a good answer some milliseconds later, where that is asked for. */
   private void maybeSendAgain(OutputStream out, byte[] response) {
     int delay;
@@ -145,7 +183,10 @@
       return Http.response("500 Internal Server Error", "", "");
     }
     return switch (request.method()) {
-      case "GET" -> news(parts[2]);
+      case "GET" ->
+          parts.length < 4 || parts[3].equals("0")
+              ? news(parts[2])
+              : page(parts[2], Integer.parseInt(parts[3]));
       case "DELETE" -> {
         end(parts[2], "deleted");
         yield Http.response("204 No Content", "", "");
@@ -157,12 +198,23 @@
   private synchronized String load() {
     long open = queries.values().stream().filter(query -> !query.good).count();
     return String.format(
-        java.util.Locale.ROOT,
-        "X-Load: inflight:%d;x1:0.30;x0:%.2f%n",
+        Locale.ROOT,
+        "X-Load: inflight:%d;x1:0.30;x0:%.2f\r\n",
         open,
-        Math.min(0.9, open / 40.0))
-            .strip()
-        + "\r\n";
+        Math.min(0.9, open / 40.0));
+  }
+
+  /** Splits a result into pages of whole rows. */
+  private static List<String> pages(String rows) {
+    List<String> pages = new ArrayList<>();
+    int from = 0;
+    while (rows.length() - from > PAGE_BYTES) {
+      int to = rows.lastIndexOf('\n', from + PAGE_BYTES - 1) + 1;
+      pages.add(rows.substring(from, to));
+      from = to;
+    }
+    pages.add(rows.substring(from));
+    return pages;
   }
 
   /** Waits up to 250 ms for the end of a query. */
@@ -173,11 +225,10 @@
       while (query != null && !query.given) {
         query.askedAt = System.nanoTime();
         if (query.good) {
-          String row = id + "\t" + queryId + "\tnone\n";
           return Http.response(
               "200 OK",
-              "Page-Count: 1\r\nWork-Ms: 200\r\nPeak-Mb: 8\r\n",
-              row.repeat(rowsPerResult));
+              "Page-Count: " + query.pages.size() + "\r\nWork-Ms: 200\r\nPeak-Mb: 8\r\n",
+              query.pages.get(0));
         }
         long now = System.nanoTime();
         if (now >= until) {
@@ -189,6 +240,15 @@
     return Http.response("500 Internal Server Error", "", "");
   }
 
+  private synchronized byte[] page(String queryId, int number) {
+    Query query = queries.get(queryId);
+    if (query == null || !query.good || number >= query.pages.size()) {
+      return Http.response("500 Internal Server Error", "", "");
+    }
+    query.askedAt = System.nanoTime();
+    return Http.response("200 OK", "Page-No: " + number + "\r\n", query.pages.get(number));
+  }
+
   private void end(String queryId, String how) {
     boolean ended;
     synchronized (this) {
@@ -210,6 +270,9 @@
     try {
       while (true) {
         Thread.sleep(2);
+        if (hangs) {
+          continue;
+        }
         List<String> done = new ArrayList<>();
         List<String> dropped = new ArrayList<>();
         synchronized (this) {
@@ -217,6 +280,7 @@
           for (Query query : queries.values()) {
             if (!query.good && now >= query.endsAt) {
               query.good = true;
+              query.pages = pages(result.rows(id, query.id));
               query.askedAt = now;
               done.add(query.id);
             } else if (now - query.askedAt > 2_000_000_000L) {
@@ -239,8 +303,4 @@
       Thread.currentThread().interrupt();
     }
   }
-
-  static String text(byte[] bytes) {
-    return new String(bytes, StandardCharsets.UTF_8);
-  }
 }
--- a/review/src/ManagerProcess.java
+++ b/review/src/ManagerProcess.java
@@ -19,6 +19,13 @@
   /** Starts it and waits until it has answered an empty query, for 30 s at most. */
   ManagerProcess(Path root, Path temporary, String name, Settings settings, Recorder record)
       throws IOException, InterruptedException {
+    this(root, temporary, name, settings, record, -1);
+  }
+
+  /** Starts it on one core: "The processes run on one core." */
+  ManagerProcess(
+      Path root, Path temporary, String name, Settings settings, Recorder record, int core)
+      throws IOException, InterruptedException {
     this.record = record;
     int port;
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
@@ -29,7 +36,11 @@
     Files.writeString(config, settings.json(name, "127.0.0.1:" + port));
     log = temporary.resolve(name + ".log");
     ProcessBuilder builder =
-        new ProcessBuilder("/bin/sh", "-c", command(root))
+        new ProcessBuilder(
+                "/bin/sh",
+                "-c",
+                (core < 0 ? "" : "taskset -pc " + core + " $$ >/dev/null || exit 2; ")
+                    + command(root))
             .directory(root.toFile())
             .redirectErrorStream(true)
             .redirectOutput(log.toFile())
@@ -56,6 +67,20 @@
     }
   }
 
+  /** Returns the last core that this process may use, or -1 if that cannot be told. */
+  static int lastCore() {
+    try {
+      for (String line : Files.readAllLines(Path.of("/proc/self/status"))) {
+        if (line.startsWith("Cpus_allowed_list:")) {
+          return Integer.parseInt(line.replaceFirst(".*[^0-9](?=[0-9]+$)", ""));
+        }
+      }
+    } catch (IOException | NumberFormatException e) {
+      // The managers share all cores.
+    }
+    return -1;
+  }
+
   private static String command(Path root) throws IOException {
     Matcher run =
         Pattern.compile("(?m)^run = \"(.*)\"").matcher(
@@ -66,6 +91,21 @@
     return run.group(1);
   }
 
+  /** Sends SIGTERM, as a planned restart does. */
+  void terminate() {
+    process.destroy();
+  }
+
+  /** Sends SIGKILL and waits for the end of the process. */
+  void kill() throws InterruptedException {
+    process.destroyForcibly().waitFor();
+  }
+
+  /** Sends it a signal, by its name. */
+  void signal(String name) throws IOException, InterruptedException {
+    new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+  }
+
   boolean alive() {
     return process.isAlive();
   }
