--- a/review/src/ManagerProcess.java
+++ b/review/src/ManagerProcess.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -29,13 +30,17 @@
       Path root, Path temporary, String name, Settings settings, Recorder record, int core)
       throws IOException, InterruptedException {
     this.record = record;
+    // An address of its own: no port of it is taken by other connections.
+    ThreadLocalRandom random = ThreadLocalRandom.current();
+    String host =
+        "127." + random.nextInt(2, 250) + "." + random.nextInt(250) + "." + random.nextInt(2, 250);
     int port;
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(host))) {
       port = free.getLocalPort();
     }
-    address = new InetSocketAddress("127.0.0.1", port);
+    address = new InetSocketAddress(host, port);
     Path config = temporary.resolve(name + ".json");
-    Files.writeString(config, settings.json(name, "127.0.0.1:" + port));
+    Files.writeString(config, settings.json(name, host + ":" + port));
     log = temporary.resolve(name + ".log");
     ProcessBuilder builder =
         new ProcessBuilder(
@@ -48,7 +53,7 @@
             .redirectOutput(log.toFile())
             .redirectInput(new File("/dev/null"));
     builder.environment().put("ROUTER_NAME", name);
-    builder.environment().put("ROUTER_LISTEN", "127.0.0.1:" + port);
+    builder.environment().put("ROUTER_LISTEN", host + ":" + port);
     builder.environment().put("ROUTER_CONFIG", config.toString());
     builder.environment().put("TMPDIR", temporary.toString());
     process = builder.start();
