--- a/review/src/ManagerProcess.java
+++ b/review/src/ManagerProcess.java
@@ -46,7 +46,7 @@
         new ProcessBuilder(
                 "/bin/sh",
                 "-c",
-                (core < 0 ? "" : "taskset -pc " + core + " $$ >/dev/null || exit 2; ")
+                (core < 0 ? "" : "taskset -pc " + core + " $$ >/dev/null 2>&1; ")
                     + command(root))
             .directory(root.toFile())
             .redirectErrorStream(true)
