--- a/review/src/HangingShutdown.java
+++ b/review/src/HangingShutdown.java
@@ -105,8 +105,9 @@
 
     void end() {
       try {
-        terminatedAt = record.now();
+        // Counted from when the signal has been sent, so that SIGKILL never comes too early.
         process.terminate();
+        terminatedAt = record.now();
         record.line("SIGTERM to process %d", process.pid());
         long until = (long) ((terminatedAt + KILL_AFTER_MS - record.now()) * 1e6);
         long wake = System.nanoTime() + until;
