--- a/review/3/run.sh
+++ /dev/null
@@ -1,9 +0,0 @@
-#!/usr/bin/env bash
-# Exit code 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0: no disruption.
-# The build of the deploy file and review/build.sh come first.
-cd "$(dirname "$0")" || exit 2
-[ -f ../target/HangingShutdown.class ] || exit 2
-timeout -k 5 115 java -Xmx1g -cp ../target HangingShutdown "$PWD"
-code=$?
-[ $code -le 2 ] && exit $code
-exit 2
--- a/review/src/Client.java
+++ b/review/src/Client.java
@@ -22,9 +22,6 @@
   private final DataInputStream in;
   private final InetSocketAddress address;
   private byte[] key = new byte[8];
-  // Whether rows are read and only counted.
-  boolean countsOnly;
-  int rowCount;
 
   Client(InetSocketAddress address, int timeoutMs) throws IOException {
     this.address = address;
@@ -61,15 +58,9 @@
     String code = "served";
     String text = "";
     List<List<String>> rows = new ArrayList<>();
-    rowCount = 0;
     while (true) {
       int type = in.readUnsignedByte();
       int length = in.readInt() - 4;
-      if (countsOnly && type == 'D') {
-        in.skipNBytes(length);
-        rowCount++;
-        continue;
-      }
       byte[] body = in.readNBytes(length);
       if (body.length < length) {
         throw new EOFException();
@@ -96,6 +87,25 @@
     }
   }
 
+  /** Connects, asks, and closes at once, without waiting for anything. */
+  static void askAndGo(InetSocketAddress address, String statement) throws IOException {
+    byte[] parameters = "user\0app\0database\0bi\0\0".getBytes(StandardCharsets.US_ASCII);
+    byte[] text = (statement + '\0').getBytes(StandardCharsets.UTF_8);
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket
+          .getOutputStream()
+          .write(
+              ByteBuffer.allocate(13 + parameters.length + text.length)
+                  .putInt(8 + parameters.length)
+                  .putInt(3 << 16)
+                  .put(parameters)
+                  .put((byte) 'Q')
+                  .putInt(4 + text.length)
+                  .put(text)
+                  .array());
+    }
+  }
+
   /** Sends a CancelRequest with the session's key on a new connection. */
   void cancel() throws IOException {
     try (Socket other = new Socket()) {
--- a/review/src/Engine.java
+++ b/review/src/Engine.java
@@ -1,23 +1,20 @@
 import java.io.IOException;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Random;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
  * An engine as PROTOCOL.md describes it. A statement names its run time in a string literal
- * ('run=NNN', in milliseconds); unless told otherwise the rows of its result name the engine and
- * the id of the request.
+ * ('run=NNN', in milliseconds); the rows of its result name the engine and the id of
+ * the request.
  */
 final class Engine {
   private static final Pattern RUN = Pattern.compile("run=(\\d+)");
@@ -32,11 +29,6 @@
     default void ended(String engine, String id, String how) {}
   }
 
-  /** Makes the rows of a result as text: whole rows, 48,000 bytes at most in all. */
-  interface Result {
-    String rows(String engine, String id);
-  }
-
   private static final class Query {
     final String id;
     final long endsAt;
@@ -56,26 +48,11 @@
   private final Recorder record;
   private final Listener listener;
   private final Map<String, Query> queries = new HashMap<>();
-  volatile Result result;
-  // The share of good answers that come twice, and how much later the second one comes.
-  volatile double secondCopies;
-  volatile int minCopyDelayMs = 2;
-  volatile int maxCopyDelayMs = 8;
-  volatile int copiesSent;
-  // The share of good answers whose length field tells less than the body has.
-  volatile double shortLengths;
-  volatile int shortSent;
-  // A hanging engine takes connections and tasks, and answers none.
-  volatile boolean hangs;
-  private final Random random;
 
-  Engine(String id, Recorder record, Listener listener, int rowsPerResult, long seed)
-      throws IOException {
+  Engine(String id, Recorder record, Listener listener) throws IOException {
     this.id = id;
     this.record = record;
     this.listener = listener;
-    result = (engine, query) -> (engine + "\t" + query + "\tnone\n").repeat(rowsPerResult);
-    random = new Random(seed);
     ServerSocket server = new ServerSocket();
     server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 512);
     port = server.getLocalPort();
@@ -87,6 +64,10 @@
     return new InetSocketAddress("127.0.0.1", port);
   }
 
+  String hostPort() {
+    return "127.0.0.1:" + port;
+  }
+
   private void accept(ServerSocket server) {
     try {
       while (true) {
@@ -103,67 +84,14 @@
     try (socket) {
       while (true) {
         Http.Request request = Http.read(socket.getInputStream());
-        while (hangs) {
-          Thread.sleep(5);
-        }
         byte[] response = answer(request);
-        boolean good = response.length > 12 && response[9] == '2' && response[11] == '0';
-        OutputStream out = socket.getOutputStream();
-        synchronized (out) {
-          out.write(good ? maybeShorten(request, response) : response);
-        }
-        if (good) {
-          maybeSendAgain(out, response);
-        }
+        socket.getOutputStream().write(response);
       }
     } catch (IOException | InterruptedException e) {
       // The other side closed the connection.
     }
   }
 
-  /** Spoils a good answer, where that is asked for: its length field tells too little. */
-  private byte[] maybeShorten(Http.Request request, byte[] response) {
-    String text = new String(response, StandardCharsets.UTF_8);
-    int bodyAt = text.indexOf("\r\n\r\n") + 4;
-    int length = text.length() - bodyAt;
-    int told;
-    synchronized (random) {
-      if (length == 0 || shortLengths <= 0 || random.nextDouble() >= shortLengths) {
-        return response;
-      }
-      told = random.nextInt(length);
-      shortSent++;
-    }
-    record.line(
-        "engine %s answers %s with a wrong length: %d instead of %d",
-        id, request.path(), told, length);
-    return text.replaceFirst("Content-Length: \\d+", "Content-Length: " + told)
-        .getBytes(StandardCharsets.UTF_8);
-  }
-
-  /** Sends a second copy of a good answer some milliseconds later, where that is asked for. */
-  private void maybeSendAgain(OutputStream out, byte[] response) {
-    int delay;
-    synchronized (random) {
-      if (secondCopies <= 0 || random.nextDouble() >= secondCopies) {
-        return;
-      }
-      delay = minCopyDelayMs + random.nextInt(maxCopyDelayMs - minCopyDelayMs + 1);
-      copiesSent++;
-    }
-    Threads.start(
-        () -> {
-          try {
-            Thread.sleep(delay);
-            synchronized (out) {
-              out.write(response);
-            }
-          } catch (IOException | InterruptedException e) {
-            // The connection is closed.
-          }
-        });
-  }
-
   private byte[] answer(Http.Request request) throws InterruptedException {
     if (request.path().equals("/stats") || request.path().equals("/alive")) {
       return Http.response("200 OK", load(), "");
@@ -270,9 +198,6 @@
     try {
       while (true) {
         Thread.sleep(2);
-        if (hangs) {
-          continue;
-        }
         List<String> done = new ArrayList<>();
         List<String> dropped = new ArrayList<>();
         synchronized (this) {
@@ -280,7 +205,7 @@
           for (Query query : queries.values()) {
             if (!query.good && now >= query.endsAt) {
               query.good = true;
-              query.pages = pages(result.rows(id, query.id));
+              query.pages = pages((id + "\t" + query.id + "\tnone\n").repeat(3));
               query.askedAt = now;
               done.add(query.id);
             } else if (now - query.askedAt > 2_000_000_000L) {
--- a/review/src/ManagerProcess.java
+++ b/review/src/ManagerProcess.java
@@ -5,8 +5,6 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -22,12 +20,17 @@
   /** Starts it and waits until it has answered an empty query, for 30 s at most. */
   ManagerProcess(Path root, Path temporary, String name, Settings settings, Recorder record)
       throws IOException, InterruptedException {
-    this(root, temporary, name, settings, record, -1);
+    this(root, temporary, name, settings, record, "");
   }
 
-  /** Starts it on one core: "The processes run on one core." */
+  /** Starts it with further options behind the command `run`. */
   ManagerProcess(
-      Path root, Path temporary, String name, Settings settings, Recorder record, int core)
+      Path root,
+      Path temporary,
+      String name,
+      Settings settings,
+      Recorder record,
+      String options)
       throws IOException, InterruptedException {
     this.record = record;
     // An address of its own: no port of it is taken by other connections.
@@ -46,8 +49,7 @@
         new ProcessBuilder(
                 "/bin/sh",
                 "-c",
-                (core < 0 ? "" : "taskset -pc " + core + " $$ >/dev/null 2>&1; ")
-                    + command(root))
+                command(root) + options)
             .directory(root.toFile())
             .redirectErrorStream(true)
             .redirectOutput(log.toFile())
@@ -74,27 +76,6 @@
     }
   }
 
-  /** Returns the cores that this process may use; empty if that cannot be told. */
-  static List<Integer> cores() {
-    List<Integer> cores = new ArrayList<>();
-    try {
-      for (String line : Files.readAllLines(Path.of("/proc/self/status"))) {
-        if (line.startsWith("Cpus_allowed_list:")) {
-          for (String range : line.substring(line.indexOf(':') + 1).strip().split(",")) {
-            String[] ends = range.split("-");
-            int last = Integer.parseInt(ends[ends.length - 1]);
-            for (int core = Integer.parseInt(ends[0]); core <= last; core++) {
-              cores.add(core);
-            }
-          }
-        }
-      }
-    } catch (IOException | NumberFormatException e) {
-      cores.clear();
-    }
-    return cores;
-  }
-
   private static String command(Path root) throws IOException {
     Matcher run =
         Pattern.compile("(?m)^run = \"(.*)\"").matcher(
@@ -105,37 +86,23 @@
     return run.group(1);
   }
 
-  /** Sends SIGTERM, as a planned restart does. */
-  void terminate() {
-    process.destroy();
-  }
-
-  /** Sends SIGKILL and waits for the end of the process. */
-  void kill() throws InterruptedException {
-    process.destroyForcibly().waitFor();
-  }
-
-  /** Sends it a signal, by its name. */
-  void signal(String name) throws IOException, InterruptedException {
-    new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
-  }
-
   boolean alive() {
     return process.isAlive();
   }
 
-  long pid() {
-    return process.pid();
-  }
-
   @Override
-  public void close() throws IOException, InterruptedException {
+  public void close() throws IOException {
     if (!process.isAlive()) {
       record.line("manager had ended with code %d", process.exitValue());
     }
     process.destroy();
-    if (!process.waitFor(6, TimeUnit.SECONDS)) {
-      process.destroyForcibly().waitFor();
+    try {
+      if (!process.waitFor(6, TimeUnit.SECONDS)) {
+        process.destroyForcibly().waitFor();
+      }
+    } catch (InterruptedException e) {
+      process.destroyForcibly();
+      Thread.currentThread().interrupt();
     }
     for (String line : Files.readAllLines(log)) {
       record.line("log: %s", line);
--- a/review/src/Settings.java
+++ b/review/src/Settings.java
@@ -4,8 +4,6 @@
  */
 final class Settings {
   private final Channel channel;
-  int sockets = 1024;
-  int siblings = 1;
 
   Settings(Channel channel) {
     this.channel = channel;
@@ -23,14 +21,12 @@
         + name
         + "\",\"listen\":\""
         + listen
-        + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":"
-        + sockets
-        + "},\"channel\":\""
+        + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"channel\":\""
         + channel.address()
         + "\",\"known\":"
         + channel.after(0)
         + ",\"settings\":"
-        + SETTINGS.replace("SIBLINGS", Integer.toString(siblings))
+        + SETTINGS
         + "}";
   }
 
@@ -38,7 +34,7 @@
       """
       {"clients": {"marks_retry": true}, "counted_by": "request", "discovery": "pushed",
        "family": "queries", "layers": ["query-engines"], "localities": ["kochi-dc"],
-       "zone": "kochi-dc", "skus": ["eight-core", "sixteen-core"], "siblings": SIBLINGS,
+       "zone": "kochi-dc", "skus": ["eight-core", "sixteen-core"], "siblings": 1,
        "position": 0, "over_share_worth": 0.05, "weight_kind": "nominal",
        "extra": {"class_waits": [false, false, false], "cpu_of_kind": [8, 16], "grant_cap": 0.4,
          "is_load": [false, false, true], "memory_by_kind_mb": [16384.0, 32768.0],
