--- a/review/src/LateStart.java
+++ b/review/src/LateStart.java
@@ -4,12 +4,12 @@
 import java.util.Set;
 
 /**
- * One engine of five is cut off for 6 s. Clients give up after 2 s. The rule: nothing begins more
- * than 0.1 s after its client has gone.
+ * One engine of six is cut off for less than 6 s. At most 1 in 100 requests is given up early, after
+ * 2 s. The rule: nothing begins more than 0.1 s after its client has gone.
  */
 final class LateStart extends Case {
   private static final int PATIENCE_MS = 2000;
-  private static final int CUT_MS = 6000;
+  private static final int CUT_MS = 5800; // a cut takes some 20 ms to begin; "for 6 s"
   private static final int LATEST_START_MS = 100;
   // "The simulator's rules hold here [...]; each time limit is 50 ms longer."
   private static final int SLACK_MS = 50;
@@ -48,7 +48,7 @@
     Channel channel = new Channel(record);
     List<Link> links = new ArrayList<>();
     List<String> members = new ArrayList<>();
-    for (String id : List.of("a", "b", "c", "d", "e")) {
+    for (String id : List.of("a", "b", "c", "d", "e", "f")) {
       Link link = new Link(id, new Engine(id, record, listener).address(), record);
       links.add(link);
       members.add(Settings.member(id, link.hostPort(), "sixteen-core", "ready"));
@@ -58,9 +58,9 @@
         new ManagerProcess(root, temporary, "n1", new Settings(channel), record)) {
       load = new Load(manager, record);
       load.patienceMs = PATIENCE_MS;
-      load.steady("lookup", 60, 7500, 200);
-      load.steady("load", 12, 20000, 1300);
-      Thread.sleep(8000);
+      load.steady("lookup", 104, 7500, 200);
+      load.steady("load", 6, 20000, 1300);
+      Thread.sleep(20000);
       Link cutOff = links.get(0);
       if (trouble) {
         cutOff.cut();
--- a/review/src/Load.java
+++ b/review/src/Load.java
@@ -22,6 +22,8 @@
   private final Map<String, Long> goneAt = new ConcurrentHashMap<>();
   private final Set<String> answered = new HashSet<>();
   private int open;
+  private int sent;
+  private int givenUp;
   private volatile boolean stopped;
   // How long a client waits before it gives up, in milliseconds; 0: as long as its request says.
   volatile int patienceMs;
@@ -56,6 +58,7 @@
               Thread.sleep(Math.max(0, (next - System.nanoTime()) / NANOS_PER_MS));
               synchronized (this) {
                 open++;
+                sent++;
               }
               Threads.start(() -> ask(newId(), queryClass, waitMs, runMs));
             }
@@ -107,9 +110,11 @@
     try {
       Thread.sleep(patienceMs);
       synchronized (this) {
-        if (answered.contains(id)) {
+        // "impatient = [0, 0.01]": at most 1 in 100 of the requests sent so far.
+        if (answered.contains(id) || (givenUp + 1) * 100 > sent) {
           return;
         }
+        givenUp++;
         goneAt.put(id, Long.MAX_VALUE);
       }
       client.cancel();
