A request that was given up no longer arrives when a network cut ends

What callers saw: an engine is cut off for 5.8 s; queries that their clients had cancelled, one-shot loads among them, began there 3.5 to 3.7 s after the cancel.

Cause: a start request was written to a pooled connection as the cut began (the link took its 232 bytes 1.4 ms behind the query, 2 s before the cancel, so it was not sent late). Its connection was given up by an ordinary close, and the kernel goes on delivering its send buffer behind a close, also behind the end of the process.

Change: while a request is open that must not arrive later, its socket has SO_LINGER 0, so that any close (time-out, cancel, deadline, spoilt answer, shutdown, SIGKILL) discards what the engine's machine has not got. DELETE only ends something and is still delivered. Set when the request is written and taken back with the whole response, so that idle connections close in the ordinary way. wire.HttpRequest says which is which.

--- a/src/main/java/tansytrack/service/CommandChannel.java
+++ b/src/main/java/tansytrack/service/CommandChannel.java
@@ -11,6 +11,7 @@
 import tansytrack.state.Timers;
 import tansytrack.wire.HttpCodec;
 import tansytrack.wire.HttpConnection;
+import tansytrack.wire.HttpRequest;
 import tansytrack.wire.Json;
 import tansytrack.wire.ProtocolException;
 import tansytrack.wire.Sockets;
@@ -176,8 +177,7 @@
     timer =
         timers.schedule(
             polledAtNanos + blockMs * NANOS_PER_MS + SILENCE_MARGIN_NANOS, this::pollTimedOut);
-    connection.send(
-        "GET", "/cmd/next?resume=" + cursor + "&block=" + blockMs, "", new byte[0], this);
+    connection.send(HttpRequest.get("/cmd/next?resume=" + cursor + "&block=" + blockMs), this);
   }
 
   /** Stops polling and closes the connection. */
--- a/src/main/java/tansytrack/state/AttemptCancellation.java
+++ b/src/main/java/tansytrack/state/AttemptCancellation.java
@@ -1,5 +1,7 @@
 package tansytrack.state;
 
+import tansytrack.wire.HttpRequest;
+
 /**
  * Cancels an attempt at its engine and reports, once, that the attempt has certainly ended there.
  * That is known from the engine's response to {@code DELETE}, which is retried until one succeeds,
@@ -101,8 +103,7 @@
   private void delete() {
     if (!finished) {
       deleteInProgress = true;
-      engine.sendInBackground(
-          "DELETE", attempt.path(), EngineConnections.EMPTY_BODY, answeredSince, this::deleteDone);
+      engine.sendInBackground(HttpRequest.delete(attempt.path()), answeredSince, this::deleteDone);
     }
   }
 
--- a/src/main/java/tansytrack/state/EngineConnections.java
+++ b/src/main/java/tansytrack/state/EngineConnections.java
@@ -8,9 +8,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import tansytrack.wire.HttpCodec;
 import tansytrack.wire.HttpConnection;
+import tansytrack.wire.HttpRequest;
 import tansytrack.wire.Sockets;
 
 /**
@@ -19,9 +19,6 @@
  */
 final class EngineConnections implements HttpConnection.Pool {
 
-  static final byte[] EMPTY_BODY = new byte[0];
-  private static final Supplier<String> NO_HEADERS = () -> "";
-
   /** Earlier than any response: permits connections that have not delivered one recently. */
   static final long ANY_TIME = Long.MIN_VALUE;
 
@@ -243,25 +240,14 @@
 
   /**
    * Sends a request on an idle connection or a new one; returns null, and sends nothing, if the
-   * limit of open connections is reached. The header fields are determined when the request leaves,
-   * which is when its connection is established.
+   * limit of open connections is reached.
    */
-  HttpConnection send(
-      String method,
-      String path,
-      Supplier<String> headers,
-      byte[] body,
-      HttpConnection.ResponseHandler handler) {
-    return send(method, path, headers, body, ANY_TIME, handler);
+  HttpConnection send(HttpRequest request, HttpConnection.ResponseHandler handler) {
+    return send(request, ANY_TIME, handler);
   }
 
   private HttpConnection send(
-      String method,
-      String path,
-      Supplier<String> headers,
-      byte[] body,
-      long answeredSince,
-      HttpConnection.ResponseHandler handler) {
+      HttpRequest request, long answeredSince, HttpConnection.ResponseHandler handler) {
     closeExpiredIdle();
     HttpConnection connection = takeReusable(answeredSince);
     if (connection == null) {
@@ -279,14 +265,10 @@
               timers.now() + limits.connectTimeoutNanos,
               () -> connectTimedOut(newConnection, handler)));
     }
-    connection.send(method, path, headers, body, handler);
+    connection.send(request, handler);
     return connection;
   }
 
-  HttpConnection send(String method, String path, HttpConnection.ResponseHandler handler) {
-    return send(method, path, NO_HEADERS, EMPTY_BODY, handler);
-  }
-
   /**
    * Sends a request whose response is not needed, and reports once whether the request has reached
    * the engine: it was answered, or it was twice sent completely on connections that were
@@ -301,15 +283,12 @@
    *     used, as the engine did not answer before
    * @param whenDone receives whether the request has reached the engine
    */
-  void sendInBackground(
-      String method, String path, byte[] body, long answeredSince, Consumer<Boolean> whenDone) {
-    new BackgroundRequest(method, path, body, answeredSince, whenDone).start();
+  void sendInBackground(HttpRequest request, long answeredSince, Consumer<Boolean> whenDone) {
+    new BackgroundRequest(request, answeredSince, whenDone).start();
   }
 
   private final class BackgroundRequest implements HttpConnection.ResponseHandler {
-    private final String method;
-    private final String path;
-    private final byte[] body;
+    private final HttpRequest request;
     private final Consumer<Boolean> whenDone;
     private HttpConnection connection;
     private Timers.Timer timer;
@@ -322,11 +301,8 @@
     // Requests sent completely and not answered, on connections established for them.
     private int unansweredAttempts;
 
-    BackgroundRequest(
-        String method, String path, byte[] body, long answeredSince, Consumer<Boolean> whenDone) {
-      this.method = method;
-      this.path = path;
-      this.body = body;
+    BackgroundRequest(HttpRequest request, long answeredSince, Consumer<Boolean> whenDone) {
+      this.request = request;
       this.answeredSince = answeredSince;
       this.whenDone = whenDone;
     }
@@ -338,7 +314,7 @@
     private void send() {
       attempts++;
       written = false;
-      connection = EngineConnections.this.send(method, path, NO_HEADERS, body, answeredSince, this);
+      connection = EngineConnections.this.send(request, answeredSince, this);
       newConnection = connection != null && !connection.connected();
       timer =
           timers.schedule(
--- a/src/main/java/tansytrack/state/ForwardResolution.java
+++ b/src/main/java/tansytrack/state/ForwardResolution.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import tansytrack.wire.HttpCodec;
 import tansytrack.wire.HttpConnection;
+import tansytrack.wire.HttpRequest;
 import tansytrack.wire.ProtocolException;
 
 /**
@@ -67,7 +68,7 @@
     }
 
     void send() {
-      connection = engine.send("GET", "/o/" + forward.task() + "/0", this);
+      connection = engine.send(HttpRequest.get("/o/" + forward.task() + "/0"), this);
       if (connection == null) {
         end();
       }
@@ -81,11 +82,7 @@
             forward, true, Math.round(response.numericHeader("work-ms", 0) * 1e6));
       } else if (response.status() == 202) {
         engine.sendInBackground(
-            "DELETE",
-            "/o/" + forward.task(),
-            EngineConnections.EMPTY_BODY,
-            EngineConnections.ANY_TIME,
-            reached -> {});
+            HttpRequest.delete("/o/" + forward.task()), EngineConnections.ANY_TIME, reached -> {});
         listener.forwardResolved(forward, false, 0);
       }
       end();
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -7,6 +7,7 @@
 import tansytrack.api.Outcome;
 import tansytrack.wire.HttpCodec;
 import tansytrack.wire.HttpConnection;
+import tansytrack.wire.HttpRequest;
 import tansytrack.wire.PgSession;
 import tansytrack.wire.ProtocolException;
 
@@ -116,7 +117,7 @@
 
   private void sendStart() {
     openPollPath = null;
-    requestMade(engine.send("POST", "/o", this::startHeaders, task.statement, this));
+    requestMade(engine.send(HttpRequest.post("/o", this::startHeaders, task.statement), this));
   }
 
   private String startHeaders() {
@@ -140,7 +141,7 @@
         () -> {
           if (!ended && !cancelled) {
             openPollPath = pagePath;
-            requestMade(engine.send("GET", path + pagePath, this));
+            requestMade(engine.send(HttpRequest.get(path + pagePath), this));
           }
         });
   }
@@ -466,9 +467,7 @@
   void sendPriority(int priority) {
     if (!ended && !cancelled) {
       engine.sendInBackground(
-          "PUT",
-          path,
-          Integer.toString(priority).getBytes(StandardCharsets.US_ASCII),
+          HttpRequest.put(path, Integer.toString(priority).getBytes(StandardCharsets.US_ASCII)),
           EngineConnections.ANY_TIME,
           reached -> {});
     }
--- a/src/main/java/tansytrack/state/Probe.java
+++ b/src/main/java/tansytrack/state/Probe.java
@@ -4,6 +4,7 @@
 import tansytrack.api.Outcome;
 import tansytrack.wire.HttpCodec;
 import tansytrack.wire.HttpConnection;
+import tansytrack.wire.HttpRequest;
 import tansytrack.wire.ProtocolException;
 
 /** A request for an engine's load report. */
@@ -25,7 +26,7 @@
 
   /** Sends the request. The end of the probe is reported later, never within this method. */
   void start(Timers timers, long timeout) {
-    connection = engine.send("GET", "/stats", this);
+    connection = engine.send(HttpRequest.get("/stats"), this);
     timer = timers.schedule(timers.now() + timeout, this::timedOut);
     if (connection == null) {
       manager.defer(() -> end(Outcome.NEVER_SENT, null));
@@ -51,7 +52,8 @@
   public void requestFailed(HttpConnection.Failure failure) {
     boolean retry =
         failure == HttpConnection.Failure.BROKEN || failure == HttpConnection.Failure.UNSENT;
-    connection = retry && retries++ < MAX_RETRIES ? engine.send("GET", "/stats", this) : null;
+    connection =
+        retry && retries++ < MAX_RETRIES ? engine.send(HttpRequest.get("/stats"), this) : null;
     if (connection == null) {
       end(failure == HttpConnection.Failure.BROKEN ? Outcome.RESET : Outcome.UNREACHED, null);
     }
--- a/src/main/java/tansytrack/wire/Connection.java
+++ b/src/main/java/tansytrack/wire/Connection.java
@@ -2,9 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.mina.core.RuntimeIoException;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.SocketSessionConfig;
 
 /**
  * One TCP connection with a ring buffer for each direction and an owner that receives its events.
@@ -44,6 +46,11 @@
   // Bytes passed to the operating system at a time, which bounds the bytes queued there.
   private static final int MAX_WRITE_BYTES = 1 << 15;
 
+  // Values of SO_LINGER: close discards what is in the send buffer and resets the connection, or
+  // the operating system goes on sending it in the background.
+  private static final int LINGER_DISCARD = 0;
+  private static final int LINGER_DELIVER = -1;
+
   /** With more bytes handed over to the loop and not yet processed, reading is suspended. */
   static final int MAX_UNREAD_BYTES = 1 << 15;
 
@@ -71,6 +78,8 @@
   private long connectedAt;
   // Whether this side closed the connection, possibly during a write.
   private boolean closedLocally;
+  // Whether closing the connection discards sent bytes that have not reached the peer's machine.
+  private boolean discardsOnClose;
 
   Connection(Sockets sockets, int maxInputBytes, int maxOutputBytes) {
     this.sockets = sockets;
@@ -199,6 +208,26 @@
     }
   }
 
+  /**
+   * Sets whether closing this established connection discards the bytes that have not reached the
+   * peer's machine. Otherwise the operating system delivers them later, even after the end of this
+   * process: if the network is interrupted, when it works again. The setting also applies if the
+   * process ends without closing the connection.
+   */
+  void discardOnClose(boolean discard) {
+    if (discard == discardsOnClose) {
+      return;
+    }
+    discardsOnClose = discard;
+    if (session.getConfig() instanceof SocketSessionConfig config) {
+      try {
+        config.setSoLinger(discard ? LINGER_DISCARD : LINGER_DELIVER);
+      } catch (RuntimeIoException e) {
+        // The I/O thread has closed the socket and will report that.
+      }
+    }
+  }
+
   /** Closes the connection once the output buffer is written. */
   public void closeAfterFlush() {
     closing = true;
--- a/src/main/java/tansytrack/wire/HttpCodec.java
+++ b/src/main/java/tansytrack/wire/HttpCodec.java
@@ -31,23 +31,23 @@
 
   private HttpCodec() {}
 
-  /** Writes a request; the header fields are given as complete lines, each with its line end. */
-  public static void writeRequest(
-      RingBuffer out, String method, String path, String host, String headers, byte[] body) {
+  /** Writes a request to the given host. */
+  public static void writeRequest(RingBuffer out, String host, HttpRequest request) {
+    int bodyBytes = request.body().length;
     String head =
-        method
+        request.method()
             + ' '
-            + path
+            + request.path()
             + " HTTP/1.1\r\nHost: "
             + host
             + "\r\n"
-            + headers
-            + (body.length > 0 || method.startsWith("P")
-                ? "Content-Length: " + body.length + "\r\n"
+            + request.headers().get()
+            + (bodyBytes > 0 || request.method().startsWith("P")
+                ? "Content-Length: " + bodyBytes + "\r\n"
                 : "")
             + "\r\n";
     out.put(head.getBytes(StandardCharsets.UTF_8));
-    out.put(body);
+    out.put(request.body());
   }
 
   /**
--- a/src/main/java/tansytrack/wire/HttpConnection.java
+++ b/src/main/java/tansytrack/wire/HttpConnection.java
@@ -1,7 +1,6 @@
 package tansytrack.wire;
 
 import java.net.InetSocketAddress;
-import java.util.function.Supplier;
 
 /** A client connection for HTTP requests, one at a time. */
 public final class HttpConnection implements Connection.Owner {
@@ -59,8 +58,8 @@
   private final Pool pool;
   private final Sockets sockets;
   private ResponseHandler handler;
-  // Writes the open request; null once it is written.
-  private Runnable unwrittenRequest;
+  // The open request; null once it is written.
+  private HttpRequest unwrittenRequest;
   private long requestedAt;
   // Bytes that had been sent before the open request.
   private long sentBeforeRequest;
@@ -118,30 +117,13 @@
 
   /**
    * Sends a request; it is written once the connection is established. There must be no open one.
-   *
-   * @param headers further header fields as complete lines, each with its line end
    */
-  public void send(
-      String method, String path, String headers, byte[] body, ResponseHandler responseHandler) {
-    send(method, path, () -> headers, body, responseHandler);
-  }
-
-  /**
-   * Sends a request whose header fields are determined when it is written, as the connection may be
-   * established much later.
-   */
-  public void send(
-      String method,
-      String path,
-      Supplier<String> headers,
-      byte[] body,
-      ResponseHandler responseHandler) {
+  public void send(HttpRequest request, ResponseHandler responseHandler) {
     handler = responseHandler;
     requestedAt = sockets.now();
     sentBeforeRequest = connection.bytesPossiblySent();
     awaitingFirstByte = true;
-    unwrittenRequest =
-        () -> HttpCodec.writeRequest(connection.output, method, path, host, headers.get(), body);
+    unwrittenRequest = request;
     if (connection.connected()) {
       established();
       connection.flush();
@@ -150,10 +132,11 @@
 
   @Override
   public void established() {
-    Runnable request = unwrittenRequest;
+    HttpRequest request = unwrittenRequest;
     unwrittenRequest = null;
     if (request != null) {
-      request.run();
+      connection.discardOnClose(!request.deliveredIfAbandoned());
+      HttpCodec.writeRequest(connection.output, host, request);
     }
   }
 
@@ -181,6 +164,7 @@
     ResponseHandler current = handler;
     current.responseReceived(response);
     handler = null;
+    connection.discardOnClose(false);
     if (!connection.open()) {
       return;
     }
@@ -214,7 +198,10 @@
     }
   }
 
-  /** Closes the connection without notifying the sender of the open request. */
+  /**
+   * Closes the connection without notifying the sender of the open request. What has not reached
+   * the server's machine is discarded, unless the request is to be delivered all the same.
+   */
   public void abort() {
     handler = null;
     connection.close();
--- a/src/test/java/tansytrack/state/EngineConnectionsTest.java
+++ b/src/test/java/tansytrack/state/EngineConnectionsTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import tansytrack.wire.HttpCodec;
 import tansytrack.wire.HttpConnection;
+import tansytrack.wire.HttpRequest;
 import tansytrack.wire.Sockets;
 
 /**
@@ -100,7 +101,7 @@
       engine.setSoTimeout(10_000);
       EngineConnections connections = new EngineConnections("e", sockets, timers, limits, counters);
       connections.updateListing((InetSocketAddress) engine.getLocalSocketAddress(), true);
-      connections.send("GET", "/one", recordingHandler());
+      connections.send(HttpRequest.get("/one"), recordingHandler());
       try (Socket first = engine.accept()) {
         DataInputStream in = new DataInputStream(first.getInputStream());
         while (in.available() == 0) {
@@ -119,7 +120,7 @@
         }
         clock.addAndGet((sleptMs + stalledMs) * MS);
         timers.advanceAfterSleep(clock.get(), sleptMs * MS);
-        connections.send("GET", "/two", recordingHandler());
+        connections.send(HttpRequest.get("/two"), recordingHandler());
         ioThreadPause = null;
         resume.countDown();
         if (expectedConnections == 1) {
@@ -169,10 +170,8 @@
       connections.updateListing((InetSocketAddress) engine.getLocalSocketAddress(), true);
       long deadline = clock.get() + 1000 * MS;
       connections.send(
-          "POST",
-          "/o",
-          () -> "X-Wait-Ms: " + (deadline - timers.now()) / MS + "\r\n",
-          new byte[0],
+          HttpRequest.post(
+              "/o", () -> "X-Wait-Ms: " + (deadline - timers.now()) / MS + "\r\n", new byte[0]),
           recordingHandler());
       Runnable established = events.poll(1, TimeUnit.MINUTES);
       clock.addAndGet(400 * MS);
--- a/src/test/java/tansytrack/wire/HttpConnectionTest.java
+++ b/src/test/java/tansytrack/wire/HttpConnectionTest.java
@@ -50,7 +50,7 @@
     if (up) {
       connection.connection().sessionOpened(new DummySession());
     }
-    connection.send("POST", "/o", "", new byte[0], this);
+    connection.send(HttpRequest.post("/o", () -> "", new byte[0]), this);
     if (by.equals("this side")) {
       // Bytes received before the request, which the loop processes only now.
       connection
