--- a/src/test/java/tansytrack/service/RestartTest.java
+++ b/src/test/java/tansytrack/service/RestartTest.java
@@ -5,8 +5,12 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -345,4 +349,57 @@
         .isInstanceOf(InvalidInputException.class);
     assertThatThrownBy(() -> new ConfigFile(null)).isInstanceOf(InvalidInputException.class);
   }
+
+  /**
+   * Guards against a query that begins after its manager was killed: the operating system delivered
+   * the rest of its start request when the engine's network worked again. Here, the engine does not
+   * read until then, and its receive buffer holds only the beginning of the request.
+   */
+  @Test
+  void aStartRequestDoesNotArriveAfterItsManagerWasKilled() throws Exception {
+    int receiveBufferBytes = 1 << 12;
+    int statementBytes = 3 * receiveBufferBytes;
+    try (ServerSocket engine = new ServerSocket()) {
+      engine.setReceiveBufferSize(receiveBufferBytes);
+      engine.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      replace(
+          COMPLETE_CONFIG
+              .replace(
+                  "'cmds':[]",
+                  "'cmds':["
+                      + ServiceFixture.engineEvent(
+                          1, "e", "127.0.0.1:" + engine.getLocalPort(), "ready")
+                      + ']')
+              .replace('\'', '"'));
+      serve();
+      String address = awaitLine("listens at").replaceAll(".*listens at ", "");
+      try (ServiceTest.Client client =
+          new ServiceTest.Client(Service.parseAddress(address)).startSession()) {
+        String statement = "SELECT '" + "x".repeat(statementBytes) + "'";
+        client.send(
+            ServiceTest.Client.message(
+                'Q', ServiceTest.Client.task("g", "00000000000000a1", statement)));
+        try (Socket connection = engine.accept()) {
+          InputStream in = connection.getInputStream();
+          while (in.available() == 0) {
+            Thread.onSpinWait();
+          }
+          process.destroyForcibly().waitFor();
+          assertThat(bytesUntilReset(in)).isLessThan(statementBytes);
+        }
+      }
+    }
+  }
+
+  private static int bytesUntilReset(InputStream in) throws IOException {
+    int count = 0;
+    try {
+      while (in.read() >= 0) {
+        count++;
+      }
+    } catch (SocketException e) {
+      return count;
+    }
+    return count;
+  }
 }
