A query may run for its unpolled lifetime from when its request was given up

Change: the time counts from when the request was answered or given up, in OpenForward for requests that broke, timed out or were aborted. A vanished engine's queries count as running for up to 0.55 s longer.

Evidence: AbandonedRequestTest.aQueryMayRunForItsUnpolledLifetimeAfterItsStartWasGivenUp failed before (1 forward ended where 0 may be) and passes now.

--- a/src/main/java/tansytrack/state/AttemptCancellation.java
+++ b/src/main/java/tansytrack/state/AttemptCancellation.java
@@ -42,8 +42,8 @@
    * What the manager knows about the attempt.
    *
    * @param path the path of its query at the engine
-   * @param lastPolledAt when the last poll, or the start request, that may have reached the engine
-   *     was sent
+   * @param lastPolledAt the latest time at which a poll, or the start request, may have reached the
+   *     engine: when it was answered or given up
    * @param deadline the time by which the query must end
    * @param knownToEngine whether the engine has ever confirmed that it has the query
    * @param hadUnansweredRequest whether a request for the attempt went unanswered; the cancellation
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -76,7 +76,7 @@
   private boolean cancelled;
   private boolean ended;
   private long requestedAt;
-  // When the last poll that may have reached the engine was sent.
+  // The latest time at which a request may have reached the engine.
   private long lastPolledAt;
   // The path suffix of the last poll; null if the last request was the start request.
   private String openPollPath;
@@ -294,7 +294,6 @@
    */
   @Override
   public void requestFailed(HttpConnection.Failure failure) {
-    HttpConnection failedConnection = connection;
     clearRequest();
     if (ended || cancelled) {
       return;
@@ -305,7 +304,7 @@
     if (failure == HttpConnection.Failure.BROKEN) {
       mayHaveBeenSent = true;
       connectionBroke = true;
-      lastPolledAt = failedConnection.requestStartedAt();
+      lastPolledAt = timers.now();
     }
     boolean tooLate =
         failure == HttpConnection.Failure.LATE
@@ -457,7 +456,7 @@
 
   private void abortRequest() {
     if (connection != null) {
-      lastPolledAt = connection.connected() ? connection.requestStartedAt() : lastPolledAt;
+      lastPolledAt = connection.connected() ? timers.now() : lastPolledAt;
       connection.abort();
     }
     clearRequest();
--- a/src/test/java/tansytrack/state/AbandonedRequestTest.java
+++ b/src/test/java/tansytrack/state/AbandonedRequestTest.java
@@ -279,4 +279,22 @@
       }
     }
   }
+
+  /**
+   * Guards against a second query that runs next to the first: the start request may have reached
+   * the engine just before it was given up, and the time after which the engine drops the query
+   * counts from then. The engine does not answer, and accepts no further connections.
+   */
+  @Test
+  void aQueryMayRunForItsUnpolledLifetimeAfterItsStartWasGivenUp() throws Exception {
+    try (Socket start = startTask(15_000)) {
+      engine.close();
+      advanceClock(500 * MS);
+      giveUp(Cause.CLIENT_CLOSED, start);
+      advanceClock(AttemptCancellation.MAX_UNPOLLED_LIFETIME_NANOS - MS);
+      assertThat(manager.counters().get("forwards.ended.CANCELLED")).isZero();
+      advanceClock(MS);
+      assertThat(manager.counters().get("forwards.ended.CANCELLED")).isEqualTo(1);
+    }
+  }
 }
