A start request is given up when its client leaves, also where nothing can be cancelled

Cause: only a start request without a connection was withdrawn; the rest was left to the module's cancel, which it does not give there.

Change: once the module has decided on a task's end, a start request without any answer is given up and the query polled, as behind a time-out: the engine may have it. Counter starts.abandoned. Where the module cancels, nothing changes.

Evidence: AbandonedRequestTest.aStartRequestThatWasGivenUpDoesNotArriveLater with CLIENT_CLOSED_WITHOUT_CANCELLATION failed before (nothing gives the request up: read timed out) and passes now, with the eight other tests of the class.

--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -90,6 +90,8 @@
   private final Map<String, EngineConnections> engines = new LinkedHashMap<>();
   // In the order of their creation.
   private final Map<Integer, PgSession> sessions = new LinkedHashMap<>();
+  // Tasks that were answered since the last decision.
+  private final ArrayDeque<OpenTask> answeredTasks = new ArrayDeque<>();
   private final ArrayDeque<OpenTask> removableTasks = new ArrayDeque<>();
   private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
   private int lastProcessId;
@@ -152,6 +154,10 @@
       if (decisionPending) {
         decisionPending = false;
         module.decide(timers.now());
+        // Only after the decision, by which the module has cancelled what it can.
+        for (OpenTask task = answeredTasks.poll(); task != null; task = answeredTasks.poll()) {
+          task.forwards.forEach(OpenForward::abandonUnansweredStart);
+        }
         // Removed only after the decision, as the module may still act on a task in the same
         // decision in which it learns that the task has ended.
         for (OpenTask task = removableTasks.poll(); task != null; task = removableTasks.poll()) {
@@ -508,6 +514,7 @@
     task.session.openQuery(null);
     task.session = null;
     task.forwards.forEach(OpenForward::withdrawUnsent);
+    answeredTasks.add(task);
     markRemovableIfFinished(task);
     listener.beforeAnswer(timers.now(), task.id, end, bytes, sendAnswer);
   }
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -410,6 +410,20 @@
     }
   }
 
+  /**
+   * Gives up a start request that has not been answered, so that the query does not start after its
+   * task was answered. The engine may have received it all the same, so the query is polled. This
+   * matters where queries cannot be cancelled; elsewhere the forward is cancelled by now.
+   */
+  void abandonUnansweredStart() {
+    if (!ended && !cancelled && !mayHaveBeenSent && connection != null) {
+      manager.counters().increment("starts.abandoned");
+      everUnanswered = true;
+      connection.abort();
+      requestFailed(HttpConnection.Failure.BROKEN);
+    }
+  }
+
   /**
    * Handles the deadline of the forward. The client is answered at once, but the forward ends only
    * when its query has certainly ended, as the cancellation may be delayed: until then the next
--- a/src/test/java/tansytrack/state/AbandonedRequestTest.java
+++ b/src/test/java/tansytrack/state/AbandonedRequestTest.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -41,6 +40,7 @@
   private static final long MS = 1_000_000L;
   private static final int RECEIVE_BUFFER_BYTES = 1 << 12;
   private static final int STATEMENT_BYTES = 3 * RECEIVE_BUFFER_BYTES;
+  private static final int READ_TIMEOUT_MS = 20_000;
   private static final String TASK_ID = "00000000000000a1";
   private static final String CONFIG =
       "{'name':'m','listen':'127.0.0.1:0','seed':'1','limits':{'sockets':256},"
@@ -65,6 +65,7 @@
   enum Cause {
     RESPONSE_TIMEOUT,
     CLIENT_CLOSED,
+    CLIENT_CLOSED_WITHOUT_CANCELLATION,
     CLIENT_CANCELLED,
     DEADLINE,
     MALFORMED_RESPONSE,
@@ -72,15 +73,18 @@
     SHUTDOWN
   }
 
-  @BeforeEach
-  void start() throws Exception {
+  private void start(boolean cancellation) throws Exception {
     engine.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
     engine.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     timers.now(clock.get());
     manager =
         new Manager(
             ManagerConfig.fromJson(
-                Json.parse(CONFIG.replace('\'', '"').getBytes(StandardCharsets.UTF_8))),
+                Json.parse(
+                    CONFIG
+                        .replace("'cancel':true", "'cancel':" + cancellation)
+                        .replace('\'', '"')
+                        .getBytes(StandardCharsets.UTF_8))),
             timers,
             sockets,
             Decide::new,
@@ -186,6 +190,7 @@
             + "'");
     runUntil(() -> manager.counters().get("connections.to_engines") == 1);
     Socket connection = engine.accept();
+    connection.setSoTimeout(READ_TIMEOUT_MS);
     InputStream in = connection.getInputStream();
     runUntil(() -> in.available() > 0);
     return connection;
@@ -194,7 +199,7 @@
   private void giveUp(Cause cause, Socket connection) throws Exception {
     switch (cause) {
       case RESPONSE_TIMEOUT -> advanceClock(600 * MS);
-      case CLIENT_CLOSED -> {
+      case CLIENT_CLOSED, CLIENT_CLOSED_WITHOUT_CANCELLATION -> {
         client.close();
         runUntil(() -> manager.counters().get("clients.left") == 1);
       }
@@ -257,6 +262,7 @@
   @ParameterizedTest
   @EnumSource
   void aStartRequestThatWasGivenUpDoesNotArriveLater(Cause cause) throws Exception {
+    start(cause != Cause.CLIENT_CLOSED_WITHOUT_CANCELLATION);
     try (Socket connection = startTask(cause == Cause.DEADLINE ? 500 : 15_000)) {
       giveUp(cause, connection);
       assertThat(readToEnd(connection)).isLessThan(STATEMENT_BYTES);
@@ -266,6 +272,7 @@
   /** Guards against a query that runs on because its cancellation was discarded. */
   @Test
   void aCancellationThatWasGivenUpIsStillDelivered() throws Exception {
+    start(true);
     try (Socket start = startTask(15_000)) {
       giveUp(Cause.CLIENT_CLOSED, start);
       try (Socket cancellation = engine.accept()) {
@@ -287,6 +294,7 @@
    */
   @Test
   void aQueryMayRunForItsUnpolledLifetimeAfterItsStartWasGivenUp() throws Exception {
+    start(true);
     try (Socket start = startTask(15_000)) {
       engine.close();
       advanceClock(500 * MS);
