Lab: a silent relay discards what its sender has reset, as the sender's machine does

The relay between a manager and an engine held bytes during a silence and delivered them afterwards whatever the sender did meanwhile. That fits an ordinary close; behind a reset the sender's machine has dropped them, so the soak blamed managers for requests that no machine would have delivered. Now it reads on while it is silent: bytes before a close are delivered as before, a reset discards them.

StreamRelayTest.bytesBeforeAResetAreDiscarded fails without it (read timed out).

--- a/src/main/java/tansytrack/lab/StreamRelay.java
+++ b/src/main/java/tansytrack/lab/StreamRelay.java
@@ -1,11 +1,13 @@
 package tansytrack.lab;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -162,8 +164,15 @@
           Thread.sleep(random.nextInt((int) (1 + fault.delayNanos() / 1_000_000)));
         }
         first = false;
-        while (isActive(FaultSchedule.StreamFaultKind.SILENT) && !closed) {
-          Thread.sleep(FAULT_CHECK_MS);
+        if (isActive(FaultSchedule.StreamFaultKind.SILENT)) {
+          ByteArrayOutputStream held = new ByteArrayOutputStream();
+          held.write(bytes, 0, count);
+          boolean ended = holdWhileSilent(from, held);
+          held.writeTo(out);
+          if (ended) {
+            return;
+          }
+          continue;
         }
         if (isRequest
             && fault != null
@@ -190,6 +199,34 @@
     }
   }
 
+  /**
+   * Holds what a sender writes while the connection is silent, as its machine would. If the sender
+   * resets the connection, which makes its machine discard that, reading fails.
+   *
+   * @return whether the sender has closed its side
+   */
+  private boolean holdWhileSilent(Socket from, ByteArrayOutputStream held)
+      throws IOException, InterruptedException {
+    byte[] bytes = new byte[BUFFER_BYTES];
+    boolean ended = false;
+    from.setSoTimeout(FAULT_CHECK_MS);
+    while (isActive(FaultSchedule.StreamFaultKind.SILENT) && !closed) {
+      if (ended) {
+        Thread.sleep(FAULT_CHECK_MS);
+        continue;
+      }
+      try {
+        int count = from.getInputStream().read(bytes);
+        ended = count < 0;
+        held.write(bytes, 0, Math.max(0, count));
+      } catch (SocketTimeoutException e) {
+        // nothing more yet
+      }
+    }
+    from.setSoTimeout(0);
+    return ended;
+  }
+
   private void close(Socket socket) {
     synchronized (openSockets) {
       openSockets.remove(socket);
