--- a/src/main/java/tansytrack/lab/StreamRelay.java
+++ b/src/main/java/tansytrack/lab/StreamRelay.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import java.util.function.Supplier;
@@ -165,11 +166,7 @@
         }
         first = false;
         if (isActive(FaultSchedule.StreamFaultKind.SILENT)) {
-          ByteArrayOutputStream held = new ByteArrayOutputStream();
-          held.write(bytes, 0, count);
-          boolean ended = holdWhileSilent(from, held);
-          held.writeTo(out);
-          if (ended) {
+          if (relayAfterSilence(from, out, Arrays.copyOf(bytes, count))) {
             return;
           }
           continue;
@@ -200,13 +197,17 @@
   }
 
   /**
-   * Holds what a sender writes while the connection is silent, as its machine would. If the sender
-   * resets the connection, which makes its machine discard that, reading fails.
+   * Holds what a sender writes while the connection is silent, as its machine would, and then
+   * relays it. If the sender resets the connection, which makes its machine discard that, reading
+   * fails.
    *
+   * @param received what was received when the silence was noticed
    * @return whether the sender has closed its side
    */
-  private boolean holdWhileSilent(Socket from, ByteArrayOutputStream held)
+  private boolean relayAfterSilence(Socket from, OutputStream out, byte[] received)
       throws IOException, InterruptedException {
+    ByteArrayOutputStream held = new ByteArrayOutputStream();
+    held.writeBytes(received);
     byte[] bytes = new byte[BUFFER_BYTES];
     boolean ended = false;
     from.setSoTimeout(FAULT_CHECK_MS);
@@ -224,6 +225,7 @@
       }
     }
     from.setSoTimeout(0);
+    held.writeTo(out);
     return ended;
   }
 
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -117,23 +117,11 @@
 
   private void sendStart() {
     openPollPath = null;
-    requestMade(engine.send(HttpRequest.post("/o", this::startHeaders, task.statement), this));
-  }
-
-  private String startHeaders() {
-    long remainingMs = Math.max(1, (deadline - timers.now()) / 1_000_000);
-    return "X-Req: "
-        + task.id
-        + "\r\nX-Class: "
-        + task.queryClass
-        + "\r\nX-Wait-Ms: "
-        + remainingMs
-        + "\r\n"
-        + (task.idempotencyKey == null ? "" : "Idempotency-Key: " + task.idempotencyKey + "\r\n")
-        + (task.memoryMb > 0 ? "Grant-Mb: " + task.memoryMb + "\r\n" : "")
-        + "Rank: "
-        + task.priority
-        + "\r\n";
+    requestMade(
+        engine.send(
+            HttpRequest.post(
+                "/o", () -> task.startHeaders(deadline - timers.now()), task.statement),
+            this));
   }
 
   private void poll(String pagePath) {
--- a/src/main/java/tansytrack/state/OpenTask.java
+++ b/src/main/java/tansytrack/state/OpenTask.java
@@ -7,6 +7,8 @@
 /** A task that is not answered yet, or that has forwards which have not ended. */
 final class OpenTask {
 
+  private static final long NANOS_PER_MS = 1_000_000L;
+
   final String id;
   final String queryClass;
   final byte[] statement;
@@ -44,4 +46,24 @@
   boolean answered() {
     return session == null;
   }
+
+  /**
+   * Returns the header fields of a start request.
+   *
+   * @param remainingNanos the time left for the query; the engine is told at least 1 ms
+   */
+  String startHeaders(long remainingNanos) {
+    return "X-Req: "
+        + id
+        + "\r\nX-Class: "
+        + queryClass
+        + "\r\nX-Wait-Ms: "
+        + Math.max(1, remainingNanos / NANOS_PER_MS)
+        + "\r\n"
+        + (idempotencyKey == null ? "" : "Idempotency-Key: " + idempotencyKey + "\r\n")
+        + (memoryMb > 0 ? "Grant-Mb: " + memoryMb + "\r\n" : "")
+        + "Rank: "
+        + priority
+        + "\r\n";
+  }
 }
--- a/src/main/java/tansytrack/wire/HttpRequest.java
+++ b/src/main/java/tansytrack/wire/HttpRequest.java
@@ -18,12 +18,11 @@
     byte[] body,
     boolean deliveredIfAbandoned) {
 
-  private static final Supplier<String> NO_HEADERS = () -> "";
   private static final byte[] EMPTY_BODY = new byte[0];
 
   /** Returns a GET request. */
   public static HttpRequest get(String path) {
-    return new HttpRequest("GET", path, NO_HEADERS, EMPTY_BODY, false);
+    return new HttpRequest("GET", path, HttpRequest::noHeaders, EMPTY_BODY, false);
   }
 
   /** Returns a POST request. */
@@ -33,11 +32,15 @@
 
   /** Returns a PUT request. */
   public static HttpRequest put(String path, byte[] body) {
-    return new HttpRequest("PUT", path, NO_HEADERS, body, false);
+    return new HttpRequest("PUT", path, HttpRequest::noHeaders, body, false);
   }
 
   /** Returns a DELETE request, which is delivered even if it is abandoned. */
   public static HttpRequest delete(String path) {
-    return new HttpRequest("DELETE", path, NO_HEADERS, EMPTY_BODY, true);
+    return new HttpRequest("DELETE", path, HttpRequest::noHeaders, EMPTY_BODY, true);
+  }
+
+  private static String noHeaders() {
+    return "";
   }
 }
--- a/src/test/java/tansytrack/lab/StreamRelayTest.java
+++ b/src/test/java/tansytrack/lab/StreamRelayTest.java
@@ -40,7 +40,7 @@
         receiver.setSoTimeout(READ_TIMEOUT_MS);
         InputStream in = receiver.getInputStream();
         sender.getOutputStream().write('a');
-        StringBuilder text = new StringBuilder().append((char) in.read());
+        String text = Character.toString(in.read());
         fault.set(SILENCE);
         sender.getOutputStream().write('b');
         if (ending == Ending.RESET) {
