--- a/review/src-2/Engine.java
+++ b/review/src-2/Engine.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Function;
 import java.util.function.ToLongFunction;
 
 /**
@@ -46,6 +47,8 @@
 
   final String id;
   final List<Run> runs = new CopyOnWriteArrayList<>();
+  /** The pages of the result of a query. */
+  volatile Function<String, List<String>> pages = query -> List.of(rows(query));
   volatile AfterGoodAnswer afterGoodAnswer = (connection, answer) -> {};
   final List<Socket> connections = new CopyOnWriteArrayList<>();
   private final Bench bench;
@@ -185,6 +188,9 @@
     synchronized (this) {
       run = known.get(path[2]);
     }
+    if (method.equals("GET") && run != null && run.end.equals("ends well") && !path[3].equals("0")) {
+      return answer("200 OK", "Page-No: " + path[3] + "\r\n", pages.apply(run.id).get(Integer.parseInt(path[3])));
+    }
     if (method.equals("GET")) {
       return run == null || !run.end.isEmpty() && !run.end.equals("ends well")
           ? answer("500 Internal Server Error", "", "")
@@ -236,7 +242,8 @@
         return answer("202 Accepted", "", "");
       }
       return run.end.equals("ends well")
-          ? answer("200 OK", "Page-Count: 1\r\nWork-Ms: " + run.workMs + "\r\nPeak-Mb: 16\r\n" + load(), rows(run.id))
+          ? answer("200 OK", "Page-Count: " + pages.apply(run.id).size() + "\r\nWork-Ms: " + run.workMs + "\r\nPeak-Mb: 16\r\n"
+              + load(), pages.apply(run.id).get(0))
           : answer("500 Internal Server Error", "", "");
     }
   }
