--- a/review/src-2/Engine.java
+++ b/review/src-2/Engine.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Function;
 import java.util.function.ToLongFunction;
+import java.util.function.UnaryOperator;
 
 /**
  * An engine by the protocol page: POST /o, GET /o/ID/N, PUT and DELETE /o/ID, /alive, /stats. Its rows
@@ -47,6 +48,8 @@
 
   final String id;
   final List<Run> runs = new CopyOnWriteArrayList<>();
+  /** What becomes of a good end before it is written. */
+  volatile UnaryOperator<byte[]> goodAnswer = answer -> answer;
   /** The pages of the result of a query. */
   volatile Function<String, List<String>> pages = query -> List.of(rows(query));
   volatile AfterGoodAnswer afterGoodAnswer = (connection, answer) -> {};
@@ -146,8 +149,10 @@
         String[] call = head.substring(0, head.indexOf("\r\n")).split(" ");
         byte[] answer = answer(call[0], call[1].split("/"), head);
         awaitGoing();
-        connection.getOutputStream().write(answer);
-        if (new String(answer, 0, 12, StandardCharsets.US_ASCII).equals("HTTP/1.1 200") && call[1].startsWith("/o")) {
+        boolean good =
+            new String(answer, 0, 12, StandardCharsets.US_ASCII).equals("HTTP/1.1 200") && call[1].startsWith("/o");
+        connection.getOutputStream().write(good ? goodAnswer.apply(answer) : answer);
+        if (good) {
           afterGoodAnswer.written(connection, answer);
         }
       }
