--- a/review/src-2/LateCopy.java
+++ b/review/src-2/LateCopy.java
@@ -15,7 +15,7 @@
   }
 
   private static int run(Bench bench) throws Exception {
-    int from = Integer.getInteger("from", 2), to = Integer.getInteger("to", 20);
+    int from = Integer.getInteger("from", 2), to = Integer.getInteger("to", 12);
     Random random = new Random(58);
     List<Engine> engines = new ArrayList<>();
     for (int i = 1; i <= 3; i++) {
@@ -53,7 +53,7 @@
     manager.awaitReady();
     AtomicLong numbers = new AtomicLong();
     AtomicInteger served = new AtomicInteger(), foreign = new AtomicInteger(), other = new AtomicInteger();
-    double end = bench.ms() + 20_000;
+    double end = bench.ms() + 45_000;
     List<Thread> clients = new ArrayList<>();
     for (int i = 0; i < 24; i++) {
       String grade = i % 8 == 7 ? "load" : "lookup";
