One bound on the memory for clients and from engines; rows go at the client's pace

Cause: a whole result became messages in its session's output (48,000 bytes of short rows take 512 KB), pages, statements, half-read messages and responses had no bound over all connections, and a session whose output was full put off one action for each message that found it so (2.65 million).

Change: MemoryBudget, a third of the heap. A result is reserved as a whole, else dropped and fetched when there is memory; large messages wait or are refused; rows are written 8 KB at a time; a session handles eight messages a turn, and what it sends ahead is read on within 96 KB, as a connection that is not read does not show that its client has gone.

--- a/src/main/java/tansytrack/service/CommandChannel.java
+++ b/src/main/java/tansytrack/service/CommandChannel.java
@@ -170,7 +170,7 @@
   /** Sends the next poll, on a new connection if there is none. */
   void poll() {
     if (connection == null) {
-      connection = new HttpConnection(sockets, address, MAX_RING_BYTES, this);
+      connection = new HttpConnection(sockets, address, MAX_RING_BYTES, null, this);
     }
     polledAtNanos = timers.now();
     long blockMs = upToDate ? POLL_BLOCK_MS : FIRST_POLL_BLOCK_MS;
--- a/src/main/java/tansytrack/state/EngineConnections.java
+++ b/src/main/java/tansytrack/state/EngineConnections.java
@@ -22,8 +22,8 @@
   /** Earlier than any response: permits connections that have not delivered one recently. */
   static final long ANY_TIME = Long.MIN_VALUE;
 
-  // Twice a page with its header, and the informational responses that may precede it.
-  private static final int INPUT_BUFFER_BYTES = 1 << 16;
+  // Twice a page of more than the usual size, with its header.
+  private static final int INPUT_BUFFER_BYTES = 1 << 15;
 
   // How long a connection stays unused between two requests. Surplus bytes that belong to the last
   // response arrive within this time.
@@ -255,7 +255,7 @@
         counters.increment("calls.no_descriptor");
         return null;
       }
-      connection = new HttpConnection(sockets, address, INPUT_BUFFER_BYTES, this);
+      connection = new HttpConnection(sockets, address, INPUT_BUFFER_BYTES, sockets.memory(), this);
       connections.add(connection);
       counters.increment("connections.to_engines");
       HttpConnection newConnection = connection;
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -27,6 +27,7 @@
 import tansytrack.settings.ManagerConfig;
 import tansytrack.wire.Connection;
 import tansytrack.wire.HttpCodec;
+import tansytrack.wire.MemoryBudget;
 import tansytrack.wire.PgSession;
 import tansytrack.wire.ProtocolException;
 import tansytrack.wire.Sockets;
@@ -142,6 +143,16 @@
     deferred.add(action);
   }
 
+  @Override
+  public void runLater(long delayNanos, Runnable action) {
+    timers.schedule(timers.now() + delayNanos, action);
+  }
+
+  @Override
+  public MemoryBudget memory() {
+    return sockets.memory();
+  }
+
   /**
    * Runs deferred actions and lets the module decide on the events it has received, until neither
    * is left.
@@ -309,11 +320,11 @@
     try {
       statement = Statement.parse(sql);
       if (statement.equalsIgnoringCase(SHOW_STATS)) {
-        session.sendRows(STATS_COLUMNS, List.of(statsRows()));
+        sendReport(session, STATS_COLUMNS, statsRows());
         return;
       }
       if (statement.equalsIgnoringCase(SHOW_FLEET) && peerManagers.members() != null) {
-        session.sendRows(PeerManagers.MEMBER_COLUMNS, List.of(memberRows()));
+        sendReport(session, PeerManagers.MEMBER_COLUMNS, memberRows());
         return;
       }
       request = taskParser.parseTask(statement, receivedAt);
@@ -348,6 +359,16 @@
     module.onTask(timers.now(), request);
   }
 
+  private void sendReport(PgSession session, String[] columns, byte[] rows) {
+    MemoryBudget.Reservation reservation =
+        memory().tryReserve(MemoryBudget.Purpose.RESULT, PgSession.memoryOfResult(rows.length));
+    if (reservation == null) {
+      session.sendError(PgSession.SQLSTATE_OUT_OF_MEMORY, "no memory for the rows at present");
+    } else {
+      session.sendRows(columns, List.of(rows), reservation::release);
+    }
+  }
+
   private static void appendRow(StringBuilder rows, String name, long value) {
     rows.append(name).append('\t').append(value).append('\n');
   }
@@ -359,6 +380,10 @@
         .protocolErrors()
         .forEach((reason, count) -> appendRow(rows, "connections.junk." + reason, count));
     peerManagers.counts().forEach((name, count) -> appendRow(rows, name, count));
+    appendRow(rows, "memory.limit.bytes", memory().limit());
+    appendRow(rows, "memory.held.bytes", memory().held());
+    appendRow(rows, "memory.held.most.bytes", memory().mostHeld());
+    appendRow(rows, "memory.waiting", memory().waiting());
     appendEngineStats(rows);
     return rows.toString().getBytes(StandardCharsets.UTF_8);
   }
@@ -468,14 +493,14 @@
         timers.now(), forward.task.id, forward.index, forward.engine.id, receivedBy);
   }
 
-  /** Handles the end of a forward; the pages are null unless its outcome is OK. */
+  /** Handles the end of a forward; the result is null unless its outcome is OK. */
   void forwardEnded(
       OpenForward forward,
       Outcome outcome,
       long workNanos,
       double memoryMb,
       LoadReport report,
-      List<byte[]> pages) {
+      ResultPages result) {
     OpenTask task = forward.task;
     task.openForwards--;
     forward.engine.openForwards--;
@@ -489,7 +514,9 @@
           task,
           TaskListener.TaskEnd.HANDLED,
           forward.resultBytes(),
-          () -> session.sendRows(RESULT_COLUMNS, pages));
+          () -> session.sendRows(RESULT_COLUMNS, result.pages(), result::release));
+    } else if (result != null) {
+      result.release();
     }
     boolean taskAnswered = task.answered();
     markRemovableIfFinished(task);
@@ -513,6 +540,7 @@
     counters.increment(TASK_END_COUNTERS[end.ordinal()]);
     task.session.openQuery(null);
     task.session = null;
+    task.statement = null; // no start request is sent any more
     task.forwards.forEach(OpenForward::withdrawUnsent);
     answeredTasks.add(task);
     markRemovableIfFinished(task);
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -6,6 +6,7 @@
 import tansytrack.wire.HttpCodec;
 import tansytrack.wire.HttpConnection;
 import tansytrack.wire.HttpRequest;
+import tansytrack.wire.MemoryBudget;
 import tansytrack.wire.ProtocolException;
 
 /**
@@ -67,6 +68,8 @@
   // Whether an established connection broke during a request since the last complete response.
   private boolean connectionBroke;
   private Timers.Timer requestTimer;
+  // The request for the memory of a result that the engine holds, null if there is none.
+  private MemoryBudget.Request memoryRequest;
   private boolean cancelled;
   private boolean ended;
   private long requestedAt;
@@ -156,7 +159,7 @@
     boolean notRun = "1".equals(response.header("x-not-run"));
     LoadReport newReport = manager.parseLoadReport(response);
     int confirmedBefore = pages.confirmedCount();
-    if (status == 200) {
+    if (status == 200 && hasMemory(response)) {
       pages.add(response, connection.responseDelimited());
     }
     if (!mayHaveBeenSent) {
@@ -187,6 +190,8 @@
     }
     if (pages.complete()) {
       end(Outcome.OK);
+    } else if (memoryRequest != null) {
+      manager.counters().increment("results.waited_for_memory");
     } else if (status == 200) {
       requestNextPage(answered, response);
     } else if (status == 202) {
@@ -204,6 +209,28 @@
     }
   }
 
+  /**
+   * Whether there is memory for the result. Otherwise it is requested, and the result is fetched
+   * from its beginning once it is granted: the engine keeps it.
+   */
+  private boolean hasMemory(HttpCodec.Response response) throws ProtocolException {
+    if (!pages.hasMemory()) {
+      long bytes = ResultPages.memoryOfResult(response);
+      pages.memory(manager.memory().tryReserve(MemoryBudget.Purpose.RESULT, bytes));
+      if (!pages.hasMemory()) {
+        memoryRequest =
+            manager.memory().reserve(MemoryBudget.Purpose.RESULT, bytes, this::memoryGranted);
+      }
+    }
+    return pages.hasMemory();
+  }
+
+  private void memoryGranted(MemoryBudget.Reservation granted) {
+    memoryRequest = null;
+    pages.memory(granted);
+    pollAfterReuseDelay("/0");
+  }
+
   /** Counts start requests that left late because their connection was established late. */
   private void recordStartDelay() {
     long delay = connection.requestStartedAt() - createdAt;
@@ -440,6 +467,7 @@
   private void cancelAtEngine(Outcome outcome) {
     if (!ended && !cancelled) {
       cancelled = true;
+      releaseMemory();
       abortRequest();
       AttemptCancellation.Attempt attempt =
           new AttemptCancellation.Attempt(
@@ -472,6 +500,14 @@
     }
   }
 
+  private void releaseMemory() {
+    if (memoryRequest != null) {
+      memoryRequest.cancel();
+      memoryRequest = null;
+    }
+    pages.release();
+  }
+
   private void end(Outcome outcome) {
     if (ended) {
       return;
@@ -479,12 +515,15 @@
     ended = true;
     timer.cancel();
     clearRequest();
+    if (outcome != Outcome.OK) {
+      releaseMemory();
+    }
     manager.forwardEnded(
         this,
         outcome,
         Math.round(pages.workMs() * 1e6),
         pages.peakMb(),
         report,
-        outcome == Outcome.OK ? pages.pages() : null);
+        outcome == Outcome.OK ? pages : null);
   }
 }
--- a/src/main/java/tansytrack/state/OpenTask.java
+++ b/src/main/java/tansytrack/state/OpenTask.java
@@ -11,7 +11,8 @@
 
   final String id;
   final String queryClass;
-  final byte[] statement;
+  // Null once the task is answered or abandoned.
+  byte[] statement;
   final long deadline;
   // Whether the tasks of its key run one at a time.
   final boolean ordered;
--- a/src/main/java/tansytrack/state/ResultPages.java
+++ b/src/main/java/tansytrack/state/ResultPages.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.List;
 import tansytrack.wire.HttpCodec;
+import tansytrack.wire.MemoryBudget;
 import tansytrack.wire.PgSession;
 import tansytrack.wire.ProtocolException;
 
@@ -17,6 +18,7 @@
 
   // A result has at most 48,000 bytes, a page at most 6,000.
   private static final int MAX_PAGES = 64;
+  private static final int USUAL_MAX_PAGE_BYTES = 6000;
   private static final int MAX_RESULT_BYTES = 1 << 16;
 
   private final int columns;
@@ -28,6 +30,8 @@
   private int confirmedBytes;
   private double workMs;
   private double peakMb;
+  // The memory for the whole result and its way to the client; null until it is granted.
+  private MemoryBudget.Reservation memory;
 
   ResultPages(int columns) {
     this.columns = columns;
@@ -48,6 +52,29 @@
     return pageCount > 0 && confirmed.size() == pageCount;
   }
 
+  /** Whether there is memory for the result. */
+  boolean hasMemory() {
+    return memory != null;
+  }
+
+  /** Gives the result memory. */
+  void memory(MemoryBudget.Reservation granted) {
+    memory = granted;
+  }
+
+  /** Returns the memory in bytes that a result takes, as far as its first response tells. */
+  static long memoryOfResult(HttpCodec.Response firstPage) throws ProtocolException {
+    long further = (readPageCount(firstPage) - 1L) * USUAL_MAX_PAGE_BYTES;
+    return PgSession.memoryOfResult(firstPage.body().length + further);
+  }
+
+  /** Gives back the memory, as the pages are no longer needed. */
+  void release() {
+    if (memory != null) {
+      memory.release();
+    }
+  }
+
   /** Returns the number of confirmed pages. */
   int confirmedCount() {
     return confirmed.size();
@@ -74,8 +101,8 @@
   }
 
   /**
-   * Adds the page with the number {@link #nextPage}. If the response is malformed or brings another
-   * page, it is rejected and the state remains unchanged.
+   * Adds the page with the number {@link #nextPage}. There must be memory for the result. If the
+   * response is malformed or brings another page, it is rejected and the state remains unchanged.
    *
    * @param delimited whether the end of this response is certain by itself
    */
@@ -98,6 +125,7 @@
       workMs = response.numericHeader("work-ms", 0);
       peakMb = response.numericHeader("peak-mb", 0);
     }
+    memory.growTo(PgSession.memoryOfResult(precedingBytes + body.length));
     boolean secondCopy = unconfirmed != null && number == confirmed.size();
     if (!secondCopy) {
       confirmLast();
--- a/src/main/java/tansytrack/wire/Connection.java
+++ b/src/main/java/tansytrack/wire/Connection.java
@@ -57,11 +57,20 @@
   private static final int LINGER_DISCARD = 0;
   private static final int LINGER_DELIVER = -1;
 
-  /** With more bytes handed over to the loop and not yet processed, reading is suspended. */
-  static final int MAX_UNREAD_BYTES = 1 << 15;
+  // The limit of unread bytes for connections that this side opened.
+  private static final int MAX_UNREAD_BYTES = 1 << 14;
 
-  /** Bytes that the I/O thread has handed over to the loop and that are not yet processed. */
-  final AtomicInteger unreadBytes = new AtomicInteger();
+  // Bytes that the I/O thread has handed over to the loop and that are not yet processed; of a
+  // client, also those that wait in the input buffer.
+  private final AtomicInteger unreadBytes = new AtomicInteger();
+
+  // With more unread bytes reading is suspended.
+  private volatile int maxUnreadBytes = MAX_UNREAD_BYTES;
+
+  // Whether bytes in the input buffer count as unread.
+  private final boolean countsBufferedInput;
+  // Bytes in the input buffer that are counted as unread.
+  private int bufferedInput;
 
   /** The bytes received and not yet consumed by the owner. */
   public final RingBuffer input;
@@ -87,10 +96,27 @@
   // Whether closing the connection discards sent bytes that have not reached the peer's machine.
   private boolean discardsOnClose;
 
-  Connection(Sockets sockets, int maxInputBytes, int maxOutputBytes) {
+  private Connection(
+      Sockets sockets, RingBuffer input, RingBuffer output, boolean countsBufferedInput) {
     this.sockets = sockets;
-    input = new RingBuffer(maxInputBytes);
-    output = new RingBuffer(maxOutputBytes);
+    this.input = input;
+    this.output = output;
+    this.countsBufferedInput = countsBufferedInput;
+  }
+
+  /**
+   * Creates a connection that this side opens; its input counts in the budget unless it is null.
+   */
+  static Connection outgoing(
+      Sockets sockets, int maxInputBytes, MemoryBudget inputBudget, int maxOutputBytes) {
+    return new Connection(
+        sockets, new RingBuffer(maxInputBytes, inputBudget), new RingBuffer(maxOutputBytes), false);
+  }
+
+  /** Creates an accepted connection. It is read only as fast as its input is consumed. */
+  static Connection accepted(Sockets sockets, int maxInputBytes, int maxOutputBytes) {
+    return new Connection(
+        sockets, new RingBuffer(maxInputBytes), new RingBuffer(maxOutputBytes), true);
   }
 
   /** Sets the owner, which receives all further events. */
@@ -169,12 +195,57 @@
     flush();
   }
 
+  /**
+   * Counts bytes that the I/O thread hands over; returns whether reading must be suspended. Called
+   * on the I/O thread.
+   */
+  boolean countUnread(int count) {
+    return unreadBytes.addAndGet(count) > maxUnreadBytes;
+  }
+
+  /** Whether there are more unread bytes than allowed; may be called on any thread. */
+  boolean tooManyUnread() {
+    return unreadBytes.get() > maxUnreadBytes;
+  }
+
+  /** Sets the number of unread bytes with which reading is suspended. */
+  void maxUnreadBytes(int max) {
+    int previous = maxUnreadBytes;
+    maxUnreadBytes = max;
+    int unread = unreadBytes.get();
+    if (unread > previous && unread <= max) {
+      resumeRead();
+    }
+  }
+
+  private void countRead(int count) {
+    int previous = unreadBytes.getAndAdd(-count);
+    if (previous > maxUnreadBytes && previous - count <= maxUnreadBytes) {
+      resumeRead();
+    }
+  }
+
+  private void resumeRead() {
+    if (session != null && !released) {
+      sockets.resumeRead(session);
+    }
+  }
+
+  /** Called when the owner has taken bytes from the input buffer: reading may continue. */
+  void inputConsumed() {
+    if (countsBufferedInput) {
+      int consumed = bufferedInput - input.size();
+      bufferedInput = input.size();
+      countRead(consumed);
+    }
+  }
+
   void received(IoBuffer bytes, long receivedAt) {
     int count = bytes.remaining();
-    if (unreadBytes.getAndAdd(-count) > MAX_UNREAD_BYTES
-        && unreadBytes.get() <= MAX_UNREAD_BYTES
-        && session != null) {
-      sockets.resumeRead(session);
+    if (countsBufferedInput) {
+      bufferedInput += count;
+    } else {
+      countRead(count);
     }
     if (!open()) {
       return;
@@ -184,6 +255,7 @@
         throw new ProtocolException("more bytes than the ring holds");
       }
       owner.received(receivedAt);
+      inputConsumed();
     } catch (ProtocolException e) {
       closeForViolation(e);
     }
@@ -274,6 +346,7 @@
 
   private void release() {
     released = true;
+    input.clear();
     if (session != null) {
       session.closeNow();
     } else if (connectFuture != null) {
--- a/src/main/java/tansytrack/wire/HttpCodec.java
+++ b/src/main/java/tansytrack/wire/HttpCodec.java
@@ -9,6 +9,9 @@
 
   private static final int MAX_HEAD_BYTES = 1 << 13;
 
+  // A field takes far more memory than its bytes.
+  private static final int MAX_HEADER_FIELDS = 100;
+
   /**
    * A complete response.
    *
@@ -112,6 +115,9 @@
         throw new ProtocolException("a field without a name");
       }
       String value = new String(head, colon + 1, to - colon - 1, StandardCharsets.UTF_8).strip();
+      if (headers.size() >= MAX_HEADER_FIELDS) {
+        throw new ProtocolException("over " + MAX_HEADER_FIELDS + " header fields");
+      }
       String previous = headers.put(lowerCaseAscii(head, from, colon), value);
       if (previous != null && !previous.equals(value)) {
         throw new ProtocolException("a field with two values");
--- a/src/main/java/tansytrack/wire/HttpConnection.java
+++ b/src/main/java/tansytrack/wire/HttpConnection.java
@@ -81,13 +81,19 @@
    *
    * @param maxInputBytes size of the input buffer in bytes; the body of a response may take half of
    *     it
+   * @param inputBudget the budget in which a large input buffer counts, null for none
    */
-  public HttpConnection(Sockets sockets, InetSocketAddress address, int maxInputBytes, Pool pool) {
+  public HttpConnection(
+      Sockets sockets,
+      InetSocketAddress address,
+      int maxInputBytes,
+      MemoryBudget inputBudget,
+      Pool pool) {
     this.sockets = sockets;
     this.pool = pool;
     this.address = address;
     host = address.getHostString() + ':' + address.getPort();
-    connection = sockets.connect(address, maxInputBytes, this);
+    connection = sockets.connect(address, maxInputBytes, inputBudget, this);
   }
 
   /** Returns the address that the connection was opened to. */
--- a/src/main/java/tansytrack/wire/PgSession.java
+++ b/src/main/java/tansytrack/wire/PgSession.java
@@ -40,6 +40,17 @@
 
     /** Runs an action after the current event has been handled. */
     void defer(Runnable action);
+
+    /**
+     * Runs an action after the given time, and not before the events of others have had their turn.
+     * The default is for handlers without a clock.
+     */
+    default void runLater(long delayNanos, Runnable action) {
+      defer(action);
+    }
+
+    /** Returns the bound on the memory for all sessions. */
+    MemoryBudget memory();
   }
 
   private static final int PROTOCOL_VERSION_3 = 3 << 16;
@@ -51,6 +62,36 @@
   private static final int MAX_MESSAGE_BYTES = 1 << 15;
   private static final int MIN_STARTUP_MESSAGE_BYTES = 8;
 
+  // The limit of PostgreSQL's server.
+  private static final int MAX_STARTUP_MESSAGE_BYTES = 10_000;
+
+  // A message of this size is read without a reservation of memory.
+  private static final int MAX_UNRESERVED_BYTES = 1 << 12;
+
+  // A message is held as such, and once more while its statement is sent to an engine.
+  private static final int COPIES_OF_A_MESSAGE = 2;
+
+  // With more output than this, no further row is written and no further message handled until the
+  // client has read.
+  private static final int MAX_PENDING_OUTPUT_BYTES = 1 << 13;
+
+  // What a result takes in the session's output besides its pages.
+  private static final int MAX_OUTPUT_OF_A_RESULT_BYTES = 2 * MAX_PENDING_OUTPUT_BYTES;
+
+  // The most by which rows grow as messages: a row of three bytes becomes one of nineteen.
+  private static final int MAX_OUTPUT_GROWTH = 7;
+
+  // What a client may write ahead of the answer to its open query. The rest of a connection is read
+  // all the same, as its end behind it shows that the client has gone.
+  private static final int MAX_READ_AHEAD_BYTES = 3 << 15;
+  private static final int MAX_UNREAD_AHEAD_BYTES = 1 << 17;
+
+  // Time for the end of a connection to be noticed that was not read while its session waited.
+  private static final long CLIENT_CHECK_NANOS = 20_000_000L;
+
+  // Messages that a session handles before the events of others have their turn.
+  private static final int MAX_MESSAGES_PER_TURN = 8;
+
   // Rounds in which a client reads nothing of a pending answer before its session is closed. This
   // is
   // longer than any client waits, as closing earlier would lose the answer.
@@ -83,6 +124,9 @@
   // The type of every column.
   private static final int TEXT_TYPE_OID = 25;
 
+  /** SQLSTATE out_of_memory, of the class that promises that the statement has not run. */
+  public static final String SQLSTATE_OUT_OF_MEMORY = "53200";
+
   private final Connection connection;
   private final Handler handler;
   private final int processId;
@@ -105,6 +149,22 @@
   private int unproductiveMessages;
   // The handler's object for the open query, null if there is none.
   private Object openQuery;
+  // The rows that are being written, null if there are none.
+  private RowWriter rows;
+  // Whether messages are being handled.
+  private boolean handlingInput;
+  // Whether a further turn is scheduled.
+  private boolean turnScheduled;
+  // Whether messages wait until it is known whether the client has gone meanwhile.
+  private boolean checkingClient;
+  private boolean waitedForMemory;
+  // Whether the session is about to be closed, as its output is full.
+  private boolean overflowed;
+  // Memory for a large message, from its first bytes until its query is answered.
+  private MemoryBudget.Reservation messageMemory;
+  private MemoryBudget.Request memoryRequest;
+  // Memory for what was received ahead of its turn.
+  private MemoryBudget.Reservation readAheadMemory;
 
   /**
    * Creates a session on an accepted connection.
@@ -118,6 +178,7 @@
     this.processId = processId;
     this.secretKey = secretKey;
     connection.setOwner(this);
+    connection.maxUnreadBytes(MAX_UNRESERVED_BYTES);
   }
 
   /** Returns the number that identifies the session in cancel requests. */
@@ -167,11 +228,20 @@
   public void checkProgress() {
     unproductiveMessages = 0;
     incompleteRounds =
-        !querying && connection.open() && (!started || connection.input.size() > 0)
+        !querying
+                && connection.open()
+                && !turnScheduled
+                && !checkingClient
+                && connection.output.size() < MAX_PENDING_OUTPUT_BYTES
+                && (!started || connection.input.size() > 0)
             ? incompleteRounds + 1
             : 0;
     if (incompleteRounds > INCOMPLETE_MESSAGE_ROUNDS) {
-      sendFatalError("08P01", "no whole message in time");
+      if (memoryRequest != null) {
+        sendFatalError(SQLSTATE_OUT_OF_MEMORY, "no memory for the message in time");
+      } else {
+        sendFatalError("08P01", "no whole message in time");
+      }
       return;
     }
     idleRounds = connection.bytesWritten() == bytesWrittenAtLastRound ? idleRounds + 1 : 1;
@@ -194,41 +264,197 @@
   @Override
   public void writeCompleted() {
     idleRounds = 0;
+    if (rows != null) {
+      writeRows();
+    } else if (!querying) {
+      handleInput();
+    }
   }
 
   @Override
   public void received(long receivedAt) {
     lastReceivedAt = receivedAt;
     idleRounds = 0;
-    RingBuffer input = connection.input;
-    while (connection.open() && !querying && input.size() >= 4) {
-      int lengthOffset = started ? 1 : 0;
-      if (input.size() < lengthOffset + 4) {
-        return;
-      }
-      int length = input.intAt(lengthOffset);
-      if (length < (started ? 4 : MIN_STARTUP_MESSAGE_BYTES) || length > MAX_MESSAGE_BYTES) {
-        sendFatalError("08P01", "invalid message length");
-        return;
-      }
-      if (input.size() < lengthOffset + length) {
-        return;
-      }
-      byte[] message = input.take(lengthOffset + length);
-      incompleteRounds = 0;
-      if (!started || message[0] != 'Q') {
-        countUnproductiveMessage();
-      }
-      if (!connection.open()) {
-        return;
+    handleInput();
+  }
+
+  /**
+   * Handles the messages that have been received, up to an open query, an incomplete message, a
+   * client that does not read, or the end of the session's turn.
+   */
+  private void handleInput() {
+    if (handlingInput || checkingClient) {
+      return;
+    }
+    handlingInput = true;
+    int handled = 0;
+    while (connection.open()
+        && !querying
+        && connection.output.size() < MAX_PENDING_OUTPUT_BYTES
+        && handled < MAX_MESSAGES_PER_TURN
+        && handleNextMessage()) {
+      handled++;
+    }
+    handlingInput = false;
+    adjustReadAhead();
+    connection.inputConsumed();
+    connection.flush();
+    if (handled == MAX_MESSAGES_PER_TURN) {
+      scheduleTurn();
+    }
+  }
+
+  /**
+   * Reads on where messages wait for their turn, within limits: a connection that is not read does
+   * not show that its client has gone.
+   */
+  private void adjustReadAhead() {
+    int waiting = connection.input.size();
+    if (waiting <= MAX_UNRESERVED_BYTES) {
+      if (readAheadMemory != null) {
+        connection.maxUnreadBytes(MAX_UNRESERVED_BYTES);
+        releaseReadAhead();
       }
-      if (started) {
-        handleMessage(message, receivedAt);
+    } else if (connection.open() && !readingLargeMessage() && readAheadMemory == null) {
+      readAheadMemory =
+          handler.memory().tryReserve(MemoryBudget.Purpose.MESSAGE, MAX_UNREAD_AHEAD_BYTES);
+      if (readAheadMemory == null) {
+        sendFatalError(SQLSTATE_OUT_OF_MEMORY, "no memory for further messages");
       } else {
-        handleStartupMessage(ByteBuffer.wrap(message, 4, length - 4));
+        connection.maxUnreadBytes(MAX_UNREAD_AHEAD_BYTES);
       }
+    } else if (waiting > MAX_READ_AHEAD_BYTES) {
+      sendFatalError("54000", "too many messages at once");
+    }
+  }
+
+  /** Whether what was received is the beginning of a message that has or awaits its own memory. */
+  private boolean readingLargeMessage() {
+    return !querying && (messageMemory != null || memoryRequest != null);
+  }
+
+  private void releaseReadAhead() {
+    if (readAheadMemory != null) {
+      readAheadMemory.release();
+      readAheadMemory = null;
+    }
+  }
+
+  private void scheduleTurn() {
+    if (!turnScheduled && !querying && connection.open() && connection.input.size() > 0) {
+      turnScheduled = true;
+      handler.runLater(
+          0,
+          () -> {
+            turnScheduled = false;
+            handleInput();
+          });
+    }
+  }
+
+  /** Handles the next message; returns whether there was a complete and valid one. */
+  private boolean handleNextMessage() {
+    RingBuffer input = connection.input;
+    int lengthOffset = started ? 1 : 0;
+    if (input.size() < lengthOffset + 4) {
+      return false;
+    }
+    int length = input.intAt(lengthOffset);
+    if (length < (started ? 4 : MIN_STARTUP_MESSAGE_BYTES)
+        || length > (started ? MAX_MESSAGE_BYTES : MAX_STARTUP_MESSAGE_BYTES)) {
+      sendFatalError("08P01", "invalid message length");
+      return false;
+    }
+    if (!memoryAvailable(lengthOffset + length) || input.size() < lengthOffset + length) {
+      return false;
+    }
+    if (waitedForMemory) {
+      checkClient();
+      return false;
+    }
+    byte[] message = input.take(lengthOffset + length);
+    if (readAheadMemory == null) {
+      connection.maxUnreadBytes(MAX_UNRESERVED_BYTES);
+    }
+    incompleteRounds = 0;
+    if (!started || message[0] != 'Q') {
+      countUnproductiveMessage();
+    }
+    if (!connection.open()) {
+      return false;
+    }
+    if (started) {
+      handleMessage(message, lastReceivedAt);
+    } else {
+      handleStartupMessage(ByteBuffer.wrap(message, 4, length - 4));
+    }
+    if (!querying) {
+      releaseMessageMemory();
+    }
+    return true;
+  }
+
+  /**
+   * Whether there is memory for a message of the given size. Otherwise it is requested, and no more
+   * of the message is read than fits without.
+   */
+  private boolean memoryAvailable(int messageBytes) {
+    if (messageBytes <= MAX_UNRESERVED_BYTES || messageMemory != null) {
+      return true;
+    }
+    if (memoryRequest != null) {
+      return false;
+    }
+    long bytes = (long) COPIES_OF_A_MESSAGE * messageBytes;
+    messageMemory = handler.memory().tryReserve(MemoryBudget.Purpose.MESSAGE, bytes);
+    if (messageMemory != null) {
+      readLargeMessage();
+      return true;
+    }
+    memoryRequest =
+        handler.memory().reserve(MemoryBudget.Purpose.MESSAGE, bytes, this::memoryGranted);
+    return false;
+  }
+
+  private void memoryGranted(MemoryBudget.Reservation granted) {
+    memoryRequest = null;
+    messageMemory = granted;
+    waitedForMemory = true;
+    incompleteRounds = 0; // the wait for memory does not count as the client's
+    readLargeMessage();
+    handleInput();
+  }
+
+  private void readLargeMessage() {
+    if (readAheadMemory == null) {
+      connection.maxUnreadBytes(MAX_MESSAGE_BYTES);
+    }
+  }
+
+  /**
+   * Lets a message wait that came whole while its session waited for memory: its client may have
+   * gone since, and the end of its connection is read only now.
+   */
+  private void checkClient() {
+    waitedForMemory = false;
+    checkingClient = true;
+    handler.runLater(
+        CLIENT_CHECK_NANOS,
+        () -> {
+          checkingClient = false;
+          handleInput();
+        });
+  }
+
+  private void releaseMessageMemory() {
+    if (memoryRequest != null) {
+      memoryRequest.cancel();
+      memoryRequest = null;
+    }
+    if (messageMemory != null) {
+      messageMemory.release();
+      messageMemory = null;
     }
-    connection.flush();
   }
 
   private void handleStartupMessage(ByteBuffer message) {
@@ -329,12 +555,22 @@
 
   // ---- Answers to the open query; each ends it ----
 
+  /** Answers the open query with rows that no memory is reserved for. */
+  void sendRows(String[] columns, List<byte[]> pages) {
+    sendRows(columns, pages, () -> {});
+  }
+
   /**
-   * Answers the open query with rows.
+   * Answers the open query with rows, as fast as the client reads them.
    *
    * @param pages rows as text with a tab between columns and a line feed after each row
+   * @param whenDone is run once the pages are no longer needed, whether or not they were written
    */
-  public void sendRows(String[] columns, List<byte[]> pages) {
+  public void sendRows(String[] columns, List<byte[]> pages, Runnable whenDone) {
+    if (isReleased()) {
+      whenDone.run();
+      return;
+    }
     int bytes = 2;
     for (String column : columns) {
       bytes += column.length() + 19;
@@ -349,19 +585,36 @@
       rowDescription.putInt(TEXT_TYPE_OID).putShort((short) -1).putInt(-1).putShort((short) 0);
     }
     sendMessage('T', rowDescription.array());
-    int count = 0;
-    for (byte[] page : pages) {
-      int from = 0;
-      for (int i = 0; i < page.length; i++) {
-        if (page[i] == '\n') {
-          sendDataRow(page, from, i);
-          count++;
-          from = i + 1;
-        }
-      }
+    rows = new RowWriter(pages, whenDone);
+    writeRows();
+  }
+
+  /** Writes rows until the output is full; continues when the client has read it. */
+  private void writeRows() {
+    byte[] row = null;
+    while (connection.output.size() < MAX_PENDING_OUTPUT_BYTES && (row = rows.nextRow()) != null) {
+      sendMessage('D', row);
     }
-    sendMessage('C', ("SELECT " + count + '\0').getBytes(StandardCharsets.US_ASCII));
-    finishQuery();
+    if (row == null && connection.output.size() < MAX_PENDING_OUTPUT_BYTES) {
+      sendMessage('C', ("SELECT " + rows.rows() + '\0').getBytes(StandardCharsets.US_ASCII));
+      closeRows();
+      finishQuery();
+    } else {
+      connection.flush();
+    }
+  }
+
+  private void closeRows() {
+    RowWriter closed = rows;
+    rows = null;
+    if (closed != null) {
+      closed.close();
+    }
+  }
+
+  /** Returns the memory in bytes that a result of the given size takes until it is written. */
+  public static long memoryOfResult(long pageBytes) {
+    return pageBytes + Math.min(MAX_OUTPUT_GROWTH * pageBytes, MAX_OUTPUT_OF_A_RESULT_BYTES);
   }
 
   /**
@@ -382,23 +635,6 @@
     return page.length == 0 || page[page.length - 1] == '\n';
   }
 
-  private void sendDataRow(byte[] page, int from, int to) {
-    int columns = 1;
-    for (int i = from; i < to; i++) {
-      columns += page[i] == '\t' ? 1 : 0;
-    }
-    ByteBuffer row =
-        ByteBuffer.allocate(2 + 4 * columns + to - from - columns + 1).putShort((short) columns);
-    int start = from;
-    for (int i = from; i <= to; i++) {
-      if (i == to || page[i] == '\t') {
-        row.putInt(i - start).put(page, start, i - start);
-        start = i + 1;
-      }
-    }
-    sendMessage('D', row.array());
-  }
-
   /** Answers the open query with an error. The session continues. */
   public void sendError(String code, String text) {
     sendError("ERROR", code, text);
@@ -410,10 +646,11 @@
     idleRounds = 0; // the time until the answer does not count as the client's silence
     querying = false;
     openQuery = null;
+    releaseMessageMemory();
     connection.flush();
     // Messages received after the query have been kept in the input buffer.
-    if (connection.input.size() > 0) {
-      handler.defer(() -> received(lastReceivedAt));
+    if (!handlingInput) {
+      scheduleTurn();
     }
   }
 
@@ -439,7 +676,10 @@
   private void sendMessage(char type, byte[] body) {
     ByteBuffer head = ByteBuffer.allocate(5).put((byte) type).putInt(body.length + 4).flip();
     if (connection.output.freeSpace() < body.length + 5) {
-      handler.defer(this::closeNow); // the client sends queries without reading the answers
+      if (!overflowed) {
+        overflowed = true;
+        handler.defer(this::closeNow); // the client sends queries without reading the answers
+      }
       return;
     }
     connection.output.put(head);
@@ -464,6 +704,9 @@
 
   @Override
   public void released() {
+    closeRows();
+    releaseMessageMemory();
+    releaseReadAhead();
     handler.sessionReleased(this);
   }
 }
--- a/src/main/java/tansytrack/wire/RingBuffer.java
+++ b/src/main/java/tansytrack/wire/RingBuffer.java
@@ -11,17 +11,30 @@
   // Most messages are shorter.
   private static final int INITIAL_CAPACITY_BYTES = 1 << 11;
 
-  // An empty buffer that has grown further is shrunk, so that hundreds of sessions do not keep the
+  // A buffer that has grown further is shrunk once it is almost empty, so that hundreds of sessions
+  // do not keep the
   // memory of their largest messages.
   private static final int MAX_RETAINED_CAPACITY_BYTES = 1 << 13;
 
   private final int maxCapacity;
+  // Counts the capacity beyond the retained one; null if it is not counted.
+  private final MemoryBudget budget;
   private byte[] bytes = new byte[INITIAL_CAPACITY_BYTES];
   private int head;
   private int size;
 
   /** Creates a buffer with the given maximum capacity in bytes, a power of two. */
   public RingBuffer(int maxCapacity) {
+    this(maxCapacity, null);
+  }
+
+  /**
+   * Creates a buffer that takes no more than a few kilobytes where they do not fit into a budget.
+   *
+   * @param maxCapacity the maximum capacity in bytes, a power of two
+   */
+  RingBuffer(int maxCapacity, MemoryBudget budget) {
+    this.budget = budget;
     if (Integer.bitCount(maxCapacity) != 1 || maxCapacity < INITIAL_CAPACITY_BYTES) {
       throw new IllegalArgumentException(
           "the maximum capacity of a ring buffer must be a power of two of at least "
@@ -67,7 +80,9 @@
     if (count > freeSpace()) {
       return false;
     }
-    ensureCapacity(count);
+    if (!ensureCapacity(count)) {
+      return false;
+    }
     int tail = head + size & bytes.length - 1;
     int first = Math.min(count, bytes.length - tail);
     source.get(bytes, tail, first);
@@ -105,9 +120,8 @@
     }
     head = head + count & bytes.length - 1;
     size -= count;
-    if (size == 0 && bytes.length > MAX_RETAINED_CAPACITY_BYTES) {
-      bytes = new byte[INITIAL_CAPACITY_BYTES];
-      head = 0;
+    if (size <= INITIAL_CAPACITY_BYTES && bytes.length > MAX_RETAINED_CAPACITY_BYTES) {
+      resize(INITIAL_CAPACITY_BYTES);
     }
   }
 
@@ -118,16 +132,42 @@
     return taken;
   }
 
-  private void ensureCapacity(int additional) {
+  /** Drops all bytes and the memory for them. */
+  void clear() {
+    size = 0;
+    resize(INITIAL_CAPACITY_BYTES);
+  }
+
+  private boolean ensureCapacity(int additional) {
     int capacity = bytes.length;
     while (capacity < size + additional) {
       capacity *= 2;
     }
     if (capacity > bytes.length) {
-      byte[] grown = new byte[capacity];
-      copyTo(grown, 0, size);
-      bytes = grown;
-      head = 0;
+      if (budget != null && !budget.tryTake(counted(capacity) - counted(bytes.length))) {
+        return false;
+      }
+      replace(capacity);
+    }
+    return true;
+  }
+
+  private void resize(int capacity) {
+    int released = counted(bytes.length) - counted(capacity);
+    replace(capacity);
+    if (budget != null && released > 0) {
+      budget.give(released);
     }
   }
+
+  private void replace(int capacity) {
+    byte[] replacement = new byte[capacity];
+    copyTo(replacement, 0, size);
+    bytes = replacement;
+    head = 0;
+  }
+
+  private static int counted(int capacity) {
+    return Math.max(0, capacity - MAX_RETAINED_CAPACITY_BYTES);
+  }
 }
--- a/src/main/java/tansytrack/wire/Sockets.java
+++ b/src/main/java/tansytrack/wire/Sockets.java
@@ -40,13 +40,14 @@
 
   // Initial size of the read buffer, and the limits within which MINA adapts it, in bytes.
   private static final int INITIAL_READ_BYTES = 1 << 11;
-  private static final int MAX_READ_BYTES = 1 << 14;
+  private static final int MAX_READ_BYTES = 1 << 13;
+  private static final int MAX_CLIENT_READ_BYTES = 1 << 12;
 
-  // Holds the longest message of a client.
-  private static final int CLIENT_INPUT_BYTES = 1 << 16;
+  // Holds what a client may write ahead of the answer to its open query.
+  private static final int CLIENT_INPUT_BYTES = 1 << 17;
 
-  // Holds a result of the maximum size with rows of the minimum size.
-  private static final int CLIENT_OUTPUT_BYTES = 1 << 19;
+  // Holds the rows that are written at a time and a row of the maximum size.
+  private static final int CLIENT_OUTPUT_BYTES = 1 << 16;
 
   // Holds a request with a statement and its header.
   private static final int REQUEST_OUTPUT_BYTES = 1 << 17;
@@ -67,6 +68,7 @@
       new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, SelectorProvider.provider());
   private final Acceptor acceptor = new Acceptor();
   private final NioSocketConnector connector = new NioSocketConnector(threads, processors);
+  private final MemoryBudget memory;
   private Consumer<Connection> acceptHandler;
   private int openConnections;
   private final Map<String, Long> protocolErrors = new TreeMap<>();
@@ -80,10 +82,20 @@
    * @param clock time stamps of received data, in nanoseconds
    */
   public Sockets(Consumer<Runnable> eventLoop, LongSupplier clock) {
+    this(eventLoop, clock, MemoryBudget.limitByHeap());
+  }
+
+  /**
+   * Creates the sockets with a given bound on the memory for clients and from engines.
+   *
+   * @param memoryLimit the bound in bytes
+   */
+  public Sockets(Consumer<Runnable> eventLoop, LongSupplier clock, long memoryLimit) {
     this.eventLoop = eventLoop;
     this.clock = clock;
-    configure(acceptor.getSessionConfig());
-    configure(connector.getSessionConfig());
+    memory = new MemoryBudget(memoryLimit, eventLoop);
+    configure(acceptor.getSessionConfig(), MAX_CLIENT_READ_BYTES);
+    configure(connector.getSessionConfig(), MAX_READ_BYTES);
     acceptor.setReuseAddress(true);
     acceptor.setCloseOnDeactivation(false); // sessions stay open when listening ends
     acceptor.setBacklog(BACKLOG);
@@ -91,11 +103,11 @@
     connector.setHandler(new Handler());
   }
 
-  private static void configure(SocketSessionConfig config) {
+  private static void configure(SocketSessionConfig config, int maxReadBytes) {
     config.setTcpNoDelay(true);
     config.setReadBufferSize(INITIAL_READ_BYTES);
     config.setMinReadBufferSize(INITIAL_READ_BYTES);
-    config.setMaxReadBufferSize(MAX_READ_BYTES);
+    config.setMaxReadBufferSize(maxReadBytes);
   }
 
   /** Sets the maximum number of accepted connections; further ones are closed at once. */
@@ -158,9 +170,15 @@
    * Starts to establish a connection. Data written before it is established is sent afterwards.
    *
    * @param maxInputBytes maximum size of the input buffer in bytes
+   * @param inputBudget the budget in which a large input buffer counts, null for none
    */
-  public Connection connect(InetSocketAddress address, int maxInputBytes, Connection.Owner owner) {
-    Connection connection = new Connection(this, maxInputBytes, REQUEST_OUTPUT_BYTES);
+  public Connection connect(
+      InetSocketAddress address,
+      int maxInputBytes,
+      MemoryBudget inputBudget,
+      Connection.Owner owner) {
+    Connection connection =
+        Connection.outgoing(this, maxInputBytes, inputBudget, REQUEST_OUTPUT_BYTES);
     connection.setOwner(owner);
     openConnections++;
     ConnectFuture connectFuture =
@@ -176,6 +194,11 @@
     return connection;
   }
 
+  /** Returns the bound on the memory for clients and from engines. */
+  public MemoryBudget memory() {
+    return memory;
+  }
+
   /** Returns the current time of the clock that time-stamps received data. */
   long now() {
     return clock.getAsLong();
@@ -246,7 +269,8 @@
         eventLoop.accept(() -> outgoing.sessionOpened(session));
         return;
       }
-      Connection incoming = new Connection(Sockets.this, CLIENT_INPUT_BYTES, CLIENT_OUTPUT_BYTES);
+      Connection incoming =
+          Connection.accepted(Sockets.this, CLIENT_INPUT_BYTES, CLIENT_OUTPUT_BYTES);
       session.setAttribute(CONNECTION, incoming);
       eventLoop.accept(
           () -> {
@@ -261,9 +285,9 @@
       long receivedAt = clock.getAsLong();
       Connection connection = (Connection) session.getAttribute(CONNECTION);
       IoBuffer bytes = (IoBuffer) message;
-      if (connection.unreadBytes.addAndGet(bytes.remaining()) > Connection.MAX_UNREAD_BYTES) {
+      if (connection.countUnread(bytes.remaining())) {
         session.suspendRead();
-        if (connection.unreadBytes.get() <= Connection.MAX_UNREAD_BYTES) {
+        if (!connection.tooManyUnread()) {
           // The loop has processed the bytes meanwhile, before reading was suspended.
           session.resumeRead();
         }
--- a/src/test/java/tansytrack/state/ManagerTest.java
+++ b/src/test/java/tansytrack/state/ManagerTest.java
@@ -112,6 +112,7 @@
         sockets.connect(
             UNUSED_ADDRESS,
             1 << 16,
+            null,
             new Connection.Owner() {
               @Override
               public void received(long at) {}
