--- a/src/main/java/tansytrack/Decide.java
+++ b/src/main/java/tansytrack/Decide.java
@@ -25,6 +25,7 @@
 import tansytrack.api.Settings;
 import tansytrack.api.TaskRequest;
 import tansytrack.policy.EngineSubset;
+import tansytrack.policy.ExecutedTasks;
 import tansytrack.policy.SlowStart;
 import tansytrack.util.EngineList;
 import tansytrack.util.EventLoop;
@@ -147,6 +148,7 @@
   // The engines in use, and those that still have open forwards.
   private final Map<String, Engine> engines = new TreeMap<>();
   private final Map<String, Task> tasks = new LinkedHashMap<>();
+  private final ExecutedTasks executedTasks = new ExecutedTasks();
   private final Map<String, ClassStatistics> classStatistics = new TreeMap<>();
   private final Map<String, EnginePool> pools = new TreeMap<>();
   private final Map<String, TenantQueue<Task>> tenantQueues = new TreeMap<>();
@@ -225,6 +227,9 @@
       actions.reject(
           request.id(),
           statistics != null && capabilities.retryAfter() ? capabilities.maxRetryAfterNanos() : 0);
+    } else if (executedTasks.contains(request.id())) {
+      // Rule 2: the same task again, behind its client's leaving.
+      actions.abort(request.id());
     } else {
       Task task = new Task(request, statistics);
       tasks.put(task.id, task);
@@ -913,6 +918,7 @@
       removeFromQueue(task);
       task.finished = true;
       tasks.remove(task.id);
+      forgetIfNotExecuted(task);
       task.openForwards.forEach(this::cancel);
       if (task.keyQueue != null) {
         task.keyQueue.tasks.remove(task);
@@ -920,6 +926,13 @@
       }
     }
 
+    /** A finished task that no engine can have executed may be sent again under its id. */
+    private void forgetIfNotExecuted(Task task) {
+      if (task.finished && task.firstExecuted == null && task.openForwards.isEmpty()) {
+        executedTasks.remove(task.id);
+      }
+    }
+
     private void cancel(Forward forward) {
       if (capabilities.cancellation()
           && (forward.task.cancelledForwards & 1L << forward.index) == 0) {
@@ -948,6 +961,7 @@
           && (task.firstExecuted == null || forward.index < task.firstExecuted.index)) {
         task.firstExecuted = forward;
       }
+      forgetIfNotExecuted(task);
       if (task.keyQueue != null) {
         task.keyQueue.openForwards--;
         if (outcome == Outcome.TIME_OUT
@@ -1343,6 +1357,9 @@
             capabilities.memoryGrants() ? (long) Math.ceil(memoryMb) : 0,
             capabilities.priorities() ? priority(task) : 1);
       }
+      if (task.queryClass.retrySafety() != QueryClass.RetrySafety.IDEMPOTENT) {
+        executedTasks.add(task.id);
+      }
       actions.forward(task.id, id, 0);
       boolean warmData = warmDataSets.remove(task.request.dataSet());
       Forward forward =
