--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -30,6 +30,7 @@
 import tansytrack.wire.MemoryBudget;
 import tansytrack.wire.PgSession;
 import tansytrack.wire.ProtocolException;
+import tansytrack.wire.RowWriter;
 import tansytrack.wire.Sockets;
 import tansytrack.wire.Statement;
 
@@ -361,7 +362,7 @@
 
   private void sendReport(PgSession session, String[] columns, byte[] rows) {
     MemoryBudget.Reservation reservation =
-        memory().tryReserve(MemoryBudget.Purpose.RESULT, PgSession.memoryOfResult(rows.length));
+        memory().tryReserve(MemoryBudget.Purpose.RESULT, RowWriter.memoryOfResult(rows.length));
     if (reservation == null) {
       session.sendError(PgSession.SQLSTATE_OUT_OF_MEMORY, "no memory for the rows at present");
     } else {
--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -6,7 +6,6 @@
 import tansytrack.wire.HttpCodec;
 import tansytrack.wire.HttpConnection;
 import tansytrack.wire.HttpRequest;
-import tansytrack.wire.MemoryBudget;
 import tansytrack.wire.ProtocolException;
 
 /**
@@ -24,22 +23,9 @@
   // A request that is not answered within this time counts as lost.
   private static final long RESPONSE_TIMEOUT_NANOS = MAX_LONG_POLL_NANOS + 2 * TRANSIT_MARGIN_NANOS;
 
-  // Consecutive failed requests. If one in four fails, 8 in a row occur once in 65,000 times.
-  private static final int MAX_CONSECUTIVE_FAILURES = 8;
-
   // The start request is retried only within this time after the decision to forward.
   private static final long MAX_START_DELAY_NANOS = 50_000_000L;
 
-  // Delay before a retry, multiplied by the number of retries before it.
-  private static final long RETRY_DELAY_STEP_NANOS = 10_000_000L;
-
-  // The same for a retry after refused connections, up to a maximum number of steps.
-  private static final long REFUSED_RETRY_DELAY_STEP_NANOS = 50_000_000L;
-  private static final int MAX_REFUSED_DELAY_STEPS = 5;
-
-  // Consecutive refused connections after a reset that show that the engine's process has died.
-  private static final int MIN_REFUSALS_OF_DEAD_PROCESS = 3;
-
   final OpenTask task;
   final int index;
   final EngineConnections engine;
@@ -48,6 +34,7 @@
   private final Timers timers;
   private final String path;
   private final ResultPages pages = new ResultPages(COLUMNS);
+  private final RequestFailures failures;
   private Timers.Timer timer;
   // The connection of the open request, null if there is none.
   private HttpConnection connection;
@@ -57,19 +44,7 @@
   private boolean knownToEngine;
   // Whether any byte of the start request may have been sent.
   private boolean mayHaveBeenSent;
-  // Whether a response has been overdue since the last complete one.
-  private boolean responseOverdue;
-  // Whether any request has ever gone unanswered; the engine may still process it.
-  private boolean everUnanswered;
-  // Failed requests since the last complete response or, of a result, the last confirmed page.
-  private int consecutiveFailures;
-  // Consecutive refused connections at the end of those.
-  private int consecutiveRefusals;
-  // Whether an established connection broke during a request since the last complete response.
-  private boolean connectionBroke;
   private Timers.Timer requestTimer;
-  // The request for the memory of a result that the engine holds, null if there is none.
-  private MemoryBudget.Request memoryRequest;
   private boolean cancelled;
   private boolean ended;
   private long requestedAt;
@@ -86,6 +61,7 @@
     this.task = task;
     this.index = index;
     this.engine = engine;
+    failures = new RequestFailures(engine);
     createdAt = timers.now();
     lastPolledAt = createdAt;
     path = "/o/" + task.id;
@@ -159,7 +135,7 @@
     boolean notRun = "1".equals(response.header("x-not-run"));
     LoadReport newReport = manager.parseLoadReport(response);
     int confirmedBefore = pages.confirmedCount();
-    if (status == 200 && hasMemory(response)) {
+    if (status == 200 && pages.reserve(response, manager.memory(), this::memoryGranted)) {
       pages.add(response, connection.responseDelimited());
     }
     if (!mayHaveBeenSent) {
@@ -170,27 +146,17 @@
     engine.recordResponse();
     report = newReport == null ? report : newReport;
     mayHaveBeenSent = true;
-    boolean confirmed = status == 200 || status == 202;
-    if (confirmed && !knownToEngine) {
-      manager.forwardReceived(this, status == 202 ? longPollStart() : timers.now());
-    }
-    knownToEngine |= confirmed;
+    recordConfirmation(status);
     lastPolledAt = timers.now();
-    boolean afterFailure = consecutiveFailures > 0 || responseOverdue;
-    boolean wasOverdue = responseOverdue;
-    if (status != 200 || pages.confirmedCount() > confirmedBefore) {
-      // A page that arrives again and again, and is never confirmed, is no progress.
-      consecutiveFailures = 0;
-    }
-    consecutiveRefusals = 0;
-    connectionBroke = false;
-    responseOverdue = false;
+    boolean afterFailure = failures.any();
+    boolean wasOverdue = failures.responseOverdue();
+    failures.recordResponse(status != 200 || pages.confirmedCount() > confirmedBefore);
     if (status != 200 && pages.awaitsSecondCopy()) {
       pages.confirmLast(); // the response on the same connection does it, whatever its status
     }
     if (pages.complete()) {
       end(Outcome.OK);
-    } else if (memoryRequest != null) {
+    } else if (pages.waitsForMemory()) {
       manager.counters().increment("results.waited_for_memory");
     } else if (status == 200) {
       requestNextPage(answered, response);
@@ -209,25 +175,15 @@
     }
   }
 
-  /**
-   * Whether there is memory for the result. Otherwise it is requested, and the result is fetched
-   * from its beginning once it is granted: the engine keeps it.
-   */
-  private boolean hasMemory(HttpCodec.Response response) throws ProtocolException {
-    if (!pages.hasMemory()) {
-      long bytes = ResultPages.memoryOfResult(response);
-      pages.memory(manager.memory().tryReserve(MemoryBudget.Purpose.RESULT, bytes));
-      if (!pages.hasMemory()) {
-        memoryRequest =
-            manager.memory().reserve(MemoryBudget.Purpose.RESULT, bytes, this::memoryGranted);
-      }
+  private void recordConfirmation(int status) {
+    boolean confirmed = status == 200 || status == 202;
+    if (confirmed && !knownToEngine) {
+      manager.forwardReceived(this, status == 202 ? longPollStart() : timers.now());
     }
-    return pages.hasMemory();
+    knownToEngine |= confirmed;
   }
 
-  private void memoryGranted(MemoryBudget.Reservation granted) {
-    memoryRequest = null;
-    pages.memory(granted);
+  private void memoryGranted() {
     pollAfterReuseDelay("/0");
   }
 
@@ -287,7 +243,7 @@
     if (!ended && connection != null) {
       manager.counters().increment("calls.overdue");
       HttpConnection unanswered = connection;
-      everUnanswered = true;
+      failures.recordUnanswered();
       // On an established connection the request may have reached the engine.
       boolean wasConnected = unanswered.connected();
       if (wasConnected) {
@@ -312,72 +268,39 @@
     }
     pages.dropUnconfirmed();
     manager.counters().increment("calls." + failure);
-    consecutiveFailures++;
-    consecutiveRefusals = failure == HttpConnection.Failure.REFUSED ? consecutiveRefusals + 1 : 0;
     if (failure == HttpConnection.Failure.BROKEN) {
       mayHaveBeenSent = true;
-      connectionBroke = true;
       lastPolledAt = timers.now();
     }
     boolean tooLate =
         failure == HttpConnection.Failure.LATE
             || timers.now() - requestedAt > MAX_LONG_POLL_NANOS + TRANSIT_MARGIN_NANOS;
-    responseOverdue |= tooLate && mayHaveBeenSent;
+    failures.record(failure, tooLate && mayHaveBeenSent);
     if (!mayHaveBeenSent) {
       startFailed(failure);
-    } else if (processDied() || timers.now() > unpolledEndTime()) {
+    } else if (failures.processDied() || timers.now() > unpolledEndTime()) {
       end(Outcome.RESET);
-    } else if (consecutiveFailures >= MAX_CONSECUTIVE_FAILURES
-        && !responseOverdue
-        && consecutiveRefusals == 0) {
+    } else if (failures.tooMany() && !failures.responseOverdue() && !failures.refused()) {
       cancelAsLost();
     } else {
       String pagePath = "/" + pages.nextPage();
-      requestTimer = timers.schedule(timers.now() + retryDelay(), () -> poll(pagePath));
+      long retryDelay = failures.retryDelay(requestedAt + RESPONSE_TIMEOUT_NANOS - timers.now());
+      requestTimer = timers.schedule(timers.now() + retryDelay, () -> poll(pagePath));
     }
   }
 
   private void startFailed(HttpConnection.Failure failure) {
-    if (failure == HttpConnection.Failure.UNSENT
-        && consecutiveFailures < MAX_CONSECUTIVE_FAILURES) {
+    if (failure == HttpConnection.Failure.UNSENT && !failures.tooMany()) {
       manager.defer(() -> sendStartIfValid(MAX_START_DELAY_NANOS));
     } else {
       end(Outcome.UNREACHED); // no byte of the request was sent, so the query did not run
     }
   }
 
-  /**
-   * Whether the engine's process has died. The connections of a dead process are reset and new ones
-   * are refused. Each sign alone has other causes, so all are required: a request that failed
-   * without a timeout, no established connection, new connections refused repeatedly, and an engine
-   * that is not draining, as a draining one refuses connections too.
-   */
-  private boolean processDied() {
-    return connectionBroke
-        && consecutiveRefusals >= MIN_REFUSALS_OF_DEAD_PROCESS
-        && !responseOverdue
-        && !everUnanswered
-        && engine.acceptsWork()
-        && !engine.connected();
-  }
-
   private long unpolledEndTime() {
     return AttemptCancellation.unpolledEndTime(engine, lastPolledAt, deadline, task.ordered);
   }
 
-  private long retryDelay() {
-    if (responseOverdue) {
-      return Math.max(RETRY_DELAY_STEP_NANOS, requestedAt + RESPONSE_TIMEOUT_NANOS - timers.now());
-    }
-    if (consecutiveRefusals > 0) {
-      // If connections are established, the next poll waits for one of them to become idle.
-      return engine.connected()
-          ? 0
-          : Math.min(consecutiveRefusals, MAX_REFUSED_DELAY_STEPS) * REFUSED_RETRY_DELAY_STEP_NANOS;
-    }
-    return (consecutiveFailures - 1) * RETRY_DELAY_STEP_NANOS;
-  }
-
   /**
    * Sends the start request if the decision to forward still holds: the task is unanswered, the
    * engine accepts work, and the decision is not older than the given time. Otherwise the query
@@ -431,7 +354,7 @@
   void abandonUnansweredStart() {
     if (!ended && !cancelled && !mayHaveBeenSent && connection != null) {
       manager.counters().increment("starts.abandoned");
-      everUnanswered = true;
+      failures.recordUnanswered();
       connection.abort();
       requestFailed(HttpConnection.Failure.BROKEN);
     }
@@ -467,7 +390,7 @@
   private void cancelAtEngine(Outcome outcome) {
     if (!ended && !cancelled) {
       cancelled = true;
-      releaseMemory();
+      pages.release();
       abortRequest();
       AttemptCancellation.Attempt attempt =
           new AttemptCancellation.Attempt(
@@ -475,9 +398,10 @@
               lastPolledAt,
               deadline,
               knownToEngine,
-              responseOverdue || everUnanswered,
+              failures.responseOverdue() || failures.everUnanswered(),
               task.ordered,
-              outcome == Outcome.RESET && (responseOverdue || everUnanswered));
+              outcome == Outcome.RESET
+                  && (failures.responseOverdue() || failures.everUnanswered()));
       new AttemptCancellation(engine, timers, attempt, () -> end(outcome)).start();
     }
   }
@@ -500,14 +424,6 @@
     }
   }
 
-  private void releaseMemory() {
-    if (memoryRequest != null) {
-      memoryRequest.cancel();
-      memoryRequest = null;
-    }
-    pages.release();
-  }
-
   private void end(Outcome outcome) {
     if (ended) {
       return;
@@ -516,7 +432,7 @@
     timer.cancel();
     clearRequest();
     if (outcome != Outcome.OK) {
-      releaseMemory();
+      pages.release();
     }
     manager.forwardEnded(
         this,
--- a/src/main/java/tansytrack/state/ResultPages.java
+++ b/src/main/java/tansytrack/state/ResultPages.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import tansytrack.wire.HttpCodec;
 import tansytrack.wire.MemoryBudget;
-import tansytrack.wire.PgSession;
 import tansytrack.wire.ProtocolException;
+import tansytrack.wire.RowWriter;
 
 /**
  * The pages of one result. A page whose response told too small a length looks like a shorter page
@@ -32,6 +32,7 @@
   private double peakMb;
   // The memory for the whole result and its way to the client; null until it is granted.
   private MemoryBudget.Reservation memory;
+  private MemoryBudget.Request memoryRequest;
 
   ResultPages(int columns) {
     this.columns = columns;
@@ -52,24 +53,44 @@
     return pageCount > 0 && confirmed.size() == pageCount;
   }
 
-  /** Whether there is memory for the result. */
-  boolean hasMemory() {
+  /**
+   * Whether there is memory for the result, as far as its first response tells its size. Otherwise
+   * it is requested, and the response is not to be added.
+   *
+   * @param whenGranted is run once there is memory, for the result to be fetched from its beginning
+   */
+  boolean reserve(HttpCodec.Response response, MemoryBudget budget, Runnable whenGranted)
+      throws ProtocolException {
+    if (memory == null) {
+      long further = (readPageCount(response) - 1L) * USUAL_MAX_PAGE_BYTES;
+      long bytes = RowWriter.memoryOfResult(response.body().length + further);
+      memory = budget.tryReserve(MemoryBudget.Purpose.RESULT, bytes);
+      if (memory == null) {
+        memoryRequest =
+            budget.reserve(
+                MemoryBudget.Purpose.RESULT,
+                bytes,
+                granted -> {
+                  memoryRequest = null;
+                  memory = granted;
+                  whenGranted.run();
+                });
+      }
+    }
     return memory != null;
   }
 
-  /** Gives the result memory. */
-  void memory(MemoryBudget.Reservation granted) {
-    memory = granted;
-  }
-
-  /** Returns the memory in bytes that a result takes, as far as its first response tells. */
-  static long memoryOfResult(HttpCodec.Response firstPage) throws ProtocolException {
-    long further = (readPageCount(firstPage) - 1L) * USUAL_MAX_PAGE_BYTES;
-    return PgSession.memoryOfResult(firstPage.body().length + further);
+  /** Whether the result is not fetched until there is memory for it. */
+  boolean waitsForMemory() {
+    return memoryRequest != null;
   }
 
   /** Gives back the memory, as the pages are no longer needed. */
   void release() {
+    if (memoryRequest != null) {
+      memoryRequest.cancel();
+      memoryRequest = null;
+    }
     if (memory != null) {
       memory.release();
     }
@@ -117,7 +138,7 @@
     if (unconfirmed != null && number > confirmed.size()) {
       precedingBytes += unconfirmed.length;
     }
-    if (precedingBytes + body.length > MAX_RESULT_BYTES || !PgSession.hasWholeRows(body, columns)) {
+    if (precedingBytes + body.length > MAX_RESULT_BYTES || !RowWriter.hasWholeRows(body, columns)) {
       throw new ProtocolException("a page that does not hold whole rows, or too large a result");
     }
     if (number == 0) {
@@ -125,7 +146,7 @@
       workMs = response.numericHeader("work-ms", 0);
       peakMb = response.numericHeader("peak-mb", 0);
     }
-    memory.growTo(PgSession.memoryOfResult(precedingBytes + body.length));
+    memory.growTo(RowWriter.memoryOfResult(precedingBytes + body.length));
     boolean secondCopy = unconfirmed != null && number == confirmed.size();
     if (!secondCopy) {
       confirmLast();
--- a/src/main/java/tansytrack/wire/HttpCodec.java
+++ b/src/main/java/tansytrack/wire/HttpCodec.java
@@ -104,26 +104,7 @@
     byte[] head = in.copy(0, headEnd);
     int statusLineEnd = statusLineLength(head);
     int status = (int) parseDigits(head, 9, 12);
-    Map<String, String> headers = new TreeMap<>();
-    for (int from = statusLineEnd + 2; from < head.length - 2; ) {
-      int to = findLineEnd(head, from);
-      int colon = from;
-      while (colon < to && head[colon] != ':') {
-        colon++;
-      }
-      if (colon == to || colon == from) {
-        throw new ProtocolException("a field without a name");
-      }
-      String value = new String(head, colon + 1, to - colon - 1, StandardCharsets.UTF_8).strip();
-      if (headers.size() >= MAX_HEADER_FIELDS) {
-        throw new ProtocolException("over " + MAX_HEADER_FIELDS + " header fields");
-      }
-      String previous = headers.put(lowerCaseAscii(head, from, colon), value);
-      if (previous != null && !previous.equals(value)) {
-        throw new ProtocolException("a field with two values");
-      }
-      from = to + 2;
-    }
+    Map<String, String> headers = parseHeaders(head, statusLineEnd + 2);
     boolean keepAlive = head[7] == '1' && !"close".equalsIgnoreCase(headers.get("connection"));
     if (status == 204 || status == 304) {
       in.skip(headEnd);
@@ -152,6 +133,31 @@
     return new Response(status, headers, in.take((int) length), keepAlive);
   }
 
+  private static Map<String, String> parseHeaders(byte[] head, int firstLine)
+      throws ProtocolException {
+    Map<String, String> headers = new TreeMap<>();
+    for (int from = firstLine; from < head.length - 2; ) {
+      int to = findLineEnd(head, from);
+      int colon = from;
+      while (colon < to && head[colon] != ':') {
+        colon++;
+      }
+      if (colon == to || colon == from) {
+        throw new ProtocolException("a field without a name");
+      }
+      String value = new String(head, colon + 1, to - colon - 1, StandardCharsets.UTF_8).strip();
+      if (headers.size() >= MAX_HEADER_FIELDS) {
+        throw new ProtocolException("over " + MAX_HEADER_FIELDS + " header fields");
+      }
+      String previous = headers.put(lowerCaseAscii(head, from, colon), value);
+      if (previous != null && !previous.equals(value)) {
+        throw new ProtocolException("a field with two values");
+      }
+      from = to + 2;
+    }
+    return headers;
+  }
+
   private static Response readChunked(
       RingBuffer in, int headEnd, int status, Map<String, String> headers, boolean keepAlive)
       throws ProtocolException {
--- a/src/main/java/tansytrack/wire/PgSession.java
+++ b/src/main/java/tansytrack/wire/PgSession.java
@@ -1,7 +1,6 @@
 package tansytrack.wire;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 /**
@@ -53,11 +52,6 @@
     MemoryBudget memory();
   }
 
-  private static final int PROTOCOL_VERSION_3 = 3 << 16;
-  private static final int CANCEL_REQUEST_CODE = 80877102;
-  private static final int SSL_REQUEST_CODE = 80877103;
-  private static final int GSSENC_REQUEST_CODE = 80877104;
-
   // The statements of clients are far shorter.
   private static final int MAX_MESSAGE_BYTES = 1 << 15;
   private static final int MIN_STARTUP_MESSAGE_BYTES = 8;
@@ -65,26 +59,9 @@
   // The limit of PostgreSQL's server.
   private static final int MAX_STARTUP_MESSAGE_BYTES = 10_000;
 
-  // A message of this size is read without a reservation of memory.
-  private static final int MAX_UNRESERVED_BYTES = 1 << 12;
-
-  // A message is held as such, and once more while its statement is sent to an engine.
-  private static final int COPIES_OF_A_MESSAGE = 2;
-
   // With more output than this, no further row is written and no further message handled until the
   // client has read.
-  private static final int MAX_PENDING_OUTPUT_BYTES = 1 << 13;
-
-  // What a result takes in the session's output besides its pages.
-  private static final int MAX_OUTPUT_OF_A_RESULT_BYTES = 2 * MAX_PENDING_OUTPUT_BYTES;
-
-  // The most by which rows grow as messages: a row of three bytes becomes one of nineteen.
-  private static final int MAX_OUTPUT_GROWTH = 7;
-
-  // What a client may write ahead of the answer to its open query. The rest of a connection is read
-  // all the same, as its end behind it shows that the client has gone.
-  private static final int MAX_READ_AHEAD_BYTES = 3 << 15;
-  private static final int MAX_UNREAD_AHEAD_BYTES = 1 << 17;
+  private static final int MAX_PENDING_OUTPUT_BYTES = RowWriter.MAX_PENDING_OUTPUT_BYTES;
 
   // Time for the end of a connection to be noticed that was not read while its session waited.
   private static final long CLIENT_CHECK_NANOS = 20_000_000L;
@@ -92,9 +69,8 @@
   // Messages that a session handles before the events of others have their turn.
   private static final int MAX_MESSAGES_PER_TURN = 8;
 
-  // Rounds in which a client reads nothing of a pending answer before its session is closed. This
-  // is
-  // longer than any client waits, as closing earlier would lose the answer.
+  // Rounds in which a client reads nothing of a pending answer before its session is closed.
+  // Longer than any client waits, as closing earlier would lose the answer.
   private static final int STALLED_CLIENT_ROUNDS = 60;
 
   // Rounds without any message before a session that has sent no usable query is closed.
@@ -106,31 +82,16 @@
 
   // Messages in a round that request nothing or cannot be used.
   private static final int MAX_UNPRODUCTIVE_MESSAGES_PER_ROUND = 50;
-  private static final String[] PARAMETER_STATUS = {
-    "server_version",
-    "15.0",
-    "server_encoding",
-    "UTF8",
-    "client_encoding",
-    "UTF8",
-    "DateStyle",
-    "ISO, MDY",
-    "integer_datetimes",
-    "on",
-    "standard_conforming_strings",
-    "on"
-  };
-
-  // The type of every column.
-  private static final int TEXT_TYPE_OID = 25;
 
   /** SQLSTATE out_of_memory, of the class that promises that the statement has not run. */
-  public static final String SQLSTATE_OUT_OF_MEMORY = "53200";
+  public static final String SQLSTATE_OUT_OF_MEMORY = SessionMemory.SQLSTATE_OUT_OF_MEMORY;
 
   private final Connection connection;
   private final Handler handler;
   private final int processId;
   private final int secretKey;
+  private final PgMessageWriter messages;
+  private final SessionMemory memory;
   private boolean started;
   private boolean querying;
   // Whether messages are ignored up to the next Sync, after one of the extended query protocol.
@@ -157,14 +118,6 @@
   private boolean turnScheduled;
   // Whether messages wait until it is known whether the client has gone meanwhile.
   private boolean checkingClient;
-  private boolean waitedForMemory;
-  // Whether the session is about to be closed, as its output is full.
-  private boolean overflowed;
-  // Memory for a large message, from its first bytes until its query is answered.
-  private MemoryBudget.Reservation messageMemory;
-  private MemoryBudget.Request memoryRequest;
-  // Memory for what was received ahead of its turn.
-  private MemoryBudget.Reservation readAheadMemory;
 
   /**
    * Creates a session on an accepted connection.
@@ -178,7 +131,9 @@
     this.processId = processId;
     this.secretKey = secretKey;
     connection.setOwner(this);
-    connection.maxUnreadBytes(MAX_UNRESERVED_BYTES);
+    // The writer's overflow: the client sends queries without reading the answers.
+    messages = new PgMessageWriter(connection.output, () -> handler.defer(this::closeNow));
+    memory = new SessionMemory(connection, MAX_MESSAGE_BYTES, handler::memory);
   }
 
   /** Returns the number that identifies the session in cancel requests. */
@@ -237,7 +192,7 @@
             ? incompleteRounds + 1
             : 0;
     if (incompleteRounds > INCOMPLETE_MESSAGE_ROUNDS) {
-      if (memoryRequest != null) {
+      if (memory.waiting()) {
         sendFatalError(SQLSTATE_OUT_OF_MEMORY, "no memory for the message in time");
       } else {
         sendFatalError("08P01", "no whole message in time");
@@ -257,7 +212,7 @@
 
   /** Rejects the session because there is no room for it. */
   public void rejectConnection() {
-    sendError("FATAL", "53300", "too many connections");
+    messages.error("FATAL", "53300", "too many connections");
     closeAfterFlush();
   }
 
@@ -296,7 +251,7 @@
       handled++;
     }
     handlingInput = false;
-    adjustReadAhead();
+    memory.adjustReadAhead(querying, this::sendFatalError);
     connection.inputConsumed();
     connection.flush();
     if (handled == MAX_MESSAGES_PER_TURN) {
@@ -304,42 +259,6 @@
     }
   }
 
-  /**
-   * Reads on where messages wait for their turn, within limits: a connection that is not read does
-   * not show that its client has gone.
-   */
-  private void adjustReadAhead() {
-    int waiting = connection.input.size();
-    if (waiting <= MAX_UNRESERVED_BYTES) {
-      if (readAheadMemory != null) {
-        connection.maxUnreadBytes(MAX_UNRESERVED_BYTES);
-        releaseReadAhead();
-      }
-    } else if (connection.open() && !readingLargeMessage() && readAheadMemory == null) {
-      readAheadMemory =
-          handler.memory().tryReserve(MemoryBudget.Purpose.MESSAGE, MAX_UNREAD_AHEAD_BYTES);
-      if (readAheadMemory == null) {
-        sendFatalError(SQLSTATE_OUT_OF_MEMORY, "no memory for further messages");
-      } else {
-        connection.maxUnreadBytes(MAX_UNREAD_AHEAD_BYTES);
-      }
-    } else if (waiting > MAX_READ_AHEAD_BYTES) {
-      sendFatalError("54000", "too many messages at once");
-    }
-  }
-
-  /** Whether what was received is the beginning of a message that has or awaits its own memory. */
-  private boolean readingLargeMessage() {
-    return !querying && (messageMemory != null || memoryRequest != null);
-  }
-
-  private void releaseReadAhead() {
-    if (readAheadMemory != null) {
-      readAheadMemory.release();
-      readAheadMemory = null;
-    }
-  }
-
   private void scheduleTurn() {
     if (!turnScheduled && !querying && connection.open() && connection.input.size() > 0) {
       turnScheduled = true;
@@ -365,17 +284,16 @@
       sendFatalError("08P01", "invalid message length");
       return false;
     }
-    if (!memoryAvailable(lengthOffset + length) || input.size() < lengthOffset + length) {
+    if (!memory.availableFor(lengthOffset + length, this::memoryGranted)
+        || input.size() < lengthOffset + length) {
       return false;
     }
-    if (waitedForMemory) {
+    if (memory.takeWaited()) {
       checkClient();
       return false;
     }
     byte[] message = input.take(lengthOffset + length);
-    if (readAheadMemory == null) {
-      connection.maxUnreadBytes(MAX_UNRESERVED_BYTES);
-    }
+    memory.messageTaken();
     incompleteRounds = 0;
     if (!started || message[0] != 'Q') {
       countUnproductiveMessage();
@@ -389,54 +307,21 @@
       handleStartupMessage(ByteBuffer.wrap(message, 4, length - 4));
     }
     if (!querying) {
-      releaseMessageMemory();
+      memory.releaseMessage();
     }
     return true;
   }
 
-  /**
-   * Whether there is memory for a message of the given size. Otherwise it is requested, and no more
-   * of the message is read than fits without.
-   */
-  private boolean memoryAvailable(int messageBytes) {
-    if (messageBytes <= MAX_UNRESERVED_BYTES || messageMemory != null) {
-      return true;
-    }
-    if (memoryRequest != null) {
-      return false;
-    }
-    long bytes = (long) COPIES_OF_A_MESSAGE * messageBytes;
-    messageMemory = handler.memory().tryReserve(MemoryBudget.Purpose.MESSAGE, bytes);
-    if (messageMemory != null) {
-      readLargeMessage();
-      return true;
-    }
-    memoryRequest =
-        handler.memory().reserve(MemoryBudget.Purpose.MESSAGE, bytes, this::memoryGranted);
-    return false;
-  }
-
-  private void memoryGranted(MemoryBudget.Reservation granted) {
-    memoryRequest = null;
-    messageMemory = granted;
-    waitedForMemory = true;
+  private void memoryGranted() {
     incompleteRounds = 0; // the wait for memory does not count as the client's
-    readLargeMessage();
     handleInput();
   }
 
-  private void readLargeMessage() {
-    if (readAheadMemory == null) {
-      connection.maxUnreadBytes(MAX_MESSAGE_BYTES);
-    }
-  }
-
   /**
    * Lets a message wait that came whole while its session waited for memory: its client may have
    * gone since, and the end of its connection is read only now.
    */
   private void checkClient() {
-    waitedForMemory = false;
     checkingClient = true;
     handler.runLater(
         CLIENT_CHECK_NANOS,
@@ -446,40 +331,21 @@
         });
   }
 
-  private void releaseMessageMemory() {
-    if (memoryRequest != null) {
-      memoryRequest.cancel();
-      memoryRequest = null;
-    }
-    if (messageMemory != null) {
-      messageMemory.release();
-      messageMemory = null;
-    }
-  }
-
   private void handleStartupMessage(ByteBuffer message) {
     int code = message.getInt();
-    if (code == SSL_REQUEST_CODE || code == GSSENC_REQUEST_CODE) {
+    if (code == StartupCodes.SSL_REQUEST || code == StartupCodes.GSSENC_REQUEST) {
       connection.output.put(new byte[] {'N'});
-    } else if (code == CANCEL_REQUEST_CODE) {
+    } else if (code == StartupCodes.CANCEL_REQUEST) {
       if (message.remaining() == 8) {
         handler.cancelRequested(message.getInt(), message.getInt());
       }
       connection.closeAfterFlush();
-    } else if (code != PROTOCOL_VERSION_3) {
+    } else if (code != StartupCodes.PROTOCOL_VERSION_3) {
       sendFatalError(
           "0A000", "unsupported frontend protocol " + (code >>> 16) + "." + (code & 0xffff));
     } else {
       started = true;
-      sendMessage('R', ByteBuffer.allocate(4).putInt(0).array());
-      for (int i = 0; i < PARAMETER_STATUS.length; i += 2) {
-        sendMessage(
-            'S',
-            (PARAMETER_STATUS[i] + '\0' + PARAMETER_STATUS[i + 1] + '\0')
-                .getBytes(StandardCharsets.UTF_8));
-      }
-      sendMessage('K', ByteBuffer.allocate(8).putInt(processId).putInt(secretKey).array());
-      sendReadyForQuery();
+      messages.startupReply(processId, secretKey);
     }
   }
 
@@ -505,15 +371,15 @@
       case 'X' -> closeAfterFlush();
       case 'S' -> {
         skippingToSync = false;
-        sendReadyForQuery();
+        messages.readyForQuery();
       }
       case 'P', 'B', 'D', 'E', 'C', 'H', 'F' -> {
         if (!skippingToSync) {
-          sendError("ERROR", "0A000", "only simple queries are served");
+          messages.error("ERROR", "0A000", "only simple queries are served");
         }
         skippingToSync = message[0] != 'F';
         if (!skippingToSync) {
-          sendReadyForQuery();
+          messages.readyForQuery();
         }
       }
       case 'd', 'c', 'f' -> {} // the rest of a COPY that was rejected
@@ -525,41 +391,23 @@
     if (skippingToSync) {
       return;
     }
-    int end = message.length - 1;
-    boolean valid = end >= 5 && message[end] == 0;
-    for (int i = 5; i < end; i++) {
-      valid &= message[i] != 0;
-    }
-    if (!valid) {
+    byte[] statement = QueryMessage.statement(message);
+    if (statement == null) {
       sendFatalError("08P01", "invalid string in message");
       return;
     }
-    boolean empty = true;
-    for (int i = 5; i < end; i++) {
-      empty &=
-          message[i] == ' '
-              || message[i] == ';'
-              || message[i] == '\n'
-              || message[i] == '\r'
-              || message[i] == '\t';
-    }
-    if (empty) {
-      sendMessage('I', new byte[0]);
-      sendReadyForQuery();
+    if (QueryMessage.isEmpty(statement)) {
+      messages.message('I', new byte[0]);
+      messages.readyForQuery();
       countUnproductiveMessage();
     } else {
       querying = true;
-      handler.query(this, java.util.Arrays.copyOfRange(message, 5, end), receivedAt);
+      handler.query(this, statement, receivedAt);
     }
   }
 
   // ---- Answers to the open query; each ends it ----
 
-  /** Answers the open query with rows that no memory is reserved for. */
-  void sendRows(String[] columns, List<byte[]> pages) {
-    sendRows(columns, pages, () -> {});
-  }
-
   /**
    * Answers the open query with rows, as fast as the client reads them.
    *
@@ -571,20 +419,7 @@
       whenDone.run();
       return;
     }
-    int bytes = 2;
-    for (String column : columns) {
-      bytes += column.length() + 19;
-    }
-    ByteBuffer rowDescription = ByteBuffer.allocate(bytes).putShort((short) columns.length);
-    for (String column : columns) {
-      rowDescription
-          .put(column.getBytes(StandardCharsets.US_ASCII))
-          .put((byte) 0)
-          .putInt(0)
-          .putShort((short) 0);
-      rowDescription.putInt(TEXT_TYPE_OID).putShort((short) -1).putInt(-1).putShort((short) 0);
-    }
-    sendMessage('T', rowDescription.array());
+    messages.rowDescription(columns);
     rows = new RowWriter(pages, whenDone);
     writeRows();
   }
@@ -593,10 +428,10 @@
   private void writeRows() {
     byte[] row = null;
     while (connection.output.size() < MAX_PENDING_OUTPUT_BYTES && (row = rows.nextRow()) != null) {
-      sendMessage('D', row);
+      messages.message('D', row);
     }
     if (row == null && connection.output.size() < MAX_PENDING_OUTPUT_BYTES) {
-      sendMessage('C', ("SELECT " + rows.rows() + '\0').getBytes(StandardCharsets.US_ASCII));
+      messages.commandComplete(rows.rows());
       closeRows();
       finishQuery();
     } else {
@@ -612,41 +447,18 @@
     }
   }
 
-  /** Returns the memory in bytes that a result of the given size takes until it is written. */
-  public static long memoryOfResult(long pageBytes) {
-    return pageBytes + Math.min(MAX_OUTPUT_GROWTH * pageBytes, MAX_OUTPUT_OF_A_RESULT_BYTES);
-  }
-
-  /**
-   * Whether every row of the page has the given number of columns and the page ends with a complete
-   * row.
-   */
-  public static boolean hasWholeRows(byte[] page, int columns) {
-    int tabs = 0;
-    for (byte b : page) {
-      tabs += b == '\t' ? 1 : 0;
-      if (b == '\n') {
-        if (tabs != columns - 1) {
-          return false;
-        }
-        tabs = 0;
-      }
-    }
-    return page.length == 0 || page[page.length - 1] == '\n';
-  }
-
   /** Answers the open query with an error. The session continues. */
   public void sendError(String code, String text) {
-    sendError("ERROR", code, text);
+    messages.error("ERROR", code, text);
     finishQuery();
   }
 
   private void finishQuery() {
-    sendReadyForQuery();
+    messages.readyForQuery();
     idleRounds = 0; // the time until the answer does not count as the client's silence
     querying = false;
     openQuery = null;
-    releaseMessageMemory();
+    memory.releaseMessage();
     connection.flush();
     // Messages received after the query have been kept in the input buffer.
     if (!handlingInput) {
@@ -656,36 +468,12 @@
 
   // ---- Messages to the client ----
 
-  private void sendReadyForQuery() {
-    sendMessage('Z', new byte[] {'I'});
-  }
-
-  private void sendError(String severity, String code, String text) {
-    sendMessage(
-        'E',
-        ("S" + severity + "\0V" + severity + "\0C" + code + "\0M" + text + "\0\0")
-            .getBytes(StandardCharsets.UTF_8));
-  }
-
   private void sendFatalError(String code, String text) {
     handler.protocolViolated(text.replaceAll(" [0-9.]+$", ""));
-    sendError("FATAL", code, text);
+    messages.error("FATAL", code, text);
     closeAfterFlush();
   }
 
-  private void sendMessage(char type, byte[] body) {
-    ByteBuffer head = ByteBuffer.allocate(5).put((byte) type).putInt(body.length + 4).flip();
-    if (connection.output.freeSpace() < body.length + 5) {
-      if (!overflowed) {
-        overflowed = true;
-        handler.defer(this::closeNow); // the client sends queries without reading the answers
-      }
-      return;
-    }
-    connection.output.put(head);
-    connection.output.put(body);
-  }
-
   /** Closes the session once the output is written. An open query is abandoned. */
   public void closeAfterFlush() {
     connection.closeAfterFlush();
@@ -705,8 +493,7 @@
   @Override
   public void released() {
     closeRows();
-    releaseMessageMemory();
-    releaseReadAhead();
+    memory.release();
     handler.sessionReleased(this);
   }
 }
--- a/src/main/java/tansytrack/wire/RowWriter.java
+++ b/src/main/java/tansytrack/wire/RowWriter.java
@@ -5,7 +5,16 @@
 import java.util.List;
 
 /** Turns pages of text into the bodies of DataRow messages, one row at a time. */
-final class RowWriter {
+public final class RowWriter {
+
+  /** With more output than this in a session, no further row is written. */
+  static final int MAX_PENDING_OUTPUT_BYTES = 1 << 13;
+
+  // What a result takes in the session's output besides its pages.
+  private static final int MAX_OUTPUT_OF_A_RESULT_BYTES = 2 * MAX_PENDING_OUTPUT_BYTES;
+
+  // The most by which rows grow as messages: a row of three bytes becomes one of nineteen.
+  private static final int MAX_OUTPUT_GROWTH = 7;
 
   private final ArrayDeque<byte[]> pages;
   private final Runnable whenDone;
@@ -24,6 +33,29 @@
     this.whenDone = whenDone;
   }
 
+  /** Returns the memory in bytes that a result of the given size takes until it is written. */
+  public static long memoryOfResult(long pageBytes) {
+    return pageBytes + Math.min(MAX_OUTPUT_GROWTH * pageBytes, MAX_OUTPUT_OF_A_RESULT_BYTES);
+  }
+
+  /**
+   * Whether every row of the page has the given number of columns and the page ends with a complete
+   * row.
+   */
+  public static boolean hasWholeRows(byte[] page, int columns) {
+    int tabs = 0;
+    for (byte b : page) {
+      tabs += b == '\t' ? 1 : 0;
+      if (b == '\n') {
+        if (tabs != columns - 1) {
+          return false;
+        }
+        tabs = 0;
+      }
+    }
+    return page.length == 0 || page[page.length - 1] == '\n';
+  }
+
   /** Returns the number of rows so far. */
   int rows() {
     return rows;
--- a/src/test/java/tansytrack/wire/PgSessionTest.java
+++ b/src/test/java/tansytrack/wire/PgSessionTest.java
@@ -34,7 +34,7 @@
   public void query(PgSession from, byte[] statement, long at) {
     queries++;
     if (immediateResult != null) {
-      from.sendRows(new String[] {"a"}, List.of(immediateResult));
+      from.sendRows(new String[] {"a"}, List.of(immediateResult), () -> releasedResults++);
     }
   }
 
@@ -140,7 +140,7 @@
     for (int i = 0; i < 100; i++) {
       session.checkProgress();
     }
-    session.sendRows(new String[] {"a"}, List.of(new byte[0]));
+    session.sendRows(new String[] {"a"}, List.of(new byte[0]), () -> releasedResults++);
     for (int i = 0; i < 60; i++) {
       session.checkProgress();
       assertThat(session.isReleased()).as("round %s", i).isFalse();
