Any response to the second request for the last page confirms it

An engine that answers that request otherwise than with the page (404, 204) lost its result: FootprintTest's stub engines answer 204, and nothing was handled. The order of the bytes on the connection proves the page's end, whatever the status is.

Test: ServiceTest, statement forgotten; FootprintTest passes again.

--- a/src/main/java/tansytrack/state/OpenForward.java
+++ b/src/main/java/tansytrack/state/OpenForward.java
@@ -129,6 +129,13 @@
   @Override
   public void responseReceived(HttpCodec.Response response) throws ProtocolException {
     int status = response.status();
+    if (status != 200 && pages.awaitsSecondCopy()) {
+      // Any response on the same connection confirms the last page, also of a forgetful engine.
+      pages.confirmLast();
+      engine.recordResponse();
+      end(Outcome.OK);
+      return;
+    }
     if (status != 200 && status != 202 && status != 500 && status != 503 && status != 504) {
       throw new ProtocolException("status " + status);
     }
@@ -138,9 +145,7 @@
     if (status == 200 && pages.reserve(response, manager.memory(), this::memoryGranted)) {
       pages.add(response, connection.responseDelimited());
     }
-    if (!mayHaveBeenSent) {
-      recordStartDelay();
-    }
+    recordStartDelay();
     HttpConnection answered = connection;
     clearRequest();
     engine.recordResponse();
@@ -151,9 +156,6 @@
     boolean afterFailure = failures.any();
     boolean wasOverdue = failures.responseOverdue();
     failures.recordResponse(status != 200 || pages.confirmedCount() > confirmedBefore);
-    if (status != 200 && pages.awaitsSecondCopy()) {
-      pages.confirmLast(); // the response on the same connection does it, whatever its status
-    }
     if (pages.complete()) {
       end(Outcome.OK);
     } else if (pages.waitsForMemory()) {
@@ -190,7 +192,7 @@
   /** Counts start requests that left late because their connection was established late. */
   private void recordStartDelay() {
     long delay = connection.requestStartedAt() - createdAt;
-    if (delay > MAX_START_DELAY_NANOS) {
+    if (!mayHaveBeenSent && delay > MAX_START_DELAY_NANOS) {
       manager.counters().increment("starts.late");
     }
   }
--- a/src/test/java/tansytrack/service/ServiceTest.java
+++ b/src/test/java/tansytrack/service/ServiceTest.java
@@ -164,6 +164,7 @@
         "once | wronglength | a,b,c;SELECT 1 | 1",
         "once | hints | a,b,c;SELECT 1 | 1",
         "once | twice | a,b,c;SELECT 1 | 1",
+        "once | forgotten | a,b,c;SELECT 1 | 1",
         "once | never | a,b,c;SELECT 1 | 1",
         "once | spoiltpage | a,b,c;d,e,f;SELECT 2 | 1",
         "safe | full | 53300 no room at present, after= | 2",
--- a/src/test/java/tansytrack/service/StatementServer.java
+++ b/src/test/java/tansytrack/service/StatementServer.java
@@ -185,6 +185,7 @@
 
   private String answerInPages(String requestLine, boolean poll, String goodResult) {
     return switch (statement) {
+      case "forgotten" -> polls < 2 ? goodResult : response("404 Not Found", "", "");
       case "pages" ->
           poll
               ? response("200 OK", "Page-Count: 3\r\n", "a\tb\tc\n")
