Bytes behind a response are compared as a response, without a copy of each read

HttpConnection copied its whole input at each read to have the bytes of a response for the comparison; a list of one megabyte that comes in 8 KB pieces was copied more than a hundred times. Now what follows a result is read as a second response and compared by status, fields and body; nothing is copied where nothing follows. A closed connection no longer allocates a buffer anew.

--- a/src/main/java/tansytrack/service/Service.java
+++ b/src/main/java/tansytrack/service/Service.java
@@ -26,6 +26,7 @@
 import tansytrack.state.PeerManagers;
 import tansytrack.state.TaskListener;
 import tansytrack.state.Timers;
+import tansytrack.wire.MemoryBudget;
 import tansytrack.wire.ProtocolException;
 import tansytrack.wire.Sockets;
 
@@ -82,7 +83,7 @@
   private final LinkedBlockingQueue<Runnable> eventQueue = new LinkedBlockingQueue<>();
   private final SlewedClock clock = new SlewedClock();
   private final Timers timers = new Timers();
-  private final Sockets sockets = new Sockets(eventQueue::add, clock);
+  private final Sockets sockets;
   private final Manager manager;
   private final CommandChannel channel;
   private final TaskListener taskListener;
@@ -124,14 +125,17 @@
   }
 
   Service(ManagerConfig config) throws ProtocolException {
-    this(config, Decide::new, OptionalFeatures.NONE);
+    this(config, Decide::new, OptionalFeatures.NONE, MemoryBudget.limitByHeap());
   }
 
+  /** Creates a manager with a bound in bytes on the memory for clients and from engines. */
   Service(
       ManagerConfig config,
       BiFunction<Settings, Actions, DecisionModule> decisionModuleFactory,
-      OptionalFeatures optionalFeatures)
+      OptionalFeatures optionalFeatures,
+      long memoryLimit)
       throws ProtocolException {
+    sockets = new Sockets(eventQueue::add, clock, memoryLimit);
     this.config = config.withoutKnownEngines();
     timers.now(clock.getAsLong());
     taskListener = optionalFeatures.taskListenerFactory().create(config, timers, eventQueue::add);
@@ -277,8 +281,9 @@
   }
 
   private static Service create(ConfigFile.LoadedConfig loaded, OptionalFeatures optionalFeatures) {
+    long memoryLimit = MemoryBudget.limitByHeap();
     try {
-      return new Service(loaded.config(), Decide::new, optionalFeatures);
+      return new Service(loaded.config(), Decide::new, optionalFeatures, memoryLimit);
     } catch (ProtocolException e) {
       throw new InvalidInputException(loaded.source() + ": known: " + e.getMessage());
     }
@@ -488,8 +493,7 @@
     List<Object> pairs = new ArrayList<>();
     for (Map.Entry<String, Long> counter : manager.counters().asMap().entrySet()) {
       line.append(' ').append(counter.getKey()).append('=').append(counter.getValue());
-      pairs.add(counter.getKey());
-      pairs.add(counter.getValue());
+      pairs.addAll(List.of(counter.getKey(), counter.getValue()));
     }
     Event.info("counters", "counters:" + line, pairs.toArray());
   }
--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -70,8 +70,8 @@
   private static final String[] STATS_COLUMNS = {"counter", "count"};
 
   /**
-   * Limit for the counters by engine in SHOW STATS, in characters, as the answer has to fit into a
-   * session's output buffer.
+   * Limit for the counters by engine in SHOW STATS, in characters, as the answer takes memory until
+   * its client has read it.
    */
   private static final int MAX_ENGINE_STATS_CHARS = 1 << 17;
 
--- a/src/main/java/tansytrack/wire/HttpCodec.java
+++ b/src/main/java/tansytrack/wire/HttpCodec.java
@@ -1,6 +1,7 @@
 package tansytrack.wire;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -20,6 +21,13 @@
    */
   public record Response(int status, Map<String, String> headers, byte[] body, boolean keepAlive) {
 
+    /** Whether the other response is the same in all that was sent. */
+    boolean isCopyOf(Response other) {
+      return status == other.status
+          && headers.equals(other.headers)
+          && Arrays.equals(body, other.body);
+    }
+
     /** Returns the value of a header field, named in lower case, or null. */
     public String header(String name) {
       return headers.get(name);
--- a/src/main/java/tansytrack/wire/HttpConnection.java
+++ b/src/main/java/tansytrack/wire/HttpConnection.java
@@ -1,7 +1,6 @@
 package tansytrack.wire;
 
 import java.net.InetSocketAddress;
-import java.util.Arrays;
 
 /** A client connection for HTTP requests, one at a time. */
 public final class HttpConnection implements Connection.Owner {
@@ -56,6 +55,9 @@
   // Status of the responses that carry a result, a load report or a list.
   private static final int STATUS_WITH_RESULT = 200;
 
+  private static final String RESPONSE_START = "HTTP/1.";
+  private static final String SURPLUS_BYTES = "more bytes than the length that was told";
+
   private final Connection connection;
   private final InetSocketAddress address;
   private final String host;
@@ -69,9 +71,8 @@
   private long sentBeforeRequest;
   // Whether no byte of a response has been received since the open request was made.
   private boolean awaitingFirstByte;
-  // A response that has been read and not yet delivered, and its bytes.
+  // A response that has been read and not yet delivered.
   private HttpCodec.Response undelimitedResponse;
-  private byte[] responseBytes;
   private boolean responseDelimited;
   // Whether the connection stays out of the pool after its response.
   private boolean retained;
@@ -167,48 +168,40 @@
       throw new ProtocolException("what came before the call");
     }
     awaitingFirstByte = false;
-    if (undelimitedResponse == null && !readResponse()) {
-      handler.responsePartReceived();
-    } else {
-      deliverIfDelimited();
-    }
-  }
-
-  /** Reads the response if it is complete, and keeps its bytes; returns whether it is. */
-  private boolean readResponse() throws ProtocolException {
-    byte[] received = connection.input.copy(0, connection.input.size());
-    undelimitedResponse = HttpCodec.readResponse(connection.input);
     if (undelimitedResponse == null) {
-      return false;
+      undelimitedResponse = HttpCodec.readResponse(connection.input);
+    }
+    if (undelimitedResponse != null && delimited()) {
+      deliver();
+    } else {
+      handler.responsePartReceived();
     }
-    responseBytes = Arrays.copyOf(received, received.length - connection.input.size());
-    return true;
   }
 
   /**
-   * Delivers the response unless bytes behind it, or its announced end, still have to show whether
-   * its length was right. Bytes behind a result are either an identical copy of it, or the rest of
-   * a response with too small a length.
+   * Whether nothing more is to come that could show that the length of the response was wrong.
+   * Bytes behind a result are either a second copy of it, or the rest of a response with too small
+   * a length.
    */
-  private void deliverIfDelimited() throws ProtocolException {
-    int surplus = connection.input.size();
+  private boolean delimited() throws ProtocolException {
     if (undelimitedResponse.status() != STATUS_WITH_RESULT) {
-      deliver();
-      return;
+      return true;
+    }
+    RingBuffer input = connection.input;
+    if (input.size() == 0) {
+      return undelimitedResponse.keepAlive();
     }
-    int compared = Math.min(surplus, responseBytes.length);
-    for (int i = 0; i < compared; i++) {
-      if (connection.input.byteAt(i) != responseBytes[i]) {
-        throw new ProtocolException("more bytes than the length that was told");
+    for (int i = 0; i < Math.min(input.size(), RESPONSE_START.length()); i++) {
+      if (input.byteAt(i) != RESPONSE_START.charAt(i)) {
+        throw new ProtocolException(SURPLUS_BYTES);
       }
     }
-    boolean repeated = surplus >= responseBytes.length;
-    if (repeated || (surplus == 0 && undelimitedResponse.keepAlive())) {
-      responseDelimited = repeated;
-      deliver();
-    } else {
-      handler.responsePartReceived();
+    HttpCodec.Response second = HttpCodec.readResponse(input);
+    if (second != null && !second.isCopyOf(undelimitedResponse)) {
+      throw new ProtocolException(SURPLUS_BYTES);
     }
+    responseDelimited = second != null;
+    return responseDelimited;
   }
 
   /** Delivers a response that is complete because the peer has ended the connection behind it. */
@@ -225,13 +218,12 @@
     boolean surplus = connection.input.size() > 0;
     handler.responseReceived(response);
     undelimitedResponse = null;
-    responseBytes = null;
     handler = null;
     connection.discardOnClose(false);
     if (!connection.open()) {
       return;
     }
-    if (!response.keepAlive() || surplus) {
+    if (!response.keepAlive() || responseDelimited || surplus) {
       connection.close();
       pool.connectionClosed(this);
     } else if (!retained) {
--- a/src/main/java/tansytrack/wire/RingBuffer.java
+++ b/src/main/java/tansytrack/wire/RingBuffer.java
@@ -135,7 +135,9 @@
   /** Drops all bytes and the memory for them. */
   void clear() {
     size = 0;
-    resize(INITIAL_CAPACITY_BYTES);
+    if (bytes.length > INITIAL_CAPACITY_BYTES) {
+      resize(INITIAL_CAPACITY_BYTES);
+    }
   }
 
   private boolean ensureCapacity(int additional) {
--- a/src/test/java/tansytrack/service/MemoryBoundTest.java
+++ b/src/test/java/tansytrack/service/MemoryBoundTest.java
@@ -3,18 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.BufferedReader;
-import java.io.DataInputStream;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -31,71 +27,9 @@
 class MemoryBoundTest {
 
   private static final int CLIENTS = 300;
-  private static final int PAGES = 8;
-  private static final int ROWS_OF_A_PAGE = 1000;
-  private static final String PAGE = "1\t2\t3\n".repeat(ROWS_OF_A_PAGE);
   private static final int FLOODED_STATEMENTS = 1_000_000;
   private static final String SLOW = "slow";
 
-  /** An engine whose queries all end at the same moment, with results of the maximum size. */
-  private static final class LargeResultEngine implements AutoCloseable {
-    private final ServerSocket socket = new ServerSocket(0, 1024, InetAddress.getLoopbackAddress());
-    private final CountDownLatch queries = new CountDownLatch(CLIENTS);
-
-    LargeResultEngine() throws IOException {
-      daemon(this::accept);
-    }
-
-    private void accept() {
-      try {
-        while (true) {
-          Socket connection = socket.accept();
-          daemon(() -> serve(connection));
-        }
-      } catch (IOException e) {
-        // the server socket was closed
-      }
-    }
-
-    private void serve(Socket connection) {
-      try (connection) {
-        DataInputStream in = new DataInputStream(connection.getInputStream());
-        while (true) {
-          String head = Rehearsal.readHead(in);
-          byte[] statement = new byte[Rehearsal.contentLength(head)];
-          in.readFully(statement);
-          connection
-              .getOutputStream()
-              .write(answer(head.split(" ")[1], statement.length).getBytes(StandardCharsets.UTF_8));
-        }
-      } catch (IOException e) {
-        // the connection was closed
-      }
-    }
-
-    private String answer(String path, int statementBytes) {
-      if (statementBytes > 0) {
-        queries.countDown();
-      }
-      if (path.startsWith("/cmd")) {
-        return Rehearsal.response("200 OK", "", "{\"cursor\":0,\"cmds\":[]}");
-      }
-      int number = path.equals("/o") ? 0 : Integer.parseInt(path.substring(path.length() - 1));
-      if (number == 0 && queries.getCount() > 0) {
-        return Rehearsal.response("202 Accepted", "", "");
-      }
-      return Rehearsal.response(
-          "200 OK",
-          number == 0 ? "Page-Count: " + PAGES + "\r\n" : "Page-No: " + number + "\r\n",
-          PAGE);
-    }
-
-    @Override
-    public void close() throws IOException {
-      socket.close();
-    }
-  }
-
   @TempDir Path folder;
   private final List<AutoCloseable> resources = new ArrayList<>();
   private LargeResultEngine engine;
@@ -110,9 +44,9 @@
 
   @BeforeEach
   void start() throws IOException {
-    engine = new LargeResultEngine();
+    engine = new LargeResultEngine(CLIENTS);
     resources.add(engine);
-    String engineAddress = "127.0.0.1:" + engine.socket.getLocalPort();
+    String engineAddress = engine.address();
     String config =
         ServiceFixture.config(engineAddress)
             .replace("'sockets':256", "'sockets':1024")
@@ -179,7 +113,7 @@
         answers.add(readers.submit(() -> lastWordsOf(client.readAnswer())));
       }
       for (Future<String> answer : answers) {
-        assertThat(answer.get()).isEqualTo("SELECT " + PAGES * ROWS_OF_A_PAGE);
+        assertThat(answer.get()).isEqualTo(LargeResultEngine.COMMAND_TAG);
       }
     } finally {
       readers.shutdownNow();
--- a/src/test/java/tansytrack/service/ServiceFixture.java
+++ b/src/test/java/tansytrack/service/ServiceFixture.java
@@ -9,8 +9,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.io.TempDir;
+import tansytrack.Decide;
 import tansytrack.settings.ManagerConfig;
 import tansytrack.wire.Json;
+import tansytrack.wire.MemoryBudget;
 import tansytrack.wire.ProtocolException;
 
 /**
@@ -36,7 +38,12 @@
     private volatile Throwable failure;
 
     RunningManager(String config) throws IOException, ProtocolException {
-      service = new Service(parse(config));
+      this(config, MemoryBudget.limitByHeap());
+    }
+
+    /** Starts a manager with a given bound on the memory for clients and from engines, in bytes. */
+    RunningManager(String config, long memoryLimit) throws IOException, ProtocolException {
+      service = new Service(parse(config), Decide::new, Service.OptionalFeatures.NONE, memoryLimit);
       address = service.listen();
       loop =
           new Thread(
--- a/src/test/java/tansytrack/service/ServiceLifecycleTest.java
+++ b/src/test/java/tansytrack/service/ServiceLifecycleTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import tansytrack.api.DecisionModule;
 import tansytrack.service.ServiceTest.Client;
+import tansytrack.wire.MemoryBudget;
 
 /** The manager's counters, shortage of file descriptors, shutdown and internal failures. */
 class ServiceLifecycleTest extends ServiceFixture {
@@ -160,7 +161,8 @@
                           }
                           return null;
                         }),
-            Service.OptionalFeatures.NONE);
+            Service.OptionalFeatures.NONE,
+            MemoryBudget.limitByHeap());
     try (Client client = new Client(failing.listen())) {
       client.send(Client.startupMessage(3 << 16));
       client.send(Client.message('Q', Client.task("safe", "00000000000000d5", "ok")));
--- a/src/test/java/tansytrack/service/TruncatedPageTest.java
+++ b/src/test/java/tansytrack/service/TruncatedPageTest.java
@@ -28,7 +28,9 @@
     WITH_THE_PAGE,
     /** As the manager has taken the page for complete, and has sent its next request. */
     BEHIND_THE_NEXT_REQUEST,
-    NEVER
+    NEVER,
+    /** With the page, and each connection announces its end and ends behind its response. */
+    BEFORE_THE_ANNOUNCED_END
   }
 
   private static final int PAGES = 3;
@@ -78,12 +80,13 @@
             withheld = rest == Rest.NEVER ? "" : answer.substring(end + 1);
             answer = answer.substring(0, end);
           }
-          if (rest == Rest.WITH_THE_PAGE) {
+          if (rest == Rest.WITH_THE_PAGE || rest == Rest.BEFORE_THE_ANNOUNCED_END) {
             answer += withheld;
             withheld = "";
           }
           connection.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
-          if (rest == Rest.NEVER && end >= 0) {
+          boolean announced = rest == Rest.BEFORE_THE_ANNOUNCED_END && !head.startsWith("GET /cmd");
+          if (announced || (rest == Rest.NEVER && end >= 0)) {
             return;
           }
         }
@@ -101,10 +104,14 @@
       String path = head.split(" ")[1];
       int number = path.equals("/o") ? 0 : Integer.parseInt(path.substring(path.length() - 1));
       String page = pages.get(number);
+      String close = rest == Rest.BEFORE_THE_ANNOUNCED_END ? "Connection: close\r\n" : "";
       String response =
           Rehearsal.response(
               "200 OK",
-              number == 0 ? "Page-Count: " + pages.size() + "\r\n" : "Page-No: " + number + "\r\n",
+              close
+                  + (number == 0
+                      ? "Page-Count: " + pages.size() + "\r\n"
+                      : "Page-No: " + number + "\r\n"),
               page);
       if (number != truncatedPage || !truncatedAt.add(length)) {
         return response;
