A session whose messages wait for their turn is not idle at a planned restart

With turns of eight messages, a session could have whole statements unread while all its answers were written; at a planned restart the manager took it for idle and closed it, and could evict it for a new connection. Now it is busy until they are handled, and one whose large message waits for memory keeps the manager from ending as well.

PgSessionTest.aSessionWhoseMessagesWaitForTheirTurnIsBusy fails without the change (run so). Also: a first page whose figures cannot be read leaves the result's page count unchanged, as the method's comment says.

--- a/src/main/java/tansytrack/state/Manager.java
+++ b/src/main/java/tansytrack/state/Manager.java
@@ -227,9 +227,11 @@
     module.onShutdown(timers.now(), deadline);
   }
 
-  /** Whether every task is answered and every answer has been sent. */
+  /** Whether every task and message is answered and every answer has been sent. */
   public boolean idle() {
-    return unansweredTasks == 0 && sessions.values().stream().noneMatch(PgSession::busy);
+    return unansweredTasks == 0
+        && sessions.values().stream()
+            .noneMatch(session -> session.busy() || session.waitsForMemory());
   }
 
   /** Ends all sessions, and each connection to an engine once its open request has ended. */
@@ -364,7 +366,7 @@
     MemoryBudget.Reservation reservation =
         memory().tryReserve(MemoryBudget.Purpose.RESULT, RowWriter.memoryOfResult(rows.length));
     if (reservation == null) {
-      session.sendError(PgSession.SQLSTATE_OUT_OF_MEMORY, "no memory for the rows at present");
+      session.sendError(MemoryBudget.SQLSTATE_OUT_OF_MEMORY, "no memory for the rows at present");
     } else {
       session.sendRows(columns, List.of(rows), reservation::release);
     }
--- a/src/main/java/tansytrack/state/ResultPages.java
+++ b/src/main/java/tansytrack/state/ResultPages.java
@@ -142,9 +142,11 @@
       throw new ProtocolException("a page that does not hold whole rows, or too large a result");
     }
     if (number == 0) {
+      double toldWorkMs = response.numericHeader("work-ms", 0);
+      double toldPeakMb = response.numericHeader("peak-mb", 0);
       pageCount = count;
-      workMs = response.numericHeader("work-ms", 0);
-      peakMb = response.numericHeader("peak-mb", 0);
+      workMs = toldWorkMs;
+      peakMb = toldPeakMb;
     }
     memory.growTo(RowWriter.memoryOfResult(precedingBytes + body.length));
     boolean secondCopy = unconfirmed != null && number == confirmed.size();
--- a/src/main/java/tansytrack/wire/MemoryBudget.java
+++ b/src/main/java/tansytrack/wire/MemoryBudget.java
@@ -14,6 +14,9 @@
  */
 public final class MemoryBudget {
 
+  /** SQLSTATE out_of_memory, of the class that promises that the statement has not run. */
+  public static final String SQLSTATE_OUT_OF_MEMORY = "53200";
+
   /** What memory is held for. */
   public enum Purpose {
     /** Messages of clients, up to a half of the budget, so that results can always be fetched. */
--- a/src/main/java/tansytrack/wire/PgSession.java
+++ b/src/main/java/tansytrack/wire/PgSession.java
@@ -83,9 +83,6 @@
   // Messages in a round that request nothing or cannot be used.
   private static final int MAX_UNPRODUCTIVE_MESSAGES_PER_ROUND = 50;
 
-  /** SQLSTATE out_of_memory, of the class that promises that the statement has not run. */
-  public static final String SQLSTATE_OUT_OF_MEMORY = SessionMemory.SQLSTATE_OUT_OF_MEMORY;
-
   private final Connection connection;
   private final Handler handler;
   private final int processId;
@@ -162,9 +159,14 @@
     return connection.isReleased();
   }
 
-  /** Whether a query is open, or its answer has not been written completely. */
+  /** Whether a message is to be answered, or an answer has not been written completely. */
   public boolean busy() {
-    return querying || connection.output.size() > 0;
+    return querying || turnScheduled || checkingClient || connection.output.size() > 0;
+  }
+
+  /** Whether a message waits for memory, of which the session has not read all. */
+  public boolean waitsForMemory() {
+    return memory.waiting();
   }
 
   /**
@@ -192,11 +194,9 @@
             ? incompleteRounds + 1
             : 0;
     if (incompleteRounds > INCOMPLETE_MESSAGE_ROUNDS) {
-      if (memory.waiting()) {
-        sendFatalError(SQLSTATE_OUT_OF_MEMORY, "no memory for the message in time");
-      } else {
-        sendFatalError("08P01", "no whole message in time");
-      }
+      sendFatalError(
+          memory.waiting() ? MemoryBudget.SQLSTATE_OUT_OF_MEMORY : "08P01",
+          memory.waiting() ? "no memory for the message in time" : "no whole message in time");
       return;
     }
     idleRounds = connection.bytesWritten() == bytesWrittenAtLastRound ? idleRounds + 1 : 1;
@@ -262,15 +262,15 @@
   private void scheduleTurn() {
     if (!turnScheduled && !querying && connection.open() && connection.input.size() > 0) {
       turnScheduled = true;
-      handler.runLater(
-          0,
-          () -> {
-            turnScheduled = false;
-            handleInput();
-          });
+      handler.runLater(0, this::turnCame);
     }
   }
 
+  private void turnCame() {
+    turnScheduled = false;
+    handleInput();
+  }
+
   /** Handles the next message; returns whether there was a complete and valid one. */
   private boolean handleNextMessage() {
     RingBuffer input = connection.input;
@@ -323,12 +323,12 @@
    */
   private void checkClient() {
     checkingClient = true;
-    handler.runLater(
-        CLIENT_CHECK_NANOS,
-        () -> {
-          checkingClient = false;
-          handleInput();
-        });
+    handler.runLater(CLIENT_CHECK_NANOS, this::clientChecked);
+  }
+
+  private void clientChecked() {
+    checkingClient = false;
+    handleInput();
   }
 
   private void handleStartupMessage(ByteBuffer message) {
--- a/src/main/java/tansytrack/wire/SessionMemory.java
+++ b/src/main/java/tansytrack/wire/SessionMemory.java
@@ -10,9 +10,6 @@
  */
 final class SessionMemory {
 
-  /** SQLSTATE out_of_memory, of the class that promises that the statement has not run. */
-  static final String SQLSTATE_OUT_OF_MEMORY = "53200";
-
   private static final String SQLSTATE_LIMIT_EXCEEDED = "54000";
 
   // A message of this size is read without a reservation of memory.
@@ -119,7 +116,7 @@
       readAheadMemory =
           budget.get().tryReserve(MemoryBudget.Purpose.MESSAGE, MAX_UNREAD_AHEAD_BYTES);
       if (readAheadMemory == null) {
-        fatalError.accept(SQLSTATE_OUT_OF_MEMORY, "no memory for further messages");
+        fatalError.accept(MemoryBudget.SQLSTATE_OUT_OF_MEMORY, "no memory for further messages");
       } else {
         connection.maxUnreadBytes(MAX_UNREAD_AHEAD_BYTES);
       }
--- a/src/test/java/tansytrack/wire/PgSessionTest.java
+++ b/src/test/java/tansytrack/wire/PgSessionTest.java
@@ -238,6 +238,30 @@
     assertThat(queries).isEqualTo(sent + 1);
   }
 
+  /**
+   * Guards against messages that are lost at a planned restart: a session whose messages wait for
+   * their turn is not idle, although all its answers are written.
+   */
+  @Test
+  void aSessionWhoseMessagesWaitForTheirTurnIsBusy() {
+    immediateResult = new byte[0];
+    send("yes", "");
+    ByteBuffer bytes = ByteBuffer.allocate(1 << 12);
+    for (int i = 0; i < 2 * MAX_ACTIONS; i++) {
+      bytes.put((byte) 'Q').putInt(6).put((byte) '1').put((byte) 0);
+    }
+    connection.received(IoBuffer.wrap(bytes.flip()), 7);
+    connection.output.skip(connection.output.size());
+    assertThat(queries).isLessThan(2 * MAX_ACTIONS);
+    assertThat(session.busy()).isTrue();
+    assertThat(session.evictionPriority()).isEqualTo(-1);
+    while (queries < 2 * MAX_ACTIONS) {
+      clientReads();
+    }
+    connection.output.skip(connection.output.size());
+    assertThat(session.busy()).isFalse();
+  }
+
   /** A large message waits for memory, and is handled once there is some. */
   @Test
   void aLargeMessageWaitsForMemory() {
@@ -250,6 +274,7 @@
     connection.received(IoBuffer.wrap(bytes.flip()), 7);
     clientReads();
     assertThat(queries).isZero();
+    assertThat(session.waitsForMemory()).isTrue();
     others.release();
     clientReads();
     assertThat(queries).as("before it is known whether the client has gone").isZero();
