--- a/src/test/java/tansytrack/service/ServiceConfigurationTest.java
+++ b/src/test/java/tansytrack/service/ServiceConfigurationTest.java
@@ -29,6 +29,7 @@
     engine.channelAnswer = "{\"cursor\":1,\"cmds\":[]}";
     engine.repeatsChannelAnswer = true;
     stopManager();
+    engine.requests.clear(); // those of the manager that has ended
     start(config());
     Thread.sleep(500);
     long polls = engine.requests.stream().filter(request -> request.startsWith("GET /cmd")).count();
