--- a/src/test/java/tansytrack/service/AttemptEndTest.java
+++ b/src/test/java/tansytrack/service/AttemptEndTest.java
@@ -3,10 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import tansytrack.service.ServiceTest.Client;
 
@@ -14,9 +10,8 @@
  * Which events prove that an attempt has ended at its engine, tested over real connections. The
  * next query of a key must not start while an earlier one of the key still runs.
  */
-class AttemptEndTest {
+class AttemptEndTest extends ScriptedEngineFixture {
 
-  private static final int TIMEOUT_MS = 60_000;
   private static final String RESULT =
       Rehearsal.response("200 OK", "Page-Count: 1\r\nWork-Ms: 5\r\nPeak-Mb: 2\r\n", "a\tb\tc\n");
   private static final String STILL_RUNNING = Rehearsal.response("202 Accepted", "", "");
@@ -27,34 +22,6 @@
   private static final String SECOND_ID = "00000000000000a2";
   private static final String OTHER_ID = "00000000000000b1";
 
-  private final List<AutoCloseable> resources = new ArrayList<>();
-  private ScriptedServer engine;
-  private ServiceFixture.RunningManager running;
-
-  @BeforeEach
-  void start() throws Exception {
-    engine = new ScriptedServer().startAccepting();
-    ScriptedServer channel = new ScriptedServer().startAccepting();
-    resources.add(engine);
-    resources.add(channel);
-    running =
-        new ServiceFixture.RunningManager(
-            ServiceTest.config(engine.address())
-                .replace("'channel':'" + engine.address(), "'channel':'" + channel.address())
-                .replace("'connect_timeout_ms':5000", "'connect_timeout_ms':1000"));
-  }
-
-  @AfterEach
-  void stop() throws Exception {
-    try {
-      running.stop();
-    } finally {
-      for (AutoCloseable resource : resources) {
-        resource.close();
-      }
-    }
-  }
-
   private Client client() throws IOException {
     Client client = new Client(running.address).startSession();
     resources.add(client);
@@ -70,12 +37,6 @@
     return client;
   }
 
-  private ScriptedServer.Request expectRequest(String requestLine) throws InterruptedException {
-    ScriptedServer.Request request = engine.nextRequest(TIMEOUT_MS);
-    assertThat(request.text()).isEqualTo(requestLine);
-    return request;
-  }
-
   /** Returns whether another query starts in that time; other requests are skipped. */
   private boolean queryStartsWithin(long ms) throws InterruptedException {
     long end = System.nanoTime() + ms * 1_000_000;
--- a/src/test/java/tansytrack/service/RepeatedTaskTest.java
+++ b/src/test/java/tansytrack/service/RepeatedTaskTest.java
@@ -2,10 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.ArrayList;
-import java.util.List;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import tansytrack.service.ServiceTest.Client;
 
@@ -13,40 +9,12 @@
  * Guards against a statement that runs twice although it must not: it comes again under its id,
  * behind its client's leaving or behind its answer.
  */
-class RepeatedTaskTest {
+class RepeatedTaskTest extends ScriptedEngineFixture {
 
-  private static final int TIMEOUT_MS = 60_000;
   private static final int QUIET_MS = 300;
   private static final String ID = "00000000000000a1";
   private static final String STATEMENT = "INSERT INTO sales_17.orders";
 
-  private final List<AutoCloseable> resources = new ArrayList<>();
-  private ScriptedServer engine;
-  private ServiceFixture.RunningManager running;
-
-  @BeforeEach
-  void start() throws Exception {
-    engine = new ScriptedServer().startAccepting();
-    ScriptedServer channel = new ScriptedServer().startAccepting();
-    resources.add(engine);
-    resources.add(channel);
-    running =
-        new ServiceFixture.RunningManager(
-            ServiceTest.config(engine.address())
-                .replace("'channel':'" + engine.address(), "'channel':'" + channel.address()));
-  }
-
-  @AfterEach
-  void stop() throws Exception {
-    try {
-      running.stop();
-    } finally {
-      for (AutoCloseable resource : resources) {
-        resource.close();
-      }
-    }
-  }
-
   private Client send(String queryClass, String id) throws Exception {
     Client client = new Client(running.address).startSession();
     resources.add(client);
@@ -54,13 +22,6 @@
     return client;
   }
 
-  private ScriptedServer.Request expectRequest(String text) throws InterruptedException {
-    ScriptedServer.Request request = engine.nextRequest(TIMEOUT_MS);
-    assertThat(request).isNotNull();
-    assertThat(request.text()).isEqualTo(text);
-    return request;
-  }
-
   private static String result() {
     return Rehearsal.response("200 OK", "Page-Count: 1\r\n", "a\tb\tc\n");
   }
